--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,185 @@
+//! The configuration: the one place where the environment and the JSON file are read, checked and given
+//! defaults. Every message names the key at fault.
+
+use crate::net::Update;
+use serde_json::{Map, Value};
+use spoolmux::api::{Micros, Settings};
+use spoolmux::wire::{self, Names};
+use std::net::SocketAddr;
+
+/// What the schedulers' messages to each other need.
+pub struct PeerConfig {
+    /// Where they arrive.
+    pub listen: SocketAddr,
+    /// One address for each scheduler, by rank.
+    pub each: Vec<SocketAddr>,
+    /// The address that reaches all of them.
+    pub all: Option<SocketAddr>,
+}
+
+/// All that the program is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect, and next hops with their call-backs.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where other schedulers are, if there may be messages between them.
+    pub peers: Option<PeerConfig>,
+    /// The list of next hops as last known.
+    pub known: Option<Update>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' indices.
+    pub names: Names,
+    /// When a next hop closes an idle connection.
+    pub conn_idle: Micros,
+    /// Requests that may be open at once.
+    pub most_open: usize,
+}
+
+const DEFAULT_SOCKETS: u64 = 1_024;
+const DEFAULT_CONN_IDLE: Micros = 5_000_000;
+const DEFAULT_MOST_OPEN: u64 = 20_000;
+
+impl Config {
+    /// Reads the file that `RELAY_CONFIG` names, and the variables that may stand in for its keys.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|error| format!("RELAY_CONFIG: {path}: {error}"))?;
+        Config::read(&text, env)
+    }
+
+    fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let json: Value = serde_json::from_str(text).map_err(|error| format!("RELAY_CONFIG: {error}"))?;
+        let root = Section { at: "", map: json.as_object().ok_or("RELAY_CONFIG: it is not a JSON object")? };
+        // The environment comes first: it is what a person sets to try something.
+        let told = |key: &str, variable: &str| match env(variable) {
+            Some(value) => Ok::<_, String>(Some((variable.to_owned(), value))),
+            None => Ok(root.text(key)?.map(|value| (key.to_owned(), value.to_owned()))),
+        };
+        let needed = |key: &str, variable: &str| {
+            told(key, variable)?.ok_or_else(|| format!("'{key}' is missing, and so is {variable}"))
+        };
+        let place = |key: &str, variable: &str| {
+            let (from, value) = needed(key, variable)?;
+            address(&from, &value)
+        };
+        let limits = root.section("limits")?;
+        let settings = root.map.get("settings").ok_or("'settings' is missing")?;
+        let ceilings = match settings.get("ceilings") {
+            Some(Value::Object(map)) => Some(Section { at: "settings.ceilings.", map }),
+            Some(_) => return Err("'settings.ceilings' is not an object".to_owned()),
+            None => None,
+        };
+        let ceiling = |key: &str, default: u64| match &ceilings {
+            Some(section) => Ok::<_, String>(section.whole(key)?.unwrap_or(default)),
+            None => Ok(default),
+        };
+        let (module, names) =
+            wire::settings(&settings.to_string()).map_err(|error| format!("'settings': {error}"))?;
+        if module.classes.is_empty() {
+            return Err("'settings.request_classes' is missing or empty".to_owned());
+        }
+        let known = match root.map.get("known") {
+            None | Some(Value::Null) => None,
+            Some(value) => {
+                Some(serde_json::from_value(value.clone()).map_err(|error| format!("'known': {error}"))?)
+            }
+        };
+        let sockets = match &limits {
+            Some(limits) => limits.whole("sockets")?.unwrap_or(DEFAULT_SOCKETS),
+            None => DEFAULT_SOCKETS,
+        };
+        if sockets < 64 {
+            return Err(format!("'limits.sockets' is {sockets}: the program needs 64 at least"));
+        }
+        Ok(Config {
+            name: told("name", "RELAY_NAME")?.map_or_else(|| "calicolb".to_owned(), |found| found.1),
+            listen: place("listen", "RELAY_LISTEN")?,
+            discovery: place("discovery", "RELAY_DISCOVERY")?,
+            seed: seed(&root)?,
+            sockets: sockets as usize,
+            peers: peers(&root, &module)?,
+            known,
+            conn_idle: ceiling("conn_idle_us", DEFAULT_CONN_IDLE)?,
+            most_open: ceiling("max_open", DEFAULT_MOST_OPEN)? as usize,
+            settings: module,
+            names,
+        })
+    }
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("'{key}': '{text}' is not an address with a port"))
+}
+
+fn seed(root: &Section<'_>) -> Result<u64, String> {
+    match root.map.get("seed") {
+        None => Ok(0),
+        Some(Value::Number(number)) if number.is_u64() => Ok(number.as_u64().unwrap_or(0)),
+        Some(Value::String(text)) => u64::from_str_radix(text, 16)
+            .map_err(|_| format!("'seed': '{text}' is not a hexadecimal number of 64 bits")),
+        Some(other) => Err(format!("'seed': {other} is neither text nor a whole number")),
+    }
+}
+
+fn peers(root: &Section<'_>, settings: &Settings) -> Result<Option<PeerConfig>, String> {
+    let Some(listen) = root.text("peer_listen")?.filter(|_| settings.limits.peers) else { return Ok(None) };
+    let mut each = Vec::new();
+    match root.map.get("peers") {
+        None => {}
+        Some(Value::Array(list)) => {
+            for (nr, value) in list.iter().enumerate() {
+                let key = format!("peers[{nr}]");
+                each.push(address(&key, value.as_str().ok_or_else(|| format!("'{key}' is not text"))?)?);
+            }
+        }
+        Some(_) => return Err("'peers' is not a list".to_owned()),
+    }
+    let all = root.text("peers_all")?.map(|text| address("peers_all", text)).transpose()?;
+    Ok(Some(PeerConfig { listen: address("peer_listen", listen)?, each, all }))
+}
+
+/// An object of the configuration, and where it stands.
+struct Section<'a> {
+    at: &'a str,
+    map: &'a Map<String, Value>,
+}
+
+impl<'a> Section<'a> {
+    fn text(&self, key: &str) -> Result<Option<&'a str>, String> {
+        match self.map.get(key) {
+            None => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(other) => Err(format!("'{}{key}': {other} is not text", self.at)),
+        }
+    }
+
+    fn whole(&self, key: &str) -> Result<Option<u64>, String> {
+        match self.map.get(key) {
+            None => Ok(None),
+            Some(value) => {
+                let number =
+                    value.as_u64().or_else(|| value.as_f64().filter(|n| *n >= 0.0).map(|n| n as u64));
+                number
+                    .map(Some)
+                    .ok_or_else(|| format!("'{}{key}': {value} is not a number from 0 on", self.at))
+            }
+        }
+    }
+
+    fn section(&self, key: &'a str) -> Result<Option<Section<'a>>, String> {
+        match self.map.get(key) {
+            None => Ok(None),
+            Some(Value::Object(map)) => Ok(Some(Section { at: "limits.", map })),
+            Some(_) => Err(format!("'{}{key}' is not an object", self.at)),
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,28 @@
+//! The scheduler: starts, and wires the parts together.
+
+mod config;
+mod net;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let config = match config::Config::load(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(message) => {
+            eprintln!("calicolb: configuration: {message}");
+            return ExitCode::from(2);
+        }
+    };
+    let (name, listen) = (config.name.clone(), config.listen);
+    let served = net::turn::Turn::new(config).and_then(|turn| {
+        net::log::note!("{name} serves on {listen}");
+        turn.run()
+    });
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("calicolb: {name} on {listen}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/caller.rs
@@ -0,0 +1,411 @@
+//! Caller legs: the connections that clients open, and those on which next hops bring their call-backs. One
+//! listener serves both.
+
+use crate::net::Ctx;
+use crate::net::buffer::{Buffer, Filled};
+use crate::net::deadlines::Due;
+use crate::net::desk::{Answer, Job, News, Unfit};
+use crate::net::http::{self, Reject, Request};
+use crate::net::log::note;
+use crate::net::next_hop::{Payload, report_of};
+use crate::net::route_set::hop_id;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Token};
+use serde::Deserialize;
+use serde_json::Value;
+use spoolmux::api::{Ending, Micros, Note};
+use spoolmux::wire;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::Shutdown;
+use std::rc::Rc;
+
+const SECOND: Micros = 1_000_000;
+/// A leg that stays in the middle of a request, or does not take its answer, is closed after this time.
+const STALLED: Micros = 15 * SECOND;
+/// A leg at rest is closed after this time.
+const IDLE: Micros = 120 * SECOND;
+/// How long a leg that was told of an error may go on sending before it is cut.
+const LINGER: Micros = SECOND;
+/// Accepting is tried again after this time when no descriptor could be had.
+const ACCEPT_AGAIN: Micros = SECOND / 50;
+/// The longest time that a caller's patience is taken to have.
+const PATIENCE: f64 = 3600.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// Waits for a request, or for the rest of one.
+    Reading,
+    /// A request of this leg is with the desk.
+    Waiting,
+    /// The last answer is written; whatever still comes is thrown away.
+    Ending,
+}
+
+struct Leg {
+    stream: TcpStream,
+    buffer: Buffer,
+    state: State,
+    /// The request in work, or the one before, was the last.
+    last: bool,
+    /// It carries call-backs.
+    back: bool,
+    since: Micros,
+}
+
+/// See the head of this file.
+pub struct Callers {
+    listener: TcpListener,
+    legs: HashMap<usize, Leg>,
+    most: usize,
+    /// Answers tell callers to go elsewhere.
+    parting: bool,
+    /// The route set is known: work can be placed.
+    pub ready: bool,
+}
+
+impl Callers {
+    /// `most`: connections at most; beyond that, the longest at rest are closed.
+    pub fn new(listener: TcpListener, most: usize) -> Self {
+        Callers { listener, legs: HashMap::new(), most, parting: false, ready: false }
+    }
+
+    /// The connection is one of these.
+    pub fn has(&self, token: usize) -> bool {
+        self.legs.contains_key(&token)
+    }
+
+    /// Takes new connections.
+    pub fn accept(&mut self, ctx: &mut Ctx<'_>) {
+        loop {
+            if self.legs.len() >= self.most && !self.shed(ctx) {
+                // They wait in the listener's queue until a leg ends.
+                return ctx.deadlines.set(Due::Accept, ctx.now + ACCEPT_AGAIN);
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => self.open(ctx, stream),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(error) => {
+                    // Out of descriptors or memory: a leg at rest makes room, else time may.
+                    note!("accepting: {error}");
+                    self.shed(ctx);
+                    return ctx.deadlines.set(Due::Accept, ctx.now + ACCEPT_AGAIN);
+                }
+            }
+        }
+    }
+
+    fn open(&mut self, ctx: &mut Ctx<'_>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let token = ctx.next_token();
+        if let Err(error) =
+            ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)
+        {
+            return note!("watching a caller leg: {error}");
+        }
+        ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+        let (state, since) = (State::Reading, ctx.now);
+        self.legs
+            .insert(token, Leg { stream, buffer: Buffer::default(), state, last: false, back: false, since });
+    }
+
+    /// Closes the leg that has been at rest for longest; tells whether there was one.
+    pub fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
+        let resting = |leg: &Leg| leg.state == State::Ending || leg.at_rest();
+        let oldest = self.legs.iter().filter(|(_, leg)| resting(leg)).min_by_key(|(_, leg)| leg.since);
+        let Some(token) = oldest.map(|(&token, _)| token) else { return false };
+        self.drop_leg(ctx, token);
+        true
+    }
+
+    /// Something can be read or written on one of these connections.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(leg) = self.legs.get_mut(&token) else { return };
+        if leg.buffer.has_output() && !self.flush(ctx, token) {
+            return;
+        }
+        self.read(ctx, token);
+    }
+
+    fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        loop {
+            let Some(leg) = self.legs.get_mut(&token) else { return };
+            let mut filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
+            if leg.state == State::Ending {
+                while filled == Filled::Brimful && !leg.buffer.has_output() {
+                    leg.buffer.consume(usize::MAX / 2);
+                    filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
+                }
+            }
+            while self
+                .legs
+                .get(&token)
+                .is_some_and(|leg| leg.state == State::Reading && !leg.buffer.has_output())
+                && self.step(ctx, token)
+            {}
+            if filled == Filled::Ended {
+                // Who closes has gone away, also in the middle of an answer.
+                ctx.desk.leave(token);
+                return self.drop_leg(ctx, token);
+            }
+            let Some(leg) = self.legs.get_mut(&token) else { return };
+            // The buffer was full of requests, and room has come.
+            if filled == Filled::Dry
+                || leg.buffer.has_output()
+                || leg.buffer.input().len() >= http::MESSAGE_LIMIT
+            {
+                return;
+            }
+        }
+    }
+
+    /// Deals with the next request in the buffer; tells whether there was one.
+    fn step(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        let Some(leg) = self.legs.get_mut(&token) else { return false };
+        match http::request(leg.buffer.input()) {
+            Ok(None) => {
+                let stays = if leg.buffer.input().is_empty() { IDLE } else { STALLED };
+                ctx.deadlines.set(Due::Leg(token), ctx.now + stays);
+                false
+            }
+            Ok(Some((request, length))) => {
+                leg.buffer.consume(length);
+                leg.since = ctx.now;
+                leg.last |= !request.keep_alive;
+                ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+                match self.route(ctx, token, request) {
+                    Ok(()) => {}
+                    Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
+                }
+                true
+            }
+            Err(Reject(status)) => {
+                // Where this message ends and the next begins is not known.
+                leg.last = true;
+                self.reply(ctx, token, status, &[], b"");
+                false
+            }
+        }
+    }
+
+    fn route(&mut self, ctx: &mut Ctx<'_>, token: usize, request: Request) -> Result<(), Reject> {
+        let wanted = |method: &str| if request.method == method { Ok(()) } else { Err(Reject(405)) };
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/up" => {
+                wanted("GET")?;
+                let status = if self.ready && !self.parting { 200 } else { 503 };
+                self.reply(ctx, token, status, &[], b"");
+            }
+            "/_jobs/news" => {
+                wanted("POST")?;
+                call_back(ctx, &request.body)?;
+                if let Some(leg) = self.legs.get_mut(&token) {
+                    leg.back = true;
+                }
+                self.reply(ctx, token, 200, &[], b"");
+            }
+            path => {
+                let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
+                let class = ctx.names.class(first).map_err(|_| Reject(404))?;
+                wanted("POST")?;
+                let job = job(ctx, class, first, request)?;
+                match ctx.desk.arrive(ctx.now, token, job) {
+                    Ok(()) => {
+                        if let Some(leg) = self.legs.get_mut(&token) {
+                            leg.state = State::Waiting;
+                        }
+                        ctx.deadlines.clear(Due::Leg(token));
+                    }
+                    Err(Unfit::Repeated) => return Err(Reject(409)),
+                    Err(Unfit::TooMany) => return Err(Reject(503)),
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Gives the final answer to the request of a leg.
+    pub fn answer(&mut self, ctx: &mut Ctx<'_>, token: usize, answer: Answer) {
+        let Some(leg) = self.legs.get_mut(&token) else { return };
+        leg.state = State::Reading;
+        match answer {
+            Answer::Served(result) => self.reply(ctx, token, 200, &[], &result),
+            Answer::Busy { come_back: Some(span) } => {
+                let seconds = format!("{:.3}", span as f64 / SECOND as f64);
+                self.reply(ctx, token, 503, &[("Retry-After", &seconds)], b"");
+            }
+            Answer::Busy { come_back: None } => self.reply(ctx, token, 503, &[], b""),
+            Answer::Failed => self.reply(ctx, token, 500, &[], b""),
+        }
+        // A caller may have sent its next request already, and more of it than was read.
+        self.read(ctx, token);
+    }
+
+    fn reply(&mut self, ctx: &mut Ctx<'_>, token: usize, status: u16, extra: &[(&str, &str)], body: &[u8]) {
+        let Some(leg) = self.legs.get_mut(&token) else { return };
+        leg.last |= self.parting && !leg.back;
+        leg.since = ctx.now;
+        leg.buffer.put(&http::write_response(status, extra, body, !leg.last));
+        ctx.deadlines.set(Due::Leg(token), ctx.now + STALLED);
+        self.flush(ctx, token);
+    }
+
+    /// Writes what waits; tells whether the leg goes on.
+    fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        let Some(leg) = self.legs.get_mut(&token) else { return false };
+        match leg.buffer.flush(&mut leg.stream) {
+            Ok(false) => false,
+            Ok(true) if leg.last && leg.state == State::Reading => {
+                // Closing with input unread would reset the connection, and the answer with it.
+                let _ = leg.stream.shutdown(Shutdown::Write);
+                leg.state = State::Ending;
+                leg.buffer.consume(usize::MAX / 2);
+                ctx.deadlines.set(Due::Leg(token), ctx.now + LINGER);
+                true
+            }
+            Ok(true) => {
+                if leg.state == State::Reading {
+                    ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+                }
+                true
+            }
+            Err(_) => {
+                ctx.desk.leave(token);
+                self.drop_leg(ctx, token);
+                false
+            }
+        }
+    }
+
+    /// A leg has rested or stalled for too long.
+    pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        if self.legs.get(&token).is_some_and(|leg| leg.state != State::Waiting) {
+            self.drop_leg(ctx, token);
+        }
+    }
+
+    fn drop_leg(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(mut leg) = self.legs.remove(&token) else { return };
+        let _ = ctx.registry.deregister(&mut leg.stream);
+        ctx.deadlines.clear(Due::Leg(token));
+    }
+
+    /// From now on every answer is the last of its leg.
+    pub fn part(&mut self) {
+        self.parting = true;
+    }
+
+    /// Closes the legs at rest, between two requests; call-backs keep theirs.
+    pub fn farewell(&mut self, ctx: &mut Ctx<'_>) {
+        let resting: Vec<usize> =
+            self.legs.iter().filter(|(_, leg)| leg.at_rest() && !leg.back).map(|(&token, _)| token).collect();
+        for token in resting {
+            // What came in since the poll is a request taken, not one that crosses the end.
+            self.read(ctx, token);
+            if let Some(leg) = self.legs.get_mut(&token).filter(|leg| leg.at_rest()) {
+                let _ = leg.stream.shutdown(Shutdown::Write);
+                leg.state = State::Ending;
+                ctx.deadlines.set(Due::Leg(token), ctx.now + LINGER);
+            }
+        }
+    }
+
+    /// No leg is in the middle of a request or an answer.
+    pub fn at_rest(&self) -> bool {
+        self.legs.values().all(|leg| leg.state == State::Ending || leg.at_rest())
+    }
+}
+
+impl Leg {
+    /// Between two requests.
+    fn at_rest(&self) -> bool {
+        self.state == State::Reading && self.buffer.input().is_empty() && !self.buffer.has_output()
+    }
+}
+
+/// A client's request as the desk takes it.
+fn job(
+    ctx: &Ctx<'_>,
+    class: spoolmux::api::ClassIx,
+    name: &str,
+    request: Request,
+) -> Result<Job<Payload>, Reject> {
+    let bad = Reject(400);
+    let header = |name: &str| request.headers.get(name);
+    if header("request-class").is_some_and(|told| told != name) {
+        return Err(bad);
+    }
+    let id = header("request-id").filter(|id| sound_id(id)).ok_or(bad)?.to_owned();
+    let figure =
+        |text: &str| text.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0);
+    let patience = figure(header("request-timeout").ok_or(bad)?).ok_or(bad)?.min(PATIENCE);
+    let tenant = match header("tenant") {
+        // One that the settings do not know has no share to count against.
+        Some(name) => ctx.names.tenant(name).ok(),
+        None => None,
+    };
+    let hint = header("work-hint").map(|text| figure(text).ok_or(bad)).transpose()?;
+    let (mut slots, mut memory) = (1.0, 0.0);
+    for pair in header("request-info").unwrap_or("").split(',').filter(|pair| !pair.trim().is_empty()) {
+        let (key, value) = pair.split_once('=').ok_or(bad)?;
+        match key.trim() {
+            "slots" | "needs" => slots = figure(value).ok_or(bad)?,
+            "memory" => memory = figure(value).ok_or(bad)?,
+            _ => {}
+        }
+    }
+    Ok(Job {
+        name: id,
+        class,
+        tenant,
+        hint,
+        patience: (patience * SECOND as f64) as Micros,
+        slots: slots.ceil() as u32,
+        memory,
+        key: request.query("obj").map(wire::hash_text),
+        retry: header("client-retry") == Some("1"),
+        payload: Rc::new(request),
+    })
+}
+
+/// An id is written into the path of a give-up, so it must not hold what means something there.
+fn sound_id(id: &str) -> bool {
+    (1..=128).contains(&id.len())
+        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte))
+}
+
+/// A call-back, as far as it is read.
+#[derive(Deserialize)]
+struct CallBack {
+    id: String,
+    from: String,
+    state: String,
+    share: Option<f64>,
+    result: Option<Value>,
+    load: Option<Value>,
+}
+
+/// Takes a call-back. One that fits nothing is taken all the same, or it would come again and again.
+fn call_back(ctx: &mut Ctx<'_>, body: &[u8]) -> Result<(), Reject> {
+    let call: CallBack = serde_json::from_slice(body).map_err(|_| Reject(400))?;
+    let news = match (call.state.as_str(), call.result) {
+        ("started", _) => News::Note(Note::Started),
+        ("running", _) => News::Note(Note::Progress(call.share.unwrap_or(0.0))),
+        ("done", Some(Value::String(text))) => News::Served(text.into_bytes()),
+        ("done", Some(other)) => News::Served(other.to_string().into_bytes()),
+        // It ran, but there is no result to serve.
+        ("done", None) | ("failed", _) => News::Over(Ending::Error),
+        ("returned", _) => News::Over(Ending::Full),
+        ("lost", _) => News::Over(Ending::Broken),
+        (other, _) => {
+            note!("a call-back of unknown state '{}'", other.escape_debug());
+            return Ok(());
+        }
+    };
+    let report = call.load.and_then(|value| report_of(ctx.names, &value));
+    ctx.desk.news(ctx.now, &call.id, hop_id(&call.from), news, report);
+    Ok(())
+}
--- /dev/null
+++ b/src/net/deadlines.rs
@@ -0,0 +1,90 @@
+//! All that is due at some time, in one sorted structure.
+
+use spoolmux::api::Micros;
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Due {
+    /// A timer of the decision module: its number, and which setting of it.
+    Timer(u64, u64),
+    /// The time of a branch is up: request and attempt.
+    Branch(u32, u32),
+    /// A connection to a next hop has not come up, or its answer has not come.
+    Link(usize),
+    /// An idle connection to a next hop is to be closed.
+    LinkIdle(usize),
+    /// A caller leg has been idle, or in the middle of a request, for too long.
+    Leg(usize),
+    /// Accepting is tried again after descriptors ran out.
+    Accept,
+    /// The one-off call to discovery has waited too long.
+    Fetch,
+    /// Nothing has come on the watch for too long.
+    Watch,
+    /// After SIGTERM: callers have been told elsewhere to go by now.
+    Farewell,
+}
+
+/// Deadlines by time. One that is set again moves; one that is cleared is gone, so the set stays as small as
+/// what it speaks of.
+#[derive(Default)]
+pub struct Deadlines {
+    sorted: BTreeSet<(Micros, Due)>,
+    at: HashMap<Due, Micros>,
+}
+
+impl Deadlines {
+    /// Sets or moves a deadline.
+    pub fn set(&mut self, due: Due, at: Micros) {
+        if let Some(before) = self.at.insert(due, at) {
+            self.sorted.remove(&(before, due));
+        }
+        self.sorted.insert((at, due));
+    }
+
+    /// Forgets a deadline.
+    pub fn clear(&mut self, due: Due) {
+        if let Some(before) = self.at.remove(&due) {
+            self.sorted.remove(&(before, due));
+        }
+    }
+
+    /// Takes the earliest deadline that has come.
+    pub fn next_due(&mut self, now: Micros) -> Option<Due> {
+        let &(at, due) = self.sorted.first()?;
+        if at > now {
+            return None;
+        }
+        self.clear(due);
+        Some(due)
+    }
+
+    /// How long the poll may sleep.
+    pub fn timeout(&self, now: Micros) -> Option<Duration> {
+        let &(at, _) = self.sorted.first()?;
+        Some(Duration::from_micros(at.saturating_sub(now)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn deadlines_come_in_order_move_and_go() {
+        let mut deadlines = Deadlines::default();
+        deadlines.set(Due::Link(1), 50);
+        deadlines.set(Due::Accept, 20);
+        deadlines.set(Due::Link(1), 10);
+        deadlines.set(Due::Fetch, 5);
+        deadlines.clear(Due::Fetch);
+        assert_eq!(deadlines.timeout(4), Some(Duration::from_micros(6)));
+        assert_eq!(deadlines.next_due(9), None);
+        assert_eq!(deadlines.next_due(60), Some(Due::Link(1)));
+        assert_eq!(deadlines.next_due(60), Some(Due::Accept));
+        assert_eq!(deadlines.next_due(60), None);
+        assert_eq!(deadlines.timeout(60), None);
+    }
+}
--- /dev/null
+++ b/src/net/desk.rs
@@ -0,0 +1,427 @@
+//! The desk: the table of requests and their branches. It turns facts into the module's events and the
+//! module's actions into work. It knows no HTTP and no sockets, so that another protocol can be put before
+//! the same decisions; and it decides nothing itself.
+
+use crate::net::deadlines::{Deadlines, Due};
+use crate::net::log::note;
+use spoolmux::api::*;
+use spoolmux::rules::Dispatcher;
+use std::collections::{HashMap, VecDeque};
+use std::mem;
+
+/// What a request came by, as whoever took it numbers that.
+pub type CallerId = usize;
+
+/// One attempt of one request, numbered as the module numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BranchId {
+    pub request: u32,
+    pub attempt: u32,
+}
+
+/// A request as a protocol hands it in; `P` is what that protocol needs to pass it on.
+pub struct Job<P> {
+    pub name: String,
+    pub class: ClassIx,
+    pub tenant: Option<TenantIx>,
+    pub hint: Option<f64>,
+    pub patience: Micros,
+    pub slots: u32,
+    pub memory: f64,
+    pub key: Option<u64>,
+    pub retry: bool,
+    pub payload: P,
+}
+
+/// Why a request is not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    /// One of this name is still open.
+    Repeated,
+    /// As many are open as may be.
+    TooMany,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Served(Vec<u8>),
+    Busy { come_back: Option<Micros> },
+    Failed,
+}
+
+/// What is told of a branch, apart from the connection that it went out on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    Note(Note),
+    Served(Vec<u8>),
+    Over(Ending),
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Work<P> {
+    Answer {
+        caller: CallerId,
+        answer: Answer,
+    },
+    Send {
+        branch: BranchId,
+        hop: WorkerId,
+        payload: P,
+        wait: Micros,
+    },
+    /// A branch was given up, and may be with its next hop.
+    GiveUp {
+        branch: BranchId,
+        hop: WorkerId,
+        name: String,
+    },
+    Probe(WorkerId),
+    Tell {
+        to: Option<u32>,
+        body: Vec<u8>,
+    },
+    FetchList,
+    Watch(bool),
+    CloseIdle(WorkerId),
+}
+
+struct Branch {
+    hop: WorkerId,
+    sent: Micros,
+    /// Its last byte has been written: from here on it may have run.
+    written: bool,
+    /// The next hop has said that it took the job.
+    taken: bool,
+    over: bool,
+    /// It was ended by news of this kind, which may yet be repeated.
+    ended_by: Option<Ending>,
+}
+
+struct Entry<P> {
+    name: String,
+    caller: CallerId,
+    expires: Micros,
+    payload: P,
+    /// The final answer is given, or nobody waits for it any more.
+    concluded: bool,
+    branches: Vec<Branch>,
+}
+
+/// See the head of this file.
+pub struct Desk<P> {
+    dispatcher: Dispatcher,
+    most_open: usize,
+    most_tries: u32,
+    entries: HashMap<u32, Entry<P>>,
+    names: HashMap<String, u32>,
+    callers: HashMap<CallerId, u32>,
+    next_request: u32,
+    next_timer: u64,
+    events: VecDeque<Event>,
+    work: Vec<Work<P>>,
+}
+
+impl<P: Clone> Desk<P> {
+    pub fn new(settings: Settings, seed: u64, now: Micros, most_open: usize) -> Self {
+        Desk {
+            most_tries: settings.limits.tries,
+            dispatcher: Dispatcher::new(settings, seed, now),
+            most_open,
+            entries: HashMap::new(),
+            names: HashMap::new(),
+            callers: HashMap::new(),
+            next_request: 0,
+            next_timer: 0,
+            events: VecDeque::new(),
+            work: Vec::new(),
+        }
+    }
+
+    // ---- Facts -----------------------------------------------------------------------------------
+
+    /// A request has come in whole.
+    pub fn arrive(&mut self, now: Micros, caller: CallerId, job: Job<P>) -> Result<(), Unfit> {
+        if self.names.contains_key(&job.name) {
+            return Err(Unfit::Repeated);
+        }
+        if self.entries.len() >= self.most_open {
+            return Err(Unfit::TooMany);
+        }
+        while self.entries.contains_key(&self.next_request) {
+            self.next_request = self.next_request.wrapping_add(1);
+        }
+        let number = self.next_request;
+        self.next_request = number.wrapping_add(1);
+        let expires = now.saturating_add(job.patience);
+        self.names.insert(job.name.clone(), number);
+        self.callers.insert(caller, number);
+        let entry = Entry {
+            name: job.name,
+            caller,
+            expires,
+            payload: job.payload,
+            concluded: false,
+            branches: Vec::new(),
+        };
+        self.entries.insert(number, entry);
+        self.events.push_back(Event::Arrival(Arrival {
+            request: RequestId(number),
+            class: job.class,
+            tenant: job.tenant,
+            hint: job.hint,
+            expires,
+            slots: job.slots,
+            memory: job.memory,
+            key: job.key,
+            retry: job.retry,
+        }));
+        Ok(())
+    }
+
+    /// A caller has gone; nothing is owed to it any more.
+    pub fn leave(&mut self, caller: CallerId) {
+        let Some(number) = self.callers.remove(&caller) else { return };
+        if let Some(entry) = self.entries.get_mut(&number) {
+            entry.concluded = true;
+            self.events.push_back(Event::Lapsed(RequestId(number)));
+        }
+        self.forget(number);
+    }
+
+    /// The last byte of a branch has been written.
+    pub fn written(&mut self, id: BranchId) {
+        if let Some(branch) = self.branch(id) {
+            branch.written = true;
+        }
+    }
+
+    /// The next hop has taken the job.
+    pub fn taken(&mut self, id: BranchId) {
+        if let Some(branch) = self.branch(id) {
+            branch.taken = true;
+        }
+    }
+
+    /// A branch has ended without a result, as its connection shows. Once the job is taken, what becomes of
+    /// the connection says nothing of it any more.
+    pub fn broke(&mut self, now: Micros, id: BranchId) {
+        match self.branch(id) {
+            Some(branch) if branch.taken => {}
+            Some(branch) => {
+                // The last byte decides: without it the next hop cannot have begun.
+                let ending = if branch.written { Ending::Broken } else { Ending::Unreachable };
+                self.end(now, id, ending, None);
+            }
+            None => {}
+        }
+    }
+
+    /// A branch has ended without a result, as the next hop said on its connection.
+    pub fn answered(&mut self, now: Micros, id: BranchId, ending: Ending, report: Option<Report>) {
+        self.end(now, id, ending, report);
+    }
+
+    /// A call-back about the request of this name from this next hop; tells whether it met an open branch.
+    pub fn news(
+        &mut self,
+        now: Micros,
+        name: &str,
+        hop: WorkerId,
+        news: News,
+        report: Option<Report>,
+    ) -> bool {
+        let Some(&number) = self.names.get(name) else { return false };
+        let Some(entry) = self.entries.get(&number) else { return false };
+        let here = |&nr: &usize| entry.branches[nr].hop == hop;
+        let Some(nr) = (0..entry.branches.len()).rev().find(here) else { return false };
+        let branch = &entry.branches[nr];
+        // Before its last byte is written nothing can be known of a branch: the news is of an older one.
+        if branch.over || !branch.written {
+            return false;
+        }
+        // The same news as ended an older branch there, before the hop has taken this one: a repeat, whose
+        // first answer was lost on the way.
+        let repeats =
+            |ending| entry.branches[..nr].iter().any(|old| old.hop == hop && old.ended_by == Some(ending));
+        let id = BranchId { request: number, attempt: nr as u32 };
+        match news {
+            News::Note(note) => {
+                self.events.push_back(Event::Note { request: RequestId(number), attempt: id.attempt, note });
+            }
+            News::Served(result) => self.serve(now, id, result, report),
+            News::Over(ending) if !branch.taken && repeats(ending) => return false,
+            News::Over(ending) => {
+                if let Some(branch) = self.branch(id) {
+                    branch.ended_by = Some(ending);
+                }
+                self.end(now, id, ending, report);
+            }
+        }
+        true
+    }
+
+    /// A probe has come back, or not.
+    pub fn probed(&mut self, hop: WorkerId, ending: Ending, elapsed: Micros, report: Option<Report>) {
+        self.events.push_back(Event::Probed { worker: hop, ending, elapsed, report });
+    }
+
+    /// News of the route set.
+    pub fn members(&mut self, kind: ListKind, members: Vec<Member>) {
+        self.events.push_back(Event::Members(kind, members));
+    }
+
+    /// A message from another scheduler.
+    pub fn peer(&mut self, from: u32, body: Vec<u8>) {
+        self.events.push_back(Event::Peer { from, body });
+    }
+
+    /// A timer of the module is due.
+    pub fn timer(&mut self, timer: u64) {
+        self.events.push_back(Event::Timer(TimerId(timer)));
+    }
+
+    /// The time of a branch is up.
+    pub fn time_up(&mut self, now: Micros, id: BranchId) {
+        let ending = match self.branch(id) {
+            Some(branch) if branch.written => Ending::TimedOut,
+            _ => Ending::Unreachable,
+        };
+        self.give_up(now, id, ending);
+    }
+
+    // ---- The module ------------------------------------------------------------------------------
+
+    /// Hands all that was gathered to the module, and gives what is to be done.
+    pub fn settle(&mut self, now: Micros, deadlines: &mut Deadlines) -> Vec<Work<P>> {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.dispatcher.on_event(now, event, &mut actions);
+        }
+        for action in actions {
+            self.carry_out(now, action, deadlines);
+        }
+        // A branch that is over has no time to wait for.
+        mem::take(&mut self.work)
+    }
+
+    /// Events wait for the module.
+    pub fn has_news(&self) -> bool {
+        !self.events.is_empty()
+    }
+
+    /// Requests that are still owed an answer.
+    pub fn owed(&self) -> usize {
+        self.callers.len()
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, deadlines: &mut Deadlines) {
+        match action {
+            Action::Send { request, worker, timeout } => self.send(now, request, worker, timeout, deadlines),
+            Action::Refuse { request, come_back } => self.conclude(request.0, Answer::Busy { come_back }),
+            Action::Fail(request) => self.conclude(request.0, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let id = BranchId { request: request.0, attempt };
+                let written = self.branch(id).is_some_and(|branch| branch.written);
+                self.give_up(now, id, if written { Ending::Cancelled } else { Ending::Moot });
+            }
+            Action::SetTimer { timer, after } => {
+                self.next_timer += 1;
+                deadlines.set(Due::Timer(timer.0, self.next_timer), now + after);
+            }
+            Action::Probe(hop) => self.work.push(Work::Probe(hop)),
+            Action::Tell { to, body } => self.work.push(Work::Tell { to, body }),
+            Action::FetchList => self.work.push(Work::FetchList),
+            Action::Subscribe(want) => self.work.push(Work::Watch(want)),
+            Action::CloseIdle(hop) => self.work.push(Work::CloseIdle(hop)),
+            Action::Log(text) => note!("module: {text}"),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        hop: WorkerId,
+        timeout: Option<Micros>,
+        deadlines: &mut Deadlines,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request.0) else {
+            return note!("the module sent request {}, which is closed", request.0);
+        };
+        let id = BranchId { request: request.0, attempt: entry.branches.len() as u32 };
+        let ends = entry.expires.min(timeout.map_or(Micros::MAX, |span| now.saturating_add(span)));
+        entry.branches.push(Branch {
+            hop,
+            sent: now,
+            written: false,
+            taken: false,
+            over: false,
+            ended_by: None,
+        });
+        // The caller may have left, or its time may have run out, in the batch that the module answers here.
+        if entry.concluded || ends <= now || id.attempt >= self.most_tries {
+            return self.end(now, id, Ending::Moot, None);
+        }
+        deadlines.set(Due::Branch(id.request, id.attempt), ends);
+        self.work.push(Work::Send { branch: id, hop, payload: entry.payload.clone(), wait: ends - now });
+    }
+
+    fn branch(&mut self, id: BranchId) -> Option<&mut Branch> {
+        let branch = self.entries.get_mut(&id.request)?.branches.get_mut(id.attempt as usize)?;
+        (!branch.over).then_some(branch)
+    }
+
+    fn give_up(&mut self, now: Micros, id: BranchId, ending: Ending) {
+        let Some(hop) = self.branch(id).map(|branch| branch.hop) else { return };
+        let name = self.entries.get(&id.request).map(|entry| entry.name.clone()).unwrap_or_default();
+        self.work.push(Work::GiveUp { branch: id, hop, name });
+        self.end(now, id, ending, None);
+    }
+
+    fn serve(&mut self, now: Micros, id: BranchId, result: Vec<u8>, report: Option<Report>) {
+        self.conclude(id.request, Answer::Served(result));
+        self.end(now, id, Ending::Ok, report);
+    }
+
+    /// Ends a branch, once.
+    fn end(&mut self, now: Micros, id: BranchId, ending: Ending, report: Option<Report>) {
+        let Some(branch) = self.branch(id) else { return };
+        branch.over = true;
+        let (worker, elapsed) = (branch.hop, now.saturating_sub(branch.sent));
+        let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
+        self.events.push_back(Event::Outcome {
+            request: RequestId(id.request),
+            attempt: id.attempt,
+            worker,
+            ending,
+            elapsed,
+            concluded,
+            report,
+        });
+        self.forget(id.request);
+    }
+
+    /// Gives the final answer, once: whatever comes for a request that has one is passed over.
+    fn conclude(&mut self, number: u32, answer: Answer) {
+        let Some(entry) = self.entries.get_mut(&number) else { return };
+        if entry.concluded {
+            return;
+        }
+        entry.concluded = true;
+        self.callers.remove(&entry.caller);
+        self.work.push(Work::Answer { caller: entry.caller, answer });
+        self.forget(number);
+    }
+
+    /// A request's record goes once it is answered and its last branch is over.
+    fn forget(&mut self, number: u32) {
+        let over = |entry: &Entry<P>| entry.concluded && entry.branches.iter().all(|branch| branch.over);
+        if self.entries.get(&number).is_some_and(over)
+            && let Some(entry) = self.entries.remove(&number)
+        {
+            self.names.remove(&entry.name);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,39 @@
+//! The network side: sockets, framing, and the desk where they meet the decisions.
+
+mod buffer;
+mod caller;
+mod deadlines;
+mod desk;
+mod http;
+pub(crate) mod log;
+mod next_hop;
+mod peers;
+mod route_set;
+pub mod turn;
+
+pub use route_set::Update;
+
+use deadlines::Deadlines;
+use desk::Desk;
+use mio::Registry;
+use next_hop::Payload;
+use spoolmux::api::Micros;
+use spoolmux::wire::Names;
+
+/// What every part of the network side works with in a turn of the loop.
+pub struct Ctx<'a> {
+    registry: &'a Registry,
+    names: &'a Names,
+    deadlines: &'a mut Deadlines,
+    desk: &'a mut Desk<Payload>,
+    tokens: &'a mut usize,
+    now: Micros,
+}
+
+impl Ctx<'_> {
+    /// A number for a new connection. None is given twice, so a late event of one that is gone meets nothing.
+    fn next_token(&mut self) -> usize {
+        *self.tokens += 1;
+        *self.tokens
+    }
+}
--- /dev/null
+++ b/src/net/next_hop.rs
@@ -0,0 +1,384 @@
+//! Next hops: the connections to them, the branches that go out on these, give-ups and probes.
+//!
+//! Nothing is ever sent twice from here: a request that meets a stale connection ends as what its last
+//! written byte says, and whether it goes out again is the module's to say.
+
+use crate::net::Ctx;
+use crate::net::buffer::{Buffer, Filled};
+use crate::net::deadlines::Due;
+use crate::net::desk::BranchId;
+use crate::net::http;
+use crate::net::log::note;
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+use serde_json::Value;
+use spoolmux::api::{Ending, Micros, Report, WorkerId};
+use spoolmux::wire::Names;
+use std::collections::HashMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const MILLI: Micros = 1_000;
+/// An idle connection is closed this long before its next hop may: the answer that began its rest, and a
+/// request that would end it, are each under way for some of that time.
+const IDLE_MARGIN: Micros = 300 * MILLI;
+/// A probe or a give-up that is not answered by then is dropped.
+const SIDE_CALL: Micros = 1_000 * MILLI;
+
+/// A request as it came, to be passed on.
+pub type Payload = Rc<http::Request>;
+
+/// What a connection is busy with.
+#[derive(Debug, PartialEq)]
+enum Task {
+    Idle,
+    Branch(BranchId),
+    GiveUp,
+    Probe(Micros),
+}
+
+struct Link {
+    stream: TcpStream,
+    buffer: Buffer,
+    hop: WorkerId,
+    up: bool,
+    task: Task,
+}
+
+struct Hop {
+    dial: SocketAddr,
+    born: u64,
+    /// Idle connections; the one used last is used first, so that the others may end.
+    idle: Vec<usize>,
+}
+
+/// See the head of this file.
+pub struct NextHops {
+    hops: HashMap<WorkerId, Hop>,
+    links: HashMap<usize, Link>,
+    /// Branches whose connection has not brought an answer yet.
+    out: HashMap<BranchId, usize>,
+    connect_timeout: Micros,
+    rest: Micros,
+    most: usize,
+}
+
+impl NextHops {
+    /// `idle`: when a next hop closes an idle connection; `most`: connections at most.
+    pub fn new(connect_timeout: Micros, idle: Micros, most: usize) -> Self {
+        NextHops {
+            hops: HashMap::new(),
+            links: HashMap::new(),
+            out: HashMap::new(),
+            connect_timeout,
+            rest: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
+            most,
+        }
+    }
+
+    /// Learns where a next hop listens. One that has moved or started anew has no connections left.
+    pub fn learn(&mut self, ctx: &mut Ctx<'_>, id: WorkerId, dial: SocketAddr, born: u64) {
+        let changed = self.hops.get(&id).is_some_and(|hop| hop.dial != dial || hop.born != born);
+        if changed {
+            self.close_idle(ctx, id);
+        }
+        let hop = self.hops.entry(id).or_insert(Hop { dial, born, idle: Vec::new() });
+        (hop.dial, hop.born) = (dial, born);
+    }
+
+    /// Forgets a next hop that is gone. What is out on its connections ends as these show.
+    pub fn forget(&mut self, ctx: &mut Ctx<'_>, id: WorkerId) {
+        self.close_idle(ctx, id);
+        self.hops.remove(&id);
+    }
+
+    /// Closes the idle connections to a next hop.
+    pub fn close_idle(&mut self, ctx: &mut Ctx<'_>, id: WorkerId) {
+        let idle = self.hops.get_mut(&id).map(|hop| std::mem::take(&mut hop.idle)).unwrap_or_default();
+        for token in idle {
+            self.drop_link(ctx, token);
+        }
+    }
+
+    /// Sends a branch.
+    pub fn send(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        branch: BranchId,
+        hop: WorkerId,
+        payload: &Payload,
+        wait: Micros,
+    ) {
+        let timeout = format!("{:.3}", wait as f64 / 1e6);
+        let kept = |name: &str| !DROPPED.iter().any(|dropped| name.eq_ignore_ascii_case(dropped));
+        let mut headers: Vec<(&str, &str)> = payload.headers.iter().filter(|(name, _)| kept(name)).collect();
+        headers.push(("Request-Timeout", &timeout));
+        let bytes = http::write_request(&payload.method, &payload.target, &headers, &payload.body);
+        if !self.put(ctx, hop, Task::Branch(branch), &bytes) {
+            ctx.desk.broke(ctx.now, branch);
+        }
+    }
+
+    /// Tells a next hop that a branch is given up: before it took the job by closing the connection, after
+    /// that in words.
+    pub fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, name: &str) {
+        match self.out.get(&branch).copied() {
+            Some(token) => self.drop_link(ctx, token),
+            None => {
+                let bytes =
+                    http::write_request("DELETE", &format!("/jobs/{name}"), &[("Host", "origin.svc")], b"");
+                self.put(ctx, hop, Task::GiveUp, &bytes);
+            }
+        }
+    }
+
+    /// Asks a next hop for its load.
+    pub fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) {
+        let bytes = http::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
+        if !self.put(ctx, hop, Task::Probe(ctx.now), &bytes) {
+            ctx.desk.probed(hop, Ending::Unreachable, 0, None);
+        }
+    }
+
+    /// Writes a request on an idle connection, or on a new one; tells whether there is one.
+    fn put(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId, task: Task, bytes: &[u8]) -> bool {
+        let token = match self.take_idle(ctx, hop) {
+            Some(token) => token,
+            None => match self.open(ctx, hop) {
+                Some(token) => token,
+                None => return false,
+            },
+        };
+        let Some(link) = self.links.get_mut(&token) else { return false };
+        link.buffer.put(bytes);
+        if link.up && task != Task::Idle && !matches!(task, Task::Branch(_)) {
+            ctx.deadlines.set(Due::Link(token), ctx.now + SIDE_CALL);
+        }
+        if let Task::Branch(branch) = task {
+            self.out.insert(branch, token);
+        }
+        link.task = task;
+        if link.up {
+            self.flush(ctx, token);
+        }
+        true
+    }
+
+    fn take_idle(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
+        while let Some(token) = self.hops.get_mut(&hop)?.idle.pop() {
+            ctx.deadlines.clear(Due::LinkIdle(token));
+            let Some(link) = self.links.get_mut(&token) else { continue };
+            // An end that came in since the poll: a request written now would count as one that may have run.
+            let silent = matches!(link.stream.read(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+            if silent {
+                return Some(token);
+            }
+            self.drop_link(ctx, token);
+        }
+        None
+    }
+
+    fn open(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
+        if self.links.len() >= self.most {
+            let idle = self.hops.values().find_map(|hop| hop.idle.first().copied());
+            let Some(token) = idle else {
+                note!("no connection is left for another branch: {} are open", self.links.len());
+                return None;
+            };
+            self.drop_link(ctx, token);
+        }
+        let dial = self.hops.get(&hop)?.dial;
+        let mut stream = match TcpStream::connect(dial) {
+            Ok(stream) => stream,
+            Err(error) => {
+                note!("connecting to {dial}: {error}");
+                return None;
+            }
+        };
+        let token = ctx.next_token();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        if let Err(error) = ctx.registry.register(&mut stream, Token(token), both) {
+            note!("watching a connection to {dial}: {error}");
+            return None;
+        }
+        ctx.deadlines.set(Due::Link(token), ctx.now + self.connect_timeout);
+        let link = Link { stream, buffer: Buffer::default(), hop, up: false, task: Task::Idle };
+        self.links.insert(token, link);
+        Some(token)
+    }
+
+    /// Something can be read or written on one of these connections.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(link) = self.links.get_mut(&token) else { return };
+        if !link.up {
+            let failed = !matches!(link.stream.take_error(), Ok(None));
+            if failed {
+                return self.fail(ctx, token);
+            }
+            if link.stream.peer_addr().is_err() {
+                return;
+            }
+            link.up = true;
+            let _ = link.stream.set_nodelay(true);
+            match link.task {
+                Task::Branch(_) => ctx.deadlines.clear(Due::Link(token)),
+                _ => ctx.deadlines.set(Due::Link(token), ctx.now + SIDE_CALL),
+            }
+        }
+        if self.flush(ctx, token) {
+            self.read(ctx, token);
+        }
+    }
+
+    /// Writes what waits; tells whether the connection lives and has nothing more to write.
+    fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        let Some(link) = self.links.get_mut(&token) else { return false };
+        if !link.buffer.has_output() {
+            return true;
+        }
+        match link.buffer.flush(&mut link.stream) {
+            Ok(true) => {
+                if let Task::Branch(branch) = link.task {
+                    ctx.desk.written(branch);
+                }
+                true
+            }
+            Ok(false) => false,
+            Err(_) => {
+                self.fail(ctx, token);
+                false
+            }
+        }
+    }
+
+    fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(link) = self.links.get_mut(&token) else { return };
+        let filled = link.buffer.fill(&mut link.stream, http::MESSAGE_LIMIT);
+        if link.task == Task::Idle {
+            // A next hop has nothing to say unasked; it ends the connection, or is out of step.
+            if filled != Filled::Dry || !link.buffer.input().is_empty() {
+                self.drop_link(ctx, token);
+            }
+            return;
+        }
+        match http::response(link.buffer.input()) {
+            Ok(Some((response, length))) => {
+                link.buffer.consume(length);
+                let task = std::mem::replace(&mut link.task, Task::Idle);
+                let (hop, clean) = (link.hop, link.buffer.input().is_empty());
+                ctx.deadlines.clear(Due::Link(token));
+                match task {
+                    Task::Branch(branch) => {
+                        self.out.remove(&branch);
+                        answered(ctx, branch, &response);
+                    }
+                    Task::Probe(sent) => {
+                        let report = serde_json::from_slice(&response.body).ok();
+                        let report = report.and_then(|value| report_of(ctx.names, &value));
+                        let ending = if response.status == 200 { Ending::Ok } else { Ending::Error };
+                        ctx.desk.probed(hop, ending, ctx.now.saturating_sub(sent), report);
+                    }
+                    Task::GiveUp | Task::Idle => {}
+                }
+                let known = self.hops.get_mut(&hop).filter(|hop| {
+                    self.links
+                        .get(&token)
+                        .is_some_and(|link| link.stream.peer_addr().is_ok_and(|at| at == hop.dial))
+                });
+                match known {
+                    Some(hop) if response.keep_alive && clean && filled == Filled::Dry => {
+                        hop.idle.push(token);
+                        ctx.deadlines.set(Due::LinkIdle(token), ctx.now + self.rest);
+                    }
+                    _ => self.drop_link(ctx, token),
+                }
+            }
+            Ok(None) if filled == Filled::Dry => {}
+            Ok(None) => self.fail(ctx, token),
+            Err(_) => {
+                note!("a next hop's answer is malformed");
+                self.fail(ctx, token);
+            }
+        }
+    }
+
+    /// The connection has broken, or never came up.
+    fn fail(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(link) = self.links.get_mut(&token) else { return };
+        let (hop, up) = (link.hop, link.up);
+        let task = std::mem::replace(&mut link.task, Task::Idle);
+        match task {
+            Task::Branch(branch) => {
+                self.out.remove(&branch);
+                ctx.desk.broke(ctx.now, branch);
+            }
+            Task::Probe(sent) => {
+                let ending = if up { Ending::Broken } else { Ending::Unreachable };
+                ctx.desk.probed(hop, ending, ctx.now.saturating_sub(sent), None);
+            }
+            Task::GiveUp | Task::Idle => {}
+        }
+        self.drop_link(ctx, token);
+    }
+
+    fn drop_link(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(mut link) = self.links.remove(&token) else { return };
+        let _ = ctx.registry.deregister(&mut link.stream);
+        ctx.deadlines.clear(Due::Link(token));
+        ctx.deadlines.clear(Due::LinkIdle(token));
+        if let Task::Branch(branch) = link.task {
+            self.out.remove(&branch);
+        }
+        if let Some(hop) = self.hops.get_mut(&link.hop) {
+            hop.idle.retain(|&idle| idle != token);
+        }
+    }
+
+    /// The connect or a side call has taken too long.
+    pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        self.fail(ctx, token);
+    }
+
+    /// An idle connection has rested long enough.
+    pub fn rested(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        if self.links.get(&token).is_some_and(|link| link.task == Task::Idle) {
+            self.drop_link(ctx, token);
+        }
+    }
+}
+
+/// Headers that speak of one connection only, or are written anew.
+const DROPPED: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "upgrade",
+    "expect",
+    "request-timeout",
+];
+
+/// What the answer on its own connection says of a branch.
+fn answered(ctx: &mut Ctx<'_>, branch: BranchId, response: &http::Response) {
+    let load = response.headers.get("server-load").and_then(|text| serde_json::from_str(text).ok());
+    let report = load.and_then(|value| report_of(ctx.names, &value));
+    let unstarted = response.headers.get("not-started") == Some("1");
+    match response.status {
+        202 => ctx.desk.taken(branch),
+        503 | 504 if unstarted => ctx.desk.answered(ctx.now, branch, Ending::Full, report),
+        status => {
+            if status != 500 {
+                note!("a next hop answered {status}");
+            }
+            ctx.desk.answered(ctx.now, branch, Ending::Error, report);
+        }
+    }
+}
+
+/// A load report as a next hop writes it.
+pub fn report_of(names: &Names, value: &Value) -> Option<Report> {
+    let fields = value.as_object()?;
+    Some(names.report(fields.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?)))))
+}
--- /dev/null
+++ b/src/net/peers.rs
@@ -0,0 +1,61 @@
+//! Messages between schedulers: datagrams to and from the addresses that the configuration names, no others.
+
+use crate::net::Ctx;
+use crate::net::log::note;
+use mio::net::UdpSocket;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+/// The longest message.
+const LIMIT: usize = 256;
+/// Datagrams taken in one turn at most; the rest come in the next.
+const BATCH: usize = 256;
+
+/// See the head of this file.
+pub struct Peers {
+    socket: UdpSocket,
+    /// Addresses by rank.
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    pub fn new(socket: UdpSocket, peers: Vec<SocketAddr>, all: Option<SocketAddr>) -> Self {
+        Peers { socket, peers, all }
+    }
+
+    /// Takes what has come; tells whether more may wait.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>) -> bool {
+        let mut bytes = [0; LIMIT + 1];
+        for _ in 0..BATCH {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((length, from)) => {
+                    let rank = self.peers.iter().position(|peer| *peer == from);
+                    match rank {
+                        Some(rank) if length <= LIMIT => ctx.desk.peer(rank as u32, bytes[..length].to_vec()),
+                        Some(_) => note!("a datagram from {from} is too long"),
+                        None => note!("a datagram from {from}, which is no peer"),
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                // An earlier datagram met a closed port; the next may be fine.
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    /// Sends a message to one scheduler, or to all.
+    pub fn tell(&self, to: Option<u32>, body: &[u8]) {
+        let address = match to {
+            Some(rank) => self.peers.get(rank as usize).copied(),
+            None => self.all,
+        };
+        match address {
+            Some(_) if body.len() > LIMIT => note!("a message of {} bytes is too long to send", body.len()),
+            // It may be lost on the way in any case.
+            Some(address) => drop(self.socket.send_to(body, address)),
+            None => note!("a message to {to:?}, which is no peer"),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/route_set.rs
@@ -0,0 +1,351 @@
+//! The route set: discovery's list of next hops, fetched and watched. When to ask is the module's decision;
+//! what comes back, and that nothing did, is told to it.
+
+use crate::net::Ctx;
+use crate::net::buffer::{Buffer, Filled};
+use crate::net::deadlines::Due;
+use crate::net::http;
+use crate::net::log::note;
+use crate::net::next_hop::NextHops;
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+use serde::Deserialize;
+use serde_json::Value;
+use spoolmux::api::{ListKind, Member, Micros, Standing, WorkerId};
+use spoolmux::wire::{Names, WireError, hash_text};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+const SECOND: Micros = 1_000_000;
+/// A watch that brings nothing for this long, not even the empty line of every 2 s, is lost; so is a call.
+const SILENCE: Micros = 5 * SECOND;
+/// A line of a watch holds the whole list at most.
+const LINE_LIMIT: usize = 1 << 20;
+/// Hops that are remembered at most: a list that names ever new ones must not fill the memory.
+const HOPS_LIMIT: usize = 4096;
+
+/// A version of the list, or the changes since another.
+#[derive(Deserialize)]
+pub struct Update {
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    #[serde(default)]
+    hosts: Vec<Value>,
+}
+
+/// One line of the list.
+#[derive(Deserialize)]
+struct Line {
+    host: String,
+    dial: String,
+    site: String,
+    class: String,
+    #[serde(default)]
+    block: u32,
+    health: String,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The number of a next hop: the same at every scheduler, since they speak of hops to each other by it.
+pub fn hop_id(name: &str) -> WorkerId {
+    let hash = hash_text(name);
+    WorkerId((hash ^ (hash >> 32)) as u32)
+}
+
+struct Call {
+    token: usize,
+    stream: TcpStream,
+    buffer: Buffer,
+    /// The head of the answer has come.
+    open: bool,
+    /// The line that is coming.
+    line: Vec<u8>,
+}
+
+/// See the head of this file.
+pub struct RouteSet {
+    discovery: SocketAddr,
+    seq: u64,
+    names: HashMap<WorkerId, String>,
+    fetch: Option<Call>,
+    watch: Option<Call>,
+}
+
+impl RouteSet {
+    pub fn new(discovery: SocketAddr) -> Self {
+        RouteSet { discovery, seq: 0, names: HashMap::new(), fetch: None, watch: None }
+    }
+
+    /// Some list is known.
+    pub fn known(&self) -> bool {
+        !self.names.is_empty()
+    }
+
+    /// Takes in the copy of the list that came with the configuration.
+    pub fn warm(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, known: Option<Update>) {
+        let update = known.unwrap_or(Update { seq: 0, whole: true, hosts: Vec::new() });
+        self.take(ctx, hops, update, ListKind::Saved);
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(&mut self, ctx: &mut Ctx<'_>) {
+        // One that is under way brings the same.
+        if self.fetch.is_none() {
+            self.fetch = self.call(ctx, "/discovery/hosts", Due::Fetch);
+        }
+    }
+
+    /// Begins the watch, or ends it.
+    pub fn watch(&mut self, ctx: &mut Ctx<'_>, want: bool) {
+        if let Some(call) = self.watch.take() {
+            end(ctx, call, Due::Watch);
+        }
+        if want {
+            let target = format!("/discovery/hosts?watch=1&from={}", self.seq);
+            self.watch = self.call(ctx, &target, Due::Watch);
+        }
+    }
+
+    fn call(&mut self, ctx: &mut Ctx<'_>, target: &str, due: Due) -> Option<Call> {
+        let mut made = TcpStream::connect(self.discovery);
+        let token = ctx.next_token();
+        if let Ok(stream) = &mut made
+            && let Err(error) =
+                ctx.registry.register(stream, Token(token), Interest::READABLE | Interest::WRITABLE)
+        {
+            made = Err(error);
+        }
+        match made {
+            Ok(stream) => {
+                let mut buffer = Buffer::default();
+                buffer.put(&http::write_request("GET", target, &[("Host", "discovery")], b""));
+                ctx.deadlines.set(due, ctx.now + SILENCE);
+                Some(Call { token, stream, buffer, open: false, line: Vec::new() })
+            }
+            Err(error) => {
+                note!("calling discovery: {error}");
+                ctx.desk.members(ListKind::Lost, Vec::new());
+                None
+            }
+        }
+    }
+
+    /// The connection is one of these.
+    pub fn has(&self, token: usize) -> bool {
+        [&self.fetch, &self.watch].into_iter().flatten().any(|call| call.token == token)
+    }
+
+    /// Something can be read or written on one of these connections.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, token: usize) {
+        if self.fetch.as_ref().is_some_and(|call| call.token == token) {
+            let Some(mut call) = self.fetch.take() else { return };
+            match fetched(&mut call) {
+                Ok(None) => self.fetch = Some(call),
+                Ok(Some(update)) => {
+                    end(ctx, call, Due::Fetch);
+                    // A watch may have brought what is newer: then this list is one of the past.
+                    let old = update.seq < self.seq;
+                    let update =
+                        if old { Update { seq: self.seq, whole: false, hosts: Vec::new() } } else { update };
+                    self.update(ctx, hops, update);
+                }
+                Err(why) => self.lose(ctx, call, Due::Fetch, why),
+            }
+        } else if self.watch.as_ref().is_some_and(|call| call.token == token) {
+            let Some(mut call) = self.watch.take() else { return };
+            let mut updates = Vec::new();
+            let told = watched(&mut call, &mut updates);
+            for update in updates {
+                self.update(ctx, hops, update);
+            }
+            match told {
+                Ok(heard) => {
+                    if heard {
+                        ctx.deadlines.set(Due::Watch, ctx.now + SILENCE);
+                    }
+                    self.watch = Some(call);
+                }
+                Err(why) => self.lose(ctx, call, Due::Watch, why),
+            }
+        }
+    }
+
+    /// Nothing has come for too long.
+    pub fn late(&mut self, ctx: &mut Ctx<'_>, due: Due) {
+        let call = if due == Due::Fetch { self.fetch.take() } else { self.watch.take() };
+        if let Some(call) = call {
+            self.lose(ctx, call, due, "nothing came for too long");
+        }
+    }
+
+    fn lose(&mut self, ctx: &mut Ctx<'_>, call: Call, due: Due, why: &str) {
+        note!("discovery: {why}");
+        end(ctx, call, due);
+        ctx.desk.members(ListKind::Lost, Vec::new());
+    }
+
+    fn update(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update) {
+        let kind = if update.whole { ListKind::Full } else { ListKind::Changes };
+        self.take(ctx, hops, update, kind);
+    }
+
+    fn take(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update, kind: ListKind) {
+        self.seq = update.seq;
+        let mut members = Vec::with_capacity(update.hosts.len());
+        for value in update.hosts {
+            match self.read_line(ctx, hops, value) {
+                Ok(member) => members.push(member),
+                Err(error) => note!("a line of the list is dropped: {error}"),
+            }
+        }
+        if kind != ListKind::Changes {
+            let gone: Vec<WorkerId> = self
+                .names
+                .keys()
+                .copied()
+                .filter(|id| members.iter().all(|member| member.worker != *id))
+                .collect();
+            for id in gone {
+                self.names.remove(&id);
+                hops.forget(ctx, id);
+            }
+        }
+        for member in members.iter().filter(|member| member.standing == Standing::Gone) {
+            self.names.remove(&member.worker);
+            hops.forget(ctx, member.worker);
+        }
+        ctx.desk.members(kind, members);
+    }
+
+    fn read_line(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        hops: &mut NextHops,
+        value: Value,
+    ) -> Result<Member, WireError> {
+        let line: Line = serde_json::from_value(value).map_err(|error| WireError(error.to_string()))?;
+        let dial: SocketAddr =
+            line.dial.parse().map_err(|_| WireError(format!("'{}' is no address", line.dial)))?;
+        let member = read_member(ctx.names, &line)?;
+        match self.names.get(&member.worker) {
+            Some(name) if *name != line.host => {
+                return Err(WireError(format!("'{}' and '{name}' have the same number", line.host)));
+            }
+            None if self.names.len() >= HOPS_LIMIT => return Err(WireError("too many hosts".to_owned())),
+            _ => {}
+        }
+        hops.learn(ctx, member.worker, dial, line.born_ms);
+        self.names.insert(member.worker, line.host);
+        Ok(member)
+    }
+}
+
+fn read_member(names: &Names, line: &Line) -> Result<Member, WireError> {
+    let standing = match line.health.as_str() {
+        "in_service" => Standing::On,
+        "terminating" => Standing::Draining,
+        "terminated" => Standing::Gone,
+        other => return Err(WireError(format!("unknown health '{other}'"))),
+    };
+    Ok(Member {
+        worker: hop_id(&line.host),
+        zone: names.zone(&line.site)?,
+        kind: names.kind(&line.class)?,
+        cell: line.block,
+        standing,
+        weight: line.share,
+        // The module's clock is Unix time, in its unit; 0 stands for long ago.
+        started: line.born_ms.checked_mul(1_000).filter(|&at| at > 0),
+    })
+}
+
+fn end(ctx: &mut Ctx<'_>, mut call: Call, due: Due) {
+    let _ = ctx.registry.deregister(&mut call.stream);
+    ctx.deadlines.clear(due);
+}
+
+/// Writes and reads; `Ok(None)` while the connection is not up or has not been written to.
+fn pump(call: &mut Call) -> Result<Option<Filled>, &'static str> {
+    if !matches!(call.stream.take_error(), Ok(None)) {
+        return Err("no connection could be made");
+    }
+    if call.stream.peer_addr().is_err() {
+        return Ok(None);
+    }
+    match call.buffer.flush(&mut call.stream) {
+        Ok(true) => Ok(Some(call.buffer.fill(&mut call.stream, LINE_LIMIT))),
+        Ok(false) => Ok(None),
+        Err(_) => Err("the connection broke"),
+    }
+}
+
+fn fetched(call: &mut Call) -> Result<Option<Update>, &'static str> {
+    let Some(filled) = pump(call)? else { return Ok(None) };
+    match http::response(call.buffer.input()) {
+        Ok(Some((response, _))) if response.status == 200 => {
+            serde_json::from_slice(&response.body).map(Some).map_err(|_| "the list is malformed")
+        }
+        Ok(Some(_)) => Err("the call failed"),
+        Ok(None) if filled == Filled::Dry => Ok(None),
+        Ok(None) => Err("the connection ended"),
+        Err(_) => Err("the answer is malformed"),
+    }
+}
+
+/// Reads what the watch has brought; tells whether there was anything.
+fn watched(call: &mut Call, updates: &mut Vec<Update>) -> Result<bool, &'static str> {
+    let Some(mut filled) = pump(call)? else { return Ok(false) };
+    let mut heard = false;
+    loop {
+        if !call.open {
+            match http::response_head(call.buffer.input()) {
+                Ok(Some((response, _))) if response.status != 200 => return Err("the watch was refused"),
+                Ok(Some((_, length))) => {
+                    call.open = true;
+                    call.buffer.consume(length);
+                }
+                Ok(None) => {}
+                Err(_) => return Err("the answer is malformed"),
+            }
+        }
+        while call.open {
+            let Ok(found) = http::chunk(call.buffer.input()) else { return Err("the watch is malformed") };
+            let Some((part, length)) = found else { break };
+            heard = true;
+            let last = part.is_empty();
+            call.line.extend_from_slice(part);
+            call.buffer.consume(length);
+            read_lines(&mut call.line, updates)?;
+            if last {
+                return Err("the watch ended");
+            }
+        }
+        match filled {
+            Filled::Dry => return Ok(heard),
+            Filled::Ended => return Err("the watch broke"),
+            Filled::Brimful if call.buffer.input().len() >= LINE_LIMIT => {
+                return Err("the watch is malformed");
+            }
+            Filled::Brimful => filled = call.buffer.fill(&mut call.stream, LINE_LIMIT),
+        }
+    }
+}
+
+fn read_lines(text: &mut Vec<u8>, updates: &mut Vec<Update>) -> Result<(), &'static str> {
+    while let Some(end) = text.iter().position(|&byte| byte == b'\n') {
+        let line: Vec<u8> = text.drain(..=end).collect();
+        if !line.trim_ascii().is_empty() {
+            // A change that cannot be read is a gap: the watch is begun anew from the last good one.
+            updates.push(serde_json::from_slice(&line).map_err(|_| "a change is malformed")?);
+        }
+    }
+    if text.len() > LINE_LIMIT { Err("a change is too long") } else { Ok(()) }
+}
--- /dev/null
+++ b/src/net/turn.rs
@@ -0,0 +1,231 @@
+//! The loop. Each turn gathers what is ready and what is due, hands it to the module in one go, and carries
+//! out what came back.
+
+use crate::config::Config;
+use crate::net::Ctx;
+use crate::net::caller::Callers;
+use crate::net::deadlines::{Deadlines, Due};
+use crate::net::desk::{BranchId, Desk, Work};
+use crate::net::log::note;
+use crate::net::next_hop::{NextHops, Payload};
+use crate::net::peers::Peers;
+use crate::net::route_set::RouteSet;
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Events, Interest, Poll, Registry, Token};
+use signal_hook::consts::SIGTERM;
+use signal_hook_mio::v1_0::Signals;
+use spoolmux::api::Micros;
+use spoolmux::wire::Names;
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const PEERS: Token = Token(2);
+/// Numbers above this one are for connections.
+const FIRST: usize = 15;
+/// After SIGTERM callers keep coming for up to 0.4 s; after this time the legs at rest are ended.
+const FAREWELL: Micros = 500_000;
+/// Descriptors for the log, the poll, the listener, the signals, discovery and the like.
+const OWN_SOCKETS: usize = 24;
+
+/// Unix time that never goes back, in microseconds: the one clock of the program, the module's too.
+struct Clock {
+    unix: Micros,
+    from: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Clock { unix: unix.as_micros() as Micros, from: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix + self.from.elapsed().as_micros() as Micros
+    }
+}
+
+/// The program at work.
+pub struct Turn {
+    poll: Poll,
+    registry: Registry,
+    clock: Clock,
+    names: Names,
+    deadlines: Deadlines,
+    desk: Desk<Payload>,
+    tokens: usize,
+    signals: Signals,
+    callers: Callers,
+    hops: NextHops,
+    routes: RouteSet,
+    peers: Option<Peers>,
+    /// SIGTERM has come; and callers have had the time to hear of it.
+    stopping: bool,
+    parted: bool,
+}
+
+impl Turn {
+    /// Opens the sockets and takes in the list of next hops that the configuration brings.
+    pub fn new(config: Config) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let registry = poll.registry().try_clone()?;
+        let clock = Clock::new();
+        let mut listener = TcpListener::bind(config.listen)?;
+        registry.register(&mut listener, LISTENER, Interest::READABLE)?;
+        let mut signals = Signals::new([SIGTERM])?;
+        registry.register(&mut signals, SIGNALS, Interest::READABLE)?;
+        let peers = match config.peers {
+            Some(peers) => {
+                let mut socket = UdpSocket::bind(peers.listen)?;
+                registry.register(&mut socket, PEERS, Interest::READABLE)?;
+                Some(Peers::new(socket, peers.each, peers.all))
+            }
+            None => None,
+        };
+        // A third of the descriptors is kept for next hops: however many callers come, work can be placed.
+        let usable = config.sockets.saturating_sub(OWN_SOCKETS).max(8);
+        let to_hops = usable / 3;
+        let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, to_hops);
+        let mut turn = Turn {
+            desk: Desk::new(config.settings, config.seed, clock.now(), config.most_open),
+            poll,
+            registry,
+            clock,
+            names: config.names,
+            deadlines: Deadlines::default(),
+            tokens: FIRST,
+            signals,
+            callers: Callers::new(listener, usable - to_hops),
+            hops,
+            routes: RouteSet::new(config.discovery),
+            peers,
+            stopping: false,
+            parted: false,
+        };
+        let (mut ctx, parts) = turn.split(turn.clock.now());
+        parts.routes.warm(&mut ctx, parts.hops, config.known);
+        Ok(turn)
+    }
+
+    /// Runs until SIGTERM has come and all that was taken is answered.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(1024);
+        while !self.done() {
+            let now = self.clock.now();
+            let timeout =
+                if self.desk.has_news() { Some(Duration::ZERO) } else { self.deadlines.timeout(now) };
+            match self.poll.poll(&mut events, timeout) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            let now = self.clock.now();
+            for event in &events {
+                self.ready(now, event.token());
+            }
+            while let Some(due) = self.deadlines.next_due(now) {
+                self.due(now, due);
+            }
+            for work in self.desk.settle(now, &mut self.deadlines) {
+                self.carry_out(now, work);
+            }
+            self.callers.ready = self.routes.known();
+        }
+        Ok(())
+    }
+
+    fn done(&self) -> bool {
+        self.parted && self.desk.owed() == 0 && self.callers.at_rest()
+    }
+
+    fn split(&mut self, now: Micros) -> (Ctx<'_>, Parts<'_>) {
+        let ctx = Ctx {
+            registry: &self.registry,
+            names: &self.names,
+            deadlines: &mut self.deadlines,
+            desk: &mut self.desk,
+            tokens: &mut self.tokens,
+            now,
+        };
+        let parts = Parts {
+            callers: &mut self.callers,
+            hops: &mut self.hops,
+            routes: &mut self.routes,
+            peers: &mut self.peers,
+        };
+        (ctx, parts)
+    }
+
+    fn ready(&mut self, now: Micros, token: Token) {
+        if token == SIGNALS {
+            return self.stop(now);
+        }
+        let (mut ctx, parts) = self.split(now);
+        match token {
+            LISTENER => parts.callers.accept(&mut ctx),
+            PEERS => {
+                if let Some(peers) = parts.peers {
+                    while peers.ready(&mut ctx) {}
+                }
+            }
+            Token(token) if parts.callers.has(token) => parts.callers.ready(&mut ctx, token),
+            Token(token) if parts.routes.has(token) => parts.routes.ready(&mut ctx, parts.hops, token),
+            Token(token) => parts.hops.ready(&mut ctx, token),
+        }
+    }
+
+    fn due(&mut self, now: Micros, due: Due) {
+        let (mut ctx, parts) = self.split(now);
+        match due {
+            Due::Timer(timer, _) => ctx.desk.timer(timer),
+            Due::Branch(request, attempt) => ctx.desk.time_up(now, BranchId { request, attempt }),
+            Due::Link(token) => parts.hops.late(&mut ctx, token),
+            Due::LinkIdle(token) => parts.hops.rested(&mut ctx, token),
+            Due::Leg(token) => parts.callers.late(&mut ctx, token),
+            Due::Accept => parts.callers.accept(&mut ctx),
+            Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, due),
+            Due::Farewell => {
+                parts.callers.farewell(&mut ctx);
+                self.parted = true;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, work: Work<Payload>) {
+        let (mut ctx, parts) = self.split(now);
+        match work {
+            Work::Answer { caller, answer } => parts.callers.answer(&mut ctx, caller, answer),
+            Work::Send { branch, hop, payload, wait } => {
+                parts.hops.send(&mut ctx, branch, hop, &payload, wait)
+            }
+            Work::GiveUp { branch, hop, name } => parts.hops.give_up(&mut ctx, branch, hop, &name),
+            Work::Probe(hop) => parts.hops.probe(&mut ctx, hop),
+            Work::Tell { to, body } => {
+                if let Some(peers) = parts.peers {
+                    peers.tell(to, &body);
+                }
+            }
+            Work::FetchList => parts.routes.fetch(&mut ctx),
+            Work::Watch(want) => parts.routes.watch(&mut ctx, want),
+            Work::CloseIdle(hop) => parts.hops.close_idle(&mut ctx, hop),
+        }
+    }
+
+    /// SIGTERM: the work goes on, new work too; answers send their callers elsewhere, and later the legs at
+    /// rest are ended.
+    fn stop(&mut self, now: Micros) {
+        if self.signals.pending().count() > 0 && !self.stopping {
+            note!("SIGTERM: {} requests are open", self.desk.owed());
+            self.stopping = true;
+            self.callers.part();
+            self.deadlines.set(Due::Farewell, now + FAREWELL);
+        }
+    }
+}
+
+struct Parts<'a> {
+    callers: &'a mut Callers,
+    hops: &'a mut NextHops,
+    routes: &'a mut RouteSet,
+    peers: &'a mut Option<Peers>,
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -33,6 +33,54 @@
     x1: Extra,
 }
 
+impl Names {
+    /// The zone of this name.
+    pub fn zone(&self, name: &str) -> Result<ZoneIx, WireError> {
+        index("zone", &self.zones, name).map(ZoneIx)
+    }
+
+    /// The kind of machine of this name.
+    pub fn kind(&self, name: &str) -> Result<KindIx, WireError> {
+        index("kind", &self.kinds, name).map(KindIx)
+    }
+
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Result<ClassIx, WireError> {
+        index("class", &self.classes, name).map(ClassIx)
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Result<TenantIx, WireError> {
+        index("tenant", &self.tenants, name).map(TenantIx)
+    }
+
+    /// A load report from its named values. The simulator and the stock workers name some of them
+    /// differently; both are read here, so that no wire's names are lost on the way to the module.
+    pub fn report<'a>(&self, pairs: impl Iterator<Item = (&'a str, f64)>) -> Report {
+        let mut report = Report::default();
+        for (name, value) in pairs {
+            let extra = match name {
+                "x0" => self.x0,
+                "x1" => self.x1,
+                _ => Extra::Unknown,
+            };
+            let place = match (name, extra) {
+                ("outstanding" | "inflight", _) => &mut report.outstanding,
+                ("backlog" | "queue", _) => &mut report.backlog,
+                ("utilization" | "util", _) => &mut report.utilization,
+                ("recent_ms" | "latency_ms", _) => &mut report.recent_ms,
+                ("throughput" | "qps", _) => &mut report.throughput,
+                ("errors_per_s" | "eps", _) => &mut report.errors_per_s,
+                (_, Extra::FreeSlots) => &mut report.free_slots,
+                (_, Extra::FreeMemory) => &mut report.free_memory,
+                _ => continue,
+            };
+            *place = Some(value);
+        }
+        report
+    }
+}
+
 /// What a report value without a name of its own stands for.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Extra {
@@ -246,7 +294,7 @@
 }
 
 /// FNV-1a: the same number for the same text in every process.
-fn hash_text(text: &str) -> u64 {
+pub fn hash_text(text: &str) -> u64 {
     text.bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
 }
@@ -312,30 +360,14 @@
 }
 
 fn report_of(text: &str, names: &Names) -> Result<Report, WireError> {
-    let mut report = Report::default();
+    let mut pairs = Vec::new();
     for pair in text.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
         let Some((name, value)) = pair.split_once(':') else {
             return bad(format!("field 'pressure': no ':' in '{pair}'"));
         };
-        let value = Some(number::<f64>("pressure", value)?);
-        let extra = match name {
-            "x0" => names.x0,
-            "x1" => names.x1,
-            _ => Extra::Unknown,
-        };
-        match (name, extra) {
-            ("outstanding", _) => report.outstanding = value,
-            ("backlog", _) => report.backlog = value,
-            ("utilization", _) => report.utilization = value,
-            ("recent_ms", _) => report.recent_ms = value,
-            ("throughput", _) => report.throughput = value,
-            ("errors_per_s", _) => report.errors_per_s = value,
-            (_, Extra::FreeSlots) => report.free_slots = value,
-            (_, Extra::FreeMemory) => report.free_memory = value,
-            _ => {}
-        }
+        pairs.push((name, number::<f64>("pressure", value)?));
     }
-    Ok(report)
+    Ok(names.report(pairs.into_iter()))
 }
 
 /// Writes one action of an instance, with the end of its line. Plain pushes: this is the adapter's hot path.
