--- a/src/bin/spoolmux-adapter.rs
+++ b/src/bin/calicolb-drill.rs
@@ -1,8 +1,8 @@
 //! Hosts instances of the decision module by name and speaks the wire on standard input and output.
 
-use spoolmux::api::{Action, Event, Micros};
-use spoolmux::rules::Dispatcher;
-use spoolmux::wire::{self, Line, Names};
+use calicolb::api::{Action, Event, Micros};
+use calicolb::rules::Dispatcher;
+use calicolb::wire::{self, Line, Names};
 use std::any::Any;
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
@@ -26,7 +26,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("spoolmux-adapter: {message}");
+            eprintln!("calicolb-drill: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,9 +2,9 @@
 //! defaults. Every message names the key at fault.
 
 use crate::net::Update;
+use calicolb::api::{Micros, Settings};
+use calicolb::wire::{self, Names};
 use serde_json::{Map, Value};
-use spoolmux::api::{Micros, Settings};
-use spoolmux::wire::{self, Names};
 use std::net::SocketAddr;
 
 /// What the schedulers' messages to each other need.
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -9,12 +9,12 @@
 use crate::net::log::note;
 use crate::net::next_hop::{Payload, report_of};
 use crate::net::route_set::hop_id;
+use calicolb::api::{Ending, Micros, Note};
+use calicolb::wire;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use serde::Deserialize;
 use serde_json::Value;
-use spoolmux::api::{Ending, Micros, Note};
-use spoolmux::wire;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::Shutdown;
@@ -329,7 +329,7 @@
 /// A client's request as the desk takes it.
 fn job(
     ctx: &Ctx<'_>,
-    class: spoolmux::api::ClassIx,
+    class: calicolb::api::ClassIx,
     name: &str,
     request: Request,
 ) -> Result<Job<Payload>, Reject> {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -1,6 +1,6 @@
 //! All that is due at some time, in one sorted structure.
 
-use spoolmux::api::Micros;
+use calicolb::api::Micros;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -4,8 +4,8 @@
 
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::log::note;
-use spoolmux::api::*;
-use spoolmux::rules::Dispatcher;
+use calicolb::api::*;
+use calicolb::rules::Dispatcher;
 use std::collections::{HashMap, VecDeque};
 use std::mem;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,12 +13,12 @@
 
 pub use route_set::Update;
 
+use calicolb::api::Micros;
+use calicolb::wire::Names;
 use deadlines::Deadlines;
 use desk::Desk;
 use mio::Registry;
 use next_hop::Payload;
-use spoolmux::api::Micros;
-use spoolmux::wire::Names;
 
 /// What every part of the network side works with in a turn of the loop.
 pub struct Ctx<'a> {
--- a/src/net/route_set.rs
+++ b/src/net/route_set.rs
@@ -7,12 +7,12 @@
 use crate::net::http;
 use crate::net::log::note;
 use crate::net::next_hop::NextHops;
+use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
+use calicolb::wire::{Names, WireError, hash_text};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use serde::Deserialize;
 use serde_json::Value;
-use spoolmux::api::{ListKind, Member, Micros, Standing, WorkerId};
-use spoolmux::wire::{Names, WireError, hash_text};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -10,12 +10,12 @@
 use crate::net::next_hop::{NextHops, Payload};
 use crate::net::peers::Peers;
 use crate::net::route_set::RouteSet;
+use calicolb::api::Micros;
+use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
 use signal_hook::consts::SIGTERM;
 use signal_hook_mio::v1_0::Signals;
-use spoolmux::api::Micros;
-use spoolmux::wire::Names;
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -18,7 +18,7 @@
 );
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_spoolmux-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_calicolb-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and events for the tests of the decision module.
 #![allow(dead_code)]
 
-use spoolmux::api::*;
-use spoolmux::rules::Dispatcher;
+use calicolb::api::*;
+use calicolb::rules::Dispatcher;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use calicolb::api::*;
 use common::*;
-use spoolmux::api::*;
 
 #[test]
 fn a_job_goes_to_a_listed_worker_and_no_other() {
@@ -314,7 +314,7 @@
     for seed in 0..40 {
         let mut settings = settings();
         settings.list_on_request = true;
-        let mut dispatcher = spoolmux::rules::Dispatcher::new(settings, seed, T0);
+        let mut dispatcher = calicolb::rules::Dispatcher::new(settings, seed, T0);
         let mut actions = Vec::new();
         dispatcher.on_event(T0, Event::Members(ListKind::Saved, vec![member(11)]), &mut actions);
         calls.extend(actions.iter().find_map(|action| match action {
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -4,11 +4,11 @@
 
 mod common;
 
+use calicolb::api::*;
+use calicolb::rules::Dispatcher;
 use common::{MS, SECOND, T0, settings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use spoolmux::api::*;
-use spoolmux::rules::Dispatcher;
 use std::collections::{BTreeMap, HashMap};
 
 const WORKERS: u32 = 6;
