Tell clients when to come back, bound what callers can hold, and test it all over sockets

Found by reading: refusals carried no Retry-After, since retry_after is false and the module then gives no time. That setting speaks of the simulator's clients; config.rs now tells the module that advice gets through on this wire. A request that came in drop by drop held its leg for ever, and with a request waiting on every leg no call-back could be accepted: caller.rs now counts from the first byte and lets such legs go, turn.rs keeps a tenth of the legs free. A connect that fails for want of descriptors lets a caller at rest go and is made once more, before anything is sent.

Each has a test, of the desk, of the configuration, or as a conversation with the running program.

--- a/src/config.rs
+++ b/src/config.rs
@@ -82,11 +82,14 @@
             Some(section) => Ok::<_, String>(section.whole(key)?.unwrap_or(default)),
             None => Ok(default),
         };
-        let (module, names) =
-            wire::settings(&settings.to_string()).map_err(|error| format!("'settings': {error}"))?;
+        let read = wire::settings(&settings.to_string());
+        let (mut module, names) = read.map_err(|error| format!("'settings': {error}"))?;
         if module.classes.is_empty() {
             return Err("'settings.request_classes' is missing or empty".to_owned());
         }
+        // `retry_after` says what the simulator's clients are given. Here a refusal is an HTTP answer, which
+        // may carry Retry-After whatever that says: the module is told that its advice gets through.
+        module.limits.retry_advice = true;
         let known = match root.map.get("known") {
             None | Some(Value::Null) => None,
             Some(value) => {
@@ -183,3 +186,59 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SOUND: &str = r#"{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500",
+        "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":900},
+        "peer_listen":"127.0.0.1:7946","peers":["127.0.0.3:7946"],"peers_all":"127.0.0.4:7946",
+        "settings":{"ceilings":{"peers":true,"max_open":50,"retry_after":false},
+        "request_classes":[{"name":"look","effect":"read_like"}]}}"#;
+
+    fn read(text: &str) -> Result<Config, String> {
+        Config::read(text, |_| None)
+    }
+
+    /// Checks the message on a sound file in which one thing is changed.
+    fn wrong(from: &str, to: &str, told: &str) {
+        assert!(SOUND.contains(from));
+        let message = read(&SOUND.replace(from, to)).err().unwrap_or_else(|| panic!("{to} was taken"));
+        assert!(message.contains(told), "'{message}' does not tell of {told}");
+    }
+
+    #[test]
+    fn a_sound_file_is_read_and_the_rest_has_defaults() {
+        let config = read(SOUND).expect("it is sound");
+        assert_eq!((config.name.as_str(), config.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
+        assert_eq!((config.sockets, config.most_open, config.conn_idle), (900, 50, DEFAULT_CONN_IDLE));
+        assert_eq!(config.peers.map(|peers| peers.each.len()), Some(1));
+        assert!(config.known.is_none());
+        // Clients of this wire are always told when to come back.
+        assert!(config.settings.limits.retry_advice);
+    }
+
+    #[test]
+    fn the_environment_comes_first() {
+        let env = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.9:1".to_owned());
+        let config = Config::read(SOUND, env).expect("it is sound");
+        assert_eq!(config.listen.to_string(), "127.0.0.9:1");
+    }
+
+    #[test]
+    fn messages_name_the_key_at_fault() {
+        wrong("127.0.0.1:8443", "localhost", "'listen'");
+        wrong("discovery", "discover", "'discovery' is missing, and so is RELAY_DISCOVERY");
+        wrong("8c1f30d27a5be964", "seedling", "'seed'");
+        wrong("900", "\"many\"", "'limits.sockets'");
+        wrong("900", "3", "'limits.sockets'");
+        wrong("[\"127.0.0.3:7946\"]", "[7]", "'peers[0]'");
+        wrong("127.0.0.4:7946", "all", "'peers_all'");
+        wrong("_open\":50", "_open\":\"50\"", "'settings.ceilings.max_open'");
+        wrong("read_like", "odd", "'settings'");
+        wrong("\"limits\":", "\"known\":7,\"limits\":", "'known'");
+        wrong("\"request_classes\"", "\"classes\"", "'settings.request_classes'");
+        assert!(Config::load(|_| None).err().is_some_and(|message| message.contains("RELAY_CONFIG")));
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,11 +14,7 @@
         }
     };
     let (name, listen) = (config.name.clone(), config.listen);
-    let served = net::turn::Turn::new(config).and_then(|turn| {
-        net::log::note!("{name} serves on {listen}");
-        turn.run()
-    });
-    match served {
+    match net::turn::Turn::new(config).and_then(net::turn::Turn::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("calicolb: {name} on {listen}: {error}");
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -51,6 +51,8 @@
     /// It carries call-backs.
     back: bool,
     since: Micros,
+    /// When the request that is coming in began.
+    begun: Option<Micros>,
 }
 
 /// See the head of this file.
@@ -106,16 +108,29 @@
             return note!("watching a caller leg: {error}");
         }
         ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
-        let (state, since) = (State::Reading, ctx.now);
-        self.legs
-            .insert(token, Leg { stream, buffer: Buffer::default(), state, last: false, back: false, since });
+        let leg = Leg {
+            stream,
+            buffer: Buffer::default(),
+            state: State::Reading,
+            last: false,
+            back: false,
+            since: ctx.now,
+            begun: None,
+        };
+        self.legs.insert(token, leg);
     }
 
-    /// Closes the leg that has been at rest for longest; tells whether there was one.
+    /// Closes the leg that has been at rest for longest, of clients first; if none is, the one that has been in
+    /// the middle of sending a request, which is not taken before its last byte. Tells whether there was one.
     pub fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
-        let resting = |leg: &Leg| leg.state == State::Ending || leg.at_rest();
-        let oldest = self.legs.iter().filter(|(_, leg)| resting(leg)).min_by_key(|(_, leg)| leg.since);
-        let Some(token) = oldest.map(|(&token, _)| token) else { return false };
+        let order = |leg: &Leg| match leg.state {
+            State::Ending => Some((0, leg.since)),
+            State::Reading if leg.at_rest() => Some((1 + u8::from(leg.back), leg.since)),
+            State::Reading if !leg.buffer.has_output() => Some((3, leg.begun.unwrap_or(leg.since))),
+            _ => None,
+        };
+        let first = self.legs.iter().filter_map(|(&token, leg)| Some((order(leg)?, token))).min();
+        let Some((_, token)) = first else { return false };
         self.drop_leg(ctx, token);
         true
     }
@@ -166,13 +181,19 @@
         let Some(leg) = self.legs.get_mut(&token) else { return false };
         match http::request(leg.buffer.input()) {
             Ok(None) => {
-                let stays = if leg.buffer.input().is_empty() { IDLE } else { STALLED };
-                ctx.deadlines.set(Due::Leg(token), ctx.now + stays);
+                // Counted from its first byte: who sends a byte now and then does not hold a leg for ever.
+                let ends = if leg.buffer.input().is_empty() {
+                    ctx.now + IDLE
+                } else {
+                    *leg.begun.get_or_insert(ctx.now) + STALLED
+                };
+                ctx.deadlines.set(Due::Leg(token), ends);
                 false
             }
             Ok(Some((request, length))) => {
                 leg.buffer.consume(length);
                 leg.since = ctx.now;
+                leg.begun = None;
                 leg.last |= !request.keep_alive;
                 ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
                 match self.route(ctx, token, request) {
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -302,7 +302,6 @@
         for action in actions {
             self.carry_out(now, action, deadlines);
         }
-        // A branch that is over has no time to wait for.
         mem::take(&mut self.work)
     }
 
@@ -425,3 +424,165 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use calicolb::wire;
+
+    const HOP: WorkerId = WorkerId(7);
+    const SECOND: Micros = 1_000_000;
+
+    struct Table {
+        desk: Desk<&'static str>,
+        deadlines: Deadlines,
+        now: Micros,
+    }
+
+    impl Table {
+        /// A desk with one next hop.
+        fn new() -> Table {
+            let info = r#"{"azs":["a"],"kinds":["k"],"ceilings":{"cancelling":true,"may_duplicate":true,"most_tries":4},
+                "request_classes":[{"name":"look","aim_us":900000,"deadline_us":9000000,"effect":"read_like"},
+                {"name":"book","aim_us":900000,"deadline_us":9000000,"effect":"non_idempotent"}],
+                "extra":{"class_stretch":[2.0,2.0]}}"#;
+            let (settings, _) = wire::settings(info).expect("the settings are sound");
+            let now = 50 * SECOND;
+            let mut table =
+                Table { desk: Desk::new(settings, 1, now, 100), deadlines: Deadlines::default(), now };
+            let member = Member {
+                worker: HOP,
+                zone: ZoneIx(0),
+                kind: KindIx(0),
+                cell: 0,
+                standing: Standing::On,
+                weight: 1.0,
+                started: None,
+            };
+            table.desk.members(ListKind::Saved, vec![member]);
+            table.turn();
+            table
+        }
+
+        fn turn(&mut self) -> Vec<Work<&'static str>> {
+            self.desk.settle(self.now, &mut self.deadlines)
+        }
+
+        /// Lets time pass, timers and all, until there is something to do.
+        fn later(&mut self) -> Vec<Work<&'static str>> {
+            for _ in 0..10_000 {
+                self.now += 1_000;
+                while let Some(due) = self.deadlines.next_due(self.now) {
+                    match due {
+                        Due::Timer(timer, _) => self.desk.timer(timer),
+                        Due::Branch(request, attempt) => {
+                            self.desk.time_up(self.now, BranchId { request, attempt })
+                        }
+                        other => panic!("the desk never sets {other:?}"),
+                    }
+                }
+                let work = self.turn();
+                if !work.is_empty() {
+                    return work;
+                }
+            }
+            panic!("nothing is ever done");
+        }
+
+        fn arrive(&mut self, class: usize) -> BranchId {
+            let job = Job {
+                name: "a1".to_owned(),
+                class: ClassIx(class),
+                tenant: None,
+                hint: None,
+                patience: 9 * SECOND,
+                slots: 1,
+                memory: 0.0,
+                key: None,
+                retry: false,
+                payload: "job",
+            };
+            self.desk.arrive(self.now, 99, job).expect("there is room");
+            sent(&self.turn())
+        }
+
+        fn news(&mut self, news: News) -> bool {
+            self.desk.news(self.now, "a1", HOP, news, None)
+        }
+    }
+
+    fn sent(work: &[Work<&'static str>]) -> BranchId {
+        match work {
+            [Work::Send { branch, hop: HOP, payload: "job", .. }] => *branch,
+            other => panic!("one branch was due, not {other:?}"),
+        }
+    }
+
+    fn answer(answer: Answer) -> Work<&'static str> {
+        Work::Answer { caller: 99, answer }
+    }
+
+    #[test]
+    fn the_last_byte_decides_what_a_break_means() {
+        // Not written: the job, which must not run twice, may be refused as never run ...
+        let mut table = Table::new();
+        let branch = table.arrive(1);
+        table.desk.broke(table.now, branch);
+        assert_eq!(table.later(), [answer(Answer::Busy { come_back: None })]);
+        // ... written: it may have run, and no refusal may say otherwise.
+        let mut table = Table::new();
+        let branch = table.arrive(1);
+        table.desk.written(branch);
+        table.desk.broke(table.now, branch);
+        assert_eq!(table.turn(), [answer(Answer::Failed)]);
+    }
+
+    #[test]
+    fn once_the_job_is_taken_its_connection_says_nothing_of_it() {
+        let mut table = Table::new();
+        let branch = table.arrive(1);
+        table.desk.written(branch);
+        table.desk.taken(branch);
+        table.desk.broke(table.now, branch);
+        assert_eq!(table.turn(), []);
+        assert!(table.news(News::Served(b"r".to_vec())));
+        assert_eq!(table.turn(), [answer(Answer::Served(b"r".to_vec()))]);
+        assert!(!table.news(News::Served(b"r".to_vec())), "a repeat meets nothing");
+        assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+    }
+
+    #[test]
+    fn stale_news_does_not_end_a_newer_branch() {
+        let mut table = Table::new();
+        let first = table.arrive(1);
+        assert!(!table.news(News::Over(Ending::Full)), "its last byte is not written yet");
+        table.desk.written(first);
+        assert!(!table.desk.news(table.now, "a1", WorkerId(8), News::Over(Ending::Broken), None));
+        assert!(table.news(News::Over(Ending::Full)));
+        let second = sent(&table.later());
+        table.desk.written(second);
+        assert!(!table.news(News::Over(Ending::Full)), "the same again, before the hop took the new one");
+        table.desk.taken(second);
+        assert!(table.news(News::Over(Ending::Full)));
+    }
+
+    #[test]
+    fn a_branch_whose_time_is_up_is_given_up_and_answered_for() {
+        let mut table = Table::new();
+        let branch = table.arrive(1);
+        table.desk.written(branch);
+        let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+        assert_eq!(table.later(), [given_up, answer(Answer::Failed)]);
+    }
+
+    #[test]
+    fn who_has_left_is_owed_nothing() {
+        let mut table = Table::new();
+        let branch = table.arrive(0);
+        table.desk.written(branch);
+        table.desk.leave(99);
+        assert!(table.news(News::Served(b"r".to_vec())));
+        assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+        assert!(table.desk.entries.is_empty() && table.desk.names.is_empty());
+    }
+}
--- a/src/net/next_hop.rs
+++ b/src/net/next_hop.rs
@@ -5,6 +5,7 @@
 
 use crate::net::Ctx;
 use crate::net::buffer::{Buffer, Filled};
+use crate::net::caller::Callers;
 use crate::net::deadlines::Due;
 use crate::net::desk::BranchId;
 use crate::net::http;
@@ -105,6 +106,7 @@
     pub fn send(
         &mut self,
         ctx: &mut Ctx<'_>,
+        callers: &mut Callers,
         branch: BranchId,
         hop: WorkerId,
         payload: &Payload,
@@ -115,37 +117,51 @@
         let mut headers: Vec<(&str, &str)> = payload.headers.iter().filter(|(name, _)| kept(name)).collect();
         headers.push(("Request-Timeout", &timeout));
         let bytes = http::write_request(&payload.method, &payload.target, &headers, &payload.body);
-        if !self.put(ctx, hop, Task::Branch(branch), &bytes) {
+        if !self.put(ctx, callers, hop, Task::Branch(branch), &bytes) {
             ctx.desk.broke(ctx.now, branch);
         }
     }
 
     /// Tells a next hop that a branch is given up: before it took the job by closing the connection, after
     /// that in words.
-    pub fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, name: &str) {
+    pub fn give_up(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        callers: &mut Callers,
+        branch: BranchId,
+        hop: WorkerId,
+        name: &str,
+    ) {
         match self.out.get(&branch).copied() {
             Some(token) => self.drop_link(ctx, token),
             None => {
                 let bytes =
                     http::write_request("DELETE", &format!("/jobs/{name}"), &[("Host", "origin.svc")], b"");
-                self.put(ctx, hop, Task::GiveUp, &bytes);
+                self.put(ctx, callers, hop, Task::GiveUp, &bytes);
             }
         }
     }
 
     /// Asks a next hop for its load.
-    pub fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) {
+    pub fn probe(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers, hop: WorkerId) {
         let bytes = http::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
-        if !self.put(ctx, hop, Task::Probe(ctx.now), &bytes) {
+        if !self.put(ctx, callers, hop, Task::Probe(ctx.now), &bytes) {
             ctx.desk.probed(hop, Ending::Unreachable, 0, None);
         }
     }
 
     /// Writes a request on an idle connection, or on a new one; tells whether there is one.
-    fn put(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId, task: Task, bytes: &[u8]) -> bool {
+    fn put(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        callers: &mut Callers,
+        hop: WorkerId,
+        task: Task,
+        bytes: &[u8],
+    ) -> bool {
         let token = match self.take_idle(ctx, hop) {
             Some(token) => token,
-            None => match self.open(ctx, hop) {
+            None => match self.open(ctx, callers, hop) {
                 Some(token) => token,
                 None => return false,
             },
@@ -179,7 +195,7 @@
         None
     }
 
-    fn open(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
+    fn open(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers, hop: WorkerId) -> Option<usize> {
         if self.links.len() >= self.most {
             let idle = self.hops.values().find_map(|hop| hop.idle.first().copied());
             let Some(token) = idle else {
@@ -189,7 +205,12 @@
             self.drop_link(ctx, token);
         }
         let dial = self.hops.get(&hop)?.dial;
-        let mut stream = match TcpStream::connect(dial) {
+        let mut made = TcpStream::connect(dial);
+        // Out of descriptors, say: work in hand comes before callers at rest. Nothing has been sent yet.
+        if made.is_err() && callers.shed(ctx) {
+            made = TcpStream::connect(dial);
+        }
+        let mut stream = match made {
             Ok(stream) => stream,
             Err(error) => {
                 note!("connecting to {dial}: {error}");
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -49,6 +49,10 @@
     pub fn tell(&self, to: Option<u32>, body: &[u8]) {
         let address = match to {
             Some(rank) => self.peers.get(rank as usize).copied(),
+            None if self.all.is_none() => {
+                // Each in turn; the module passes over what it hears from itself.
+                return (0..self.peers.len()).for_each(|rank| self.tell(Some(rank as u32), body));
+            }
             None => self.all,
         };
         match address {
--- a/src/net/route_set.rs
+++ b/src/net/route_set.rs
@@ -17,8 +17,9 @@
 use std::net::SocketAddr;
 
 const SECOND: Micros = 1_000_000;
-/// A watch that brings nothing for this long, not even the empty line of every 2 s, is lost; so is a call.
-const SILENCE: Micros = 5 * SECOND;
+/// A watch that brings nothing for this long, not even two of the empty lines of every 2 s, is lost; so is a
+/// call. What is listed counts as told after 6 s, so a watch that fell silent must be noticed before.
+const SILENCE: Micros = 9 * SECOND / 2;
 /// A line of a watch holds the whole list at most.
 const LINE_LIMIT: usize = 1 << 20;
 /// Hops that are remembered at most: a list that names ever new ones must not fill the memory.
@@ -275,7 +276,7 @@
 /// Writes and reads; `Ok(None)` while the connection is not up or has not been written to.
 fn pump(call: &mut Call) -> Result<Option<Filled>, &'static str> {
     if !matches!(call.stream.take_error(), Ok(None)) {
-        return Err("no connection could be made");
+        return Err("the connection was refused or reset");
     }
     if call.stream.peer_addr().is_err() {
         return Ok(None);
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -72,6 +72,7 @@
         let registry = poll.registry().try_clone()?;
         let clock = Clock::new();
         let mut listener = TcpListener::bind(config.listen)?;
+        let at = listener.local_addr()?;
         registry.register(&mut listener, LISTENER, Interest::READABLE)?;
         let mut signals = Signals::new([SIGTERM])?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE)?;
@@ -79,6 +80,7 @@
             Some(peers) => {
                 let mut socket = UdpSocket::bind(peers.listen)?;
                 registry.register(&mut socket, PEERS, Interest::READABLE)?;
+                note!("{} hears schedulers on {}", config.name, socket.local_addr()?);
                 Some(Peers::new(socket, peers.each, peers.all))
             }
             None => None,
@@ -86,9 +88,12 @@
         // A third of the descriptors is kept for next hops: however many callers come, work can be placed.
         let usable = config.sockets.saturating_sub(OWN_SOCKETS).max(8);
         let to_hops = usable / 3;
+        let to_callers = usable - to_hops;
+        // Requests in work hold a leg each. Some are left for call-backs: without these no work would end.
+        let most_open = config.most_open.min(to_callers * 9 / 10);
         let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, to_hops);
         let mut turn = Turn {
-            desk: Desk::new(config.settings, config.seed, clock.now(), config.most_open),
+            desk: Desk::new(config.settings, config.seed, clock.now(), most_open),
             poll,
             registry,
             clock,
@@ -96,13 +101,14 @@
             deadlines: Deadlines::default(),
             tokens: FIRST,
             signals,
-            callers: Callers::new(listener, usable - to_hops),
+            callers: Callers::new(listener, to_callers),
             hops,
             routes: RouteSet::new(config.discovery),
             peers,
             stopping: false,
             parted: false,
         };
+        note!("{} serves on {at}", config.name);
         let (mut ctx, parts) = turn.split(turn.clock.now());
         parts.routes.warm(&mut ctx, parts.hops, config.known);
         Ok(turn)
@@ -111,7 +117,9 @@
     /// Runs until SIGTERM has come and all that was taken is answered.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
-        while !self.done() {
+        // Done twice in a row: what came in while it was found out for the first time is taken in as well.
+        let mut done = 0;
+        while done < 2 {
             let now = self.clock.now();
             let timeout =
                 if self.desk.has_news() { Some(Duration::ZERO) } else { self.deadlines.timeout(now) };
@@ -130,6 +138,7 @@
                 self.carry_out(now, work);
             }
             self.callers.ready = self.routes.known();
+            done = if self.done() { done + 1 } else { 0 };
         }
         Ok(())
     }
@@ -196,10 +205,12 @@
         match work {
             Work::Answer { caller, answer } => parts.callers.answer(&mut ctx, caller, answer),
             Work::Send { branch, hop, payload, wait } => {
-                parts.hops.send(&mut ctx, branch, hop, &payload, wait)
+                parts.hops.send(&mut ctx, parts.callers, branch, hop, &payload, wait)
             }
-            Work::GiveUp { branch, hop, name } => parts.hops.give_up(&mut ctx, branch, hop, &name),
-            Work::Probe(hop) => parts.hops.probe(&mut ctx, hop),
+            Work::GiveUp { branch, hop, name } => {
+                parts.hops.give_up(&mut ctx, parts.callers, branch, hop, &name)
+            }
+            Work::Probe(hop) => parts.hops.probe(&mut ctx, parts.callers, hop),
             Work::Tell { to, body } => {
                 if let Some(peers) = parts.peers {
                     peers.tell(to, &body);
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,315 @@
+//! A small language for conversations with the running program: one step a line.
+//!
+//! * `send WHO MESSAGE` writes; a name that is new opens a connection: `c…` to the program as a client,
+//!   `n…` to the program as a next hop with news, `p` a datagram as the scheduler of rank 1.
+//! * `expect WHO MESSAGE` reads a message and compares; a new name `h1`, `h1.2` takes the next connection
+//!   made to next hop `h1`, `d…` the next one made to discovery. `expect program REST` waits for a log line.
+//! * `close WHO` closes a connection, or the listener of a next hop that has none of this name.
+//! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
+//!
+//! A message is `METHOD TARGET` or `STATUS`, then `Header:value` words, then `| body`. In an expectation `*`
+//! stands for any value, and what is not named is not compared. `raw TEXT` and `chunk TEXT` are written as they
+//! are, the latter as one chunk; `\r`, `\n` in them are those bytes. `#N` is N bytes of padding. `TERM` to
+//! `program` is the signal. Every wait is for a condition, with one generous limit.
+
+use std::collections::HashMap;
+use std::fs;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Conn {
+    stream: TcpStream,
+    held: Vec<u8>,
+}
+
+pub struct World {
+    program: Child,
+    log: Receiver<String>,
+    heard: Vec<String>,
+    at: SocketAddr,
+    peers_at: SocketAddr,
+    listeners: HashMap<String, TcpListener>,
+    conns: HashMap<String, Conn>,
+    peer: UdpSocket,
+    file: PathBuf,
+}
+
+/// The configuration, with these next hops as the list last known.
+fn config(hops: &[(String, SocketAddr)], discovery: SocketAddr, peer: SocketAddr) -> String {
+    let line = |(name, dial): &(String, SocketAddr)| {
+        format!(
+            r#"{{"host":"{name}","dial":"{dial}","site":"north","class":"big","block":0,"health":"in_service","share":1.0,"born_ms":0}}"#
+        )
+    };
+    let hosts: Vec<String> = hops.iter().map(line).collect();
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5eed","limits":{{"sockets":256}},
+        "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9","{peer}"],"peers_all":"{peer}",
+        "known":{{"seq":41,"whole":true,"hosts":[{}]}},"settings":{{"azs":["north","south"],"kinds":["big"],
+        "ceilings":{{"cancelling":true,"connect_timeout_us":250000,"max_retry_after_us":2000000,"may_duplicate":true,
+        "most_tries":4,"peers":true,"probes":true,"retry_after":false}},"counted_by":"work","extra":{{"class_kind":[-1,-1],
+        "class_stretch":[2.0,2.0],"progress_us":1000000,"queue_order":"fifo","report_x0":"free slots","tells_start":true}},
+        "n_instances":2,"rank":0,"orgs":[{{"name":"acme","quota_rps":1000.0,"share":1.0}}],"registry_mode":"subscribe",
+        "report":{{"fields":["utilization","x0"],"how":"answers"}},"request_classes":[
+        {{"name":"look","aim_us":900000,"deadline_us":20000000,"effect":"read_like","worth":1.0}},
+        {{"name":"book","aim_us":900000,"deadline_us":20000000,"effect":"non_idempotent","worth":2.0}}],
+        "rules":{{"answer_slack_us":8000,"ask_every_us":1000,"cold_us":1000000,"drain_grace_us":500000,"fall_multiple":3.0,
+        "fall_us":1000000,"start_capacity":0.3}},"tick_us":1000,"zone":"north"}}}}"#,
+        hosts.join(",")
+    )
+}
+
+/// Starts the program with so many next hops, and plays the scenario.
+pub fn play(hops: usize, script: &str) {
+    play_cramped(hops, 1024, script);
+}
+
+/// The same, where the system gives the program no more than so many descriptors.
+pub fn play_cramped(hops: usize, descriptors: u32, script: &str) {
+    let mut world = World::start(hops, descriptors);
+    for (nr, line) in script.lines().map(str::trim).enumerate().filter(|(_, line)| !line.is_empty()) {
+        let mut words = line.splitn(3, ' ');
+        let (verb, who) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+        let told = world.step(verb, who, words.next().unwrap_or(""));
+        told.unwrap_or_else(|why| panic!("line {nr}, '{line}': {why}; the log: {:?}", world.heard));
+    }
+}
+
+impl World {
+    fn start(hops: usize, descriptors: u32) -> World {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let mut listeners: HashMap<String, TcpListener> =
+            (1..=hops).map(|nr| (format!("h{nr}"), bind())).collect();
+        let place = |listener: &TcpListener| listener.local_addr().expect("it is bound");
+        let mut listed: Vec<_> =
+            listeners.iter().map(|(name, listener)| (name.clone(), place(listener))).collect();
+        listed.sort();
+        listeners.insert("d".to_owned(), bind());
+        let peer = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        peer.set_read_timeout(Some(LIMIT)).expect("a limit can be set");
+        let text = config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"));
+        let nr = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("calicolb-{}-{nr}.json", std::process::id()));
+        fs::write(&file, text).expect("the configuration is written");
+        let mut program = Command::new("/bin/sh")
+            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\""), env!("CARGO_BIN_EXE_calicolb")])
+            .env("RELAY_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let errors = BufReader::new(program.stderr.take().expect("its log is piped"));
+        let (tell, log) = channel();
+        thread::spawn(move || errors.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok()));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let conns = HashMap::new();
+        let mut world = World {
+            program,
+            log,
+            heard: Vec::new(),
+            at: nowhere,
+            peers_at: nowhere,
+            listeners,
+            conns,
+            peer,
+            file,
+        };
+        world.peers_at = world.hear("hears schedulers on ").expect("it tells").parse().expect("an address");
+        world.at = world.hear("serves on ").expect("it tells").parse().expect("an address");
+        world
+    }
+
+    /// Waits for a log line with this text; gives what follows it.
+    fn hear(&mut self, text: &str) -> Result<String, String> {
+        loop {
+            let line = self.log.recv_timeout(LIMIT).map_err(|_| format!("the log never said '{text}'"))?;
+            self.heard.push(line.clone());
+            if let Some((_, rest)) = line.split_once(text) {
+                return Ok(rest.to_owned());
+            }
+        }
+    }
+
+    fn conn(&mut self, who: &str) -> Result<&mut Conn, String> {
+        if !self.conns.contains_key(who) {
+            let stream = match who.split('.').next().unwrap_or("") {
+                name if name.starts_with(['c', 'n']) => {
+                    TcpStream::connect(self.at).map_err(|e| e.to_string())?
+                }
+                name => accept(self.listeners.get(name).ok_or("nobody of this name")?)?,
+            };
+            stream.set_read_timeout(Some(LIMIT)).map_err(|error| error.to_string())?;
+            self.conns.insert(who.to_owned(), Conn { stream, held: Vec::new() });
+        }
+        self.conns.get_mut(who).ok_or_else(|| "no connection".to_owned())
+    }
+
+    fn step(&mut self, verb: &str, who: &str, rest: &str) -> Result<(), String> {
+        match (verb, who) {
+            ("send", "program") => {
+                let killed = Command::new("kill").args(["-TERM", &self.program.id().to_string()]).status();
+                killed.map(drop).map_err(|error| error.to_string())
+            }
+            ("expect", "program") => self.hear(rest).map(drop),
+            ("wait", "program") => {
+                let since = Instant::now();
+                while since.elapsed() < LIMIT {
+                    if let Some(status) = self.program.try_wait().map_err(|error| error.to_string())? {
+                        return if status.success() {
+                            Ok(())
+                        } else {
+                            Err(format!("it ended with {status}"))
+                        };
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+                Err("it runs on".to_owned())
+            }
+            ("send", "p") => {
+                self.peer.send_to(&bytes(rest), self.peers_at).map(drop).map_err(|e| e.to_string())
+            }
+            ("expect", "p") => {
+                let mut got = [0; 512];
+                // What it tells of its own accord, a greeting at its start say, may come before.
+                loop {
+                    let (length, _) = self.peer.recv_from(&mut got).map_err(|error| error.to_string())?;
+                    if got[..length] == bytes(rest) {
+                        return Ok(());
+                    }
+                }
+            }
+            ("send", _) => {
+                let text = wire(rest);
+                self.conn(who)?.stream.write_all(&text).map_err(|error| error.to_string())
+            }
+            ("expect", _) => self.conn(who)?.expect(rest),
+            ("close", _) => {
+                let known = self.conns.remove(who).is_some() || self.listeners.remove(who).is_some();
+                if known { Ok(()) } else { Err("nobody of this name".to_owned()) }
+            }
+            ("wait", _) => {
+                let conn = self.conn(who)?;
+                match conn.stream.read(&mut [0; 64]) {
+                    Ok(0) => Ok(()),
+                    Err(error) if error.kind() == ErrorKind::ConnectionReset => Ok(()),
+                    other => Err(format!("it goes on: {other:?}")),
+                }
+            }
+            _ => Err("no such step".to_owned()),
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Takes the next connection, waiting for it no longer than the limit.
+fn accept(listener: &TcpListener) -> Result<TcpStream, String> {
+    listener.set_nonblocking(true).map_err(|error| error.to_string())?;
+    let since = Instant::now();
+    while since.elapsed() < LIMIT {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).map_err(|error| error.to_string())?;
+            return Ok(stream);
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    Err("nobody connected".to_owned())
+}
+
+/// `1,0,255` as bytes; `#N` as N bytes.
+fn bytes(text: &str) -> Vec<u8> {
+    match text.strip_prefix('#') {
+        Some(count) => vec![b'x'; count.parse().expect("a count")],
+        None => text.split(',').map(|part| part.parse().expect("a byte")).collect(),
+    }
+}
+
+fn pad(word: &str) -> String {
+    word.strip_prefix('#')
+        .and_then(|count| count.parse().ok())
+        .map_or_else(|| word.to_owned(), |n| "x".repeat(n))
+}
+
+/// The bytes of a message to send.
+fn wire(text: &str) -> Vec<u8> {
+    let plain = |text: &str| text.replace("\\r", "\r").replace("\\n", "\n");
+    if let Some(text) = text.strip_prefix("raw ") {
+        return plain(text).into_bytes();
+    }
+    if let Some(text) = text.strip_prefix("chunk ") {
+        let text = plain(text);
+        return format!("{:x}\r\n{text}\r\n", text.len()).into_bytes();
+    }
+    let (head, body) = text.split_once(" | ").unwrap_or((text, ""));
+    let body = pad(body);
+    let mut words = head.split(' ');
+    let first = words.next().unwrap_or("");
+    let mut out = match first.parse::<u16>() {
+        Ok(status) => format!("HTTP/1.1 {status} X\r\n"),
+        Err(_) => format!("{first} {} HTTP/1.1\r\nHost: t\r\n", words.next().unwrap_or("/")),
+    };
+    for (name, value) in words.filter_map(|word| word.split_once(':')) {
+        out += &format!("{name}: {}\r\n", pad(value));
+    }
+    out += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    out.into_bytes()
+}
+
+impl Conn {
+    fn more(&mut self) -> Result<(), String> {
+        let mut part = [0; 4096];
+        match self.stream.read(&mut part) {
+            Ok(0) => Err(format!("it ended after '{}'", String::from_utf8_lossy(&self.held))),
+            Ok(count) => {
+                self.held.extend_from_slice(&part[..count]);
+                Ok(())
+            }
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    fn expect(&mut self, want: &str) -> Result<(), String> {
+        let end = loop {
+            match self.held.windows(4).position(|four| four == b"\r\n\r\n") {
+                Some(at) => break at + 4,
+                None => self.more()?,
+            }
+        };
+        let head = String::from_utf8_lossy(&self.held[..end]).into_owned();
+        let header = |name: &str| {
+            let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+            lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.to_owned())
+        };
+        let length: usize = header("content-length").map_or(0, |text| text.parse().expect("a length"));
+        while self.held.len() < end + length {
+            self.more()?;
+        }
+        let body = String::from_utf8_lossy(&self.held[end..end + length]).into_owned();
+        self.held.drain(..end + length);
+        let (want_head, want_body) =
+            want.split_once(" | ").map_or((want, None), |(head, body)| (head, Some(pad(body))));
+        let fits = |word: &str| match word.split_once(':') {
+            Some((name, "*")) => header(name).is_some(),
+            Some((name, value)) => header(name).as_deref() == Some(value),
+            None => head.lines().next().unwrap_or("").split(' ').any(|part| part == word),
+        };
+        if want_head.split(' ').all(fits) && want_body.is_none_or(|want| want == body) {
+            return Ok(());
+        }
+        Err(format!("got {head:?} with {body:?}"))
+    }
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,261 @@
+//! The program on real sockets: each test starts it and holds a conversation with it.
+
+mod scenario;
+
+use scenario::{play, play_cramped};
+
+#[test]
+fn a_job_is_passed_on_and_its_result_served() {
+    play(
+        1,
+        r#"
+        send c1 GET /up
+        expect c1 200
+        send c1 POST /look?obj=7f Request-Id:a1 Request-Class:look Tenant:acme Request-Timeout:9 X-Own:kept | the body
+        expect h1 POST /look?obj=7f Request-Id:a1 Request-Timeout:* Request-Class:look X-Own:kept | the body
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
+        expect n1 200
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1","load":{"util":0.5,"x0":3,"eps":0}}
+        expect n1 200
+        expect c1 200 | r1
+        send c1 POST /look?obj=7f Request-Id:a2 Request-Class:look Tenant:acme Request-Timeout:9 | more
+        expect h1 POST /look?obj=7f Request-Id:a2 | more
+        "#,
+    );
+}
+
+#[test]
+fn news_may_come_before_the_answer_and_again_and_for_nobody() {
+    play(
+        1,
+        r#"
+        send c1 POST /book Request-Id:a1 Request-Timeout:9
+        expect h1 POST /book Request-Id:a1
+        send n1 POST /_jobs/news | {"id":"a1","from":"elsewhere","state":"done","result":"not mine"}
+        expect n1 200
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        send n1 POST /_jobs/news | {"id":"never","from":"h1","state":"lost"}
+        expect n1 200
+        send n1 POST /_jobs/news | {"id":
+        expect n1 400
+        send h1 202
+        send c1 POST /book Request-Id:a2 Request-Timeout:9
+        expect h1 POST /book Request-Id:a2
+        "#,
+    );
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again_and_what_cannot_have_is() {
+    play(
+        2,
+        r#"
+        close h2
+        send c1 POST /book Request-Id:a1 Request-Timeout:9
+        expect h1 POST /book Request-Id:a1
+        send h1 503 Not-Started:1
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        close h1
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send c1 POST /book Request-Id:a2 Request-Timeout:9
+        expect h1.2 POST /book Request-Id:a2
+        close h1.2
+        expect c1 500
+        "#,
+    );
+}
+
+#[test]
+fn a_busy_answer_comes_at_once_and_tells_when_to_come_back() {
+    play(
+        1,
+        r#"
+        send c2 GET /up
+        expect c2 200
+        send c3 GET /up
+        expect c3 200
+        send c4 GET /up
+        expect c4 200
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        send c2 POST /look Request-Id:a2 Request-Timeout:900
+        send c3 POST /look Request-Id:a3 Request-Timeout:900
+        send c4 POST /look Request-Id:a4 Request-Timeout:900
+        expect c4 503 Retry-After:*
+        "#,
+    );
+}
+
+#[test]
+fn an_attempt_that_takes_too_long_is_given_up_in_words() {
+    play(
+        1,
+        r#"
+        send c1 POST /book Request-Id:a1 Request-Timeout:1.5
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        expect c1 500
+        expect h1 DELETE /jobs/a1
+        send h1 200
+        send c1 POST /book Request-Id:a2 Request-Timeout:9
+        expect h1 POST /book Request-Id:a2
+        "#,
+    );
+}
+
+#[test]
+fn malformed_input_harms_nobody_else() {
+    play(
+        1,
+        r#"
+        send c1 POST /look Request-Id:a1 Request-Timeout:9
+        expect h1 POST /look Request-Id:a1
+        send c2 raw GARBAGE\r\n\r\n
+        expect c2 400
+        wait c2
+        send c3 POST /nowhere Request-Id:a2 Request-Timeout:9
+        expect c3 404
+        send c3 GET /look
+        expect c3 405
+        send c3 PUT /up
+        expect c3 405
+        send c3 POST /look Request-Timeout:9
+        expect c3 400
+        send c3 POST /look Request-Id:a/../b Request-Timeout:9
+        expect c3 400
+        send c3 POST /look Request-Id:a1 Request-Timeout:9
+        expect c3 409
+        send c3 POST /look Request-Id:a3 Request-Timeout:soon
+        expect c3 400
+        send c4 raw POST /look HTTP/1.1\r\nContent-Length: 65537\r\n\r\n
+        expect c4 413
+        wait c4
+        send c5 GET /up Long:#17000
+        expect c5 431
+        wait c5
+        send c6 raw POST /look HTTP/1.1\r\nContent-Le
+        close c6
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        "#,
+    );
+}
+
+#[test]
+fn callers_that_leave_and_floods_of_idle_ones_leave_room() {
+    let mut script = String::new();
+    for nr in 0..400 {
+        script += &format!("send c{nr} GET /up\nexpect c{nr} 200\n");
+    }
+    script += r#"
+        send cx POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        close cx
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        send cy POST /look Request-Id:a2 Request-Timeout:900
+        expect h1 POST /look Request-Id:a2
+        wait c0
+        "#;
+    play(1, &script);
+}
+
+#[test]
+fn the_route_set_is_watched_and_a_lost_watch_begun_anew() {
+    play(
+        1,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk \n
+        send d chunk {"seq":42,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"},{"host":"h1","dial":"127.0.0.1:9","si
+        send d chunk te":"north","class":"big","block":0,"health":"terminated","share":1.0,"born_ms":0}]}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect c1 503
+        close d
+        expect program discovery
+        expect d.2 GET /discovery/hosts?watch=1&from=42
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=42
+        "#,
+    );
+}
+
+#[test]
+fn schedulers_hear_each_other_and_nobody_else() {
+    play(
+        1,
+        r#"
+        send p #257
+        expect program too long
+        send p 1,1,1
+        expect p 1,0,0
+        "#,
+    );
+}
+
+#[test]
+fn without_a_list_it_is_not_ready() {
+    play(
+        0,
+        r#"
+        send c1 GET /up
+        expect c1 503
+        expect d GET /discovery/hosts?watch=1&from=41
+        "#,
+    );
+}
+
+#[test]
+fn a_planned_restart_answers_all_that_was_taken() {
+    play(
+        1,
+        r#"
+        send c1 POST /book Request-Id:a1 Request-Timeout:20
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        send c2 GET /up
+        expect c2 200
+        send program TERM
+        expect program SIGTERM
+        send c3 POST /look Request-Id:a2 Request-Timeout:20
+        send c2 GET /up
+        expect c2 503 Connection:close
+        wait c2
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 Connection:close | r1
+        wait c1
+        expect h1 POST /look Request-Id:a2
+        send h1 202
+        send n2 POST /_jobs/news | {"id":"a2","from":"h1","state":"done","result":"r2"}
+        expect n2 200
+        expect c3 200 | r2
+        wait program
+        "#,
+    );
+}
+
+#[test]
+fn running_out_of_descriptors_stops_neither_callers_nor_work() {
+    let mut script = String::new();
+    for nr in 0..60 {
+        script += &format!("send c{nr} GET /up\nexpect c{nr} 200\n");
+    }
+    script += r#"
+        send cx POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        "#;
+    play_cramped(1, 40, &script);
+}
