Let go of connections whose answer never comes, and share out floods over turns

Logs show no fault.

Found by reading: where news ended a branch before its 202, and the 202 never came, nothing ended the wait on that connection (next_hop.rs read, desk.rs time_up); enough of them would use up the connections. It is let go when the branch's time is up. peers.rs and the accept loop ran until dry: a flood of datagrams or connects could hold up a turn. Both now take a turn's share.

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -29,6 +29,8 @@
 const LINGER: Micros = SECOND;
 /// Accepting is tried again after this time when no descriptor could be had.
 const ACCEPT_AGAIN: Micros = SECOND / 50;
+/// Connections taken in one turn at most; the rest come in the next.
+const ACCEPTS: usize = 256;
 /// The longest time that a caller's patience is taken to have.
 const PATIENCE: f64 = 3600.0;
 
@@ -79,7 +81,7 @@
 
     /// Takes new connections.
     pub fn accept(&mut self, ctx: &mut Ctx<'_>) {
-        loop {
+        for _ in 0..ACCEPTS {
             if self.legs.len() >= self.most && !self.shed(ctx) {
                 // They wait in the listener's queue until a leg ends.
                 return ctx.deadlines.set(Due::Accept, ctx.now + ACCEPT_AGAIN);
@@ -97,6 +99,7 @@
                 }
             }
         }
+        ctx.deadlines.set(Due::Accept, ctx.now + 1);
     }
 
     fn open(&mut self, ctx: &mut Ctx<'_>, mut stream: TcpStream) {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -17,8 +17,10 @@
     LinkIdle(usize),
     /// A caller leg has been idle, or in the middle of a request, for too long.
     Leg(usize),
-    /// Accepting is tried again after descriptors ran out.
+    /// Accepting goes on, after a turn's share of it, or after descriptors ran out.
     Accept,
+    /// Datagrams are left from the last turn.
+    Peers,
     /// The one-off call to discovery has waited too long.
     Fetch,
     /// Nothing has come on the watch for too long.
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -282,13 +282,12 @@
         self.events.push_back(Event::Timer(TimerId(timer)));
     }
 
-    /// The time of a branch is up.
-    pub fn time_up(&mut self, now: Micros, id: BranchId) {
-        let ending = match self.branch(id) {
-            Some(branch) if branch.written => Ending::TimedOut,
-            _ => Ending::Unreachable,
-        };
+    /// The time of a branch is up; tells whether it was still out.
+    pub fn time_up(&mut self, now: Micros, id: BranchId) -> bool {
+        let Some(branch) = self.branch(id) else { return false };
+        let ending = if branch.written { Ending::TimedOut } else { Ending::Unreachable };
         self.give_up(now, id, ending);
+        true
     }
 
     // ---- The module ------------------------------------------------------------------------------
@@ -476,7 +475,7 @@
                     match due {
                         Due::Timer(timer, _) => self.desk.timer(timer),
                         Due::Branch(request, attempt) => {
-                            self.desk.time_up(self.now, BranchId { request, attempt })
+                            self.desk.time_up(self.now, BranchId { request, attempt });
                         }
                         other => panic!("the desk never sets {other:?}"),
                     }
--- a/src/net/next_hop.rs
+++ b/src/net/next_hop.rs
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Lets go of the connection of a branch that is over: news ended it, but the answer that was due on the
+    /// connection itself has not come in all its time, and nothing else would ever end the wait for it.
+    pub fn release(&mut self, ctx: &mut Ctx<'_>, branch: BranchId) {
+        if let Some(token) = self.out.get(&branch).copied() {
+            self.drop_link(ctx, token);
+        }
+    }
+
     /// Asks a next hop for its load.
     pub fn probe(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers, hop: WorkerId) {
         let bytes = http::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
@@ -168,7 +176,7 @@
         };
         let Some(link) = self.links.get_mut(&token) else { return false };
         link.buffer.put(bytes);
-        if link.up && task != Task::Idle && !matches!(task, Task::Branch(_)) {
+        if link.up && !matches!(task, Task::Branch(_)) {
             ctx.deadlines.set(Due::Link(token), ctx.now + SIDE_CALL);
         }
         if let Task::Branch(branch) = task {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between schedulers: datagrams to and from the addresses that the configuration names, no others.
 
 use crate::net::Ctx;
+use crate::net::deadlines::Due;
 use crate::net::log::note;
 use mio::net::UdpSocket;
 use std::io::ErrorKind;
@@ -24,8 +25,8 @@
         Peers { socket, peers, all }
     }
 
-    /// Takes what has come; tells whether more may wait.
-    pub fn ready(&mut self, ctx: &mut Ctx<'_>) -> bool {
+    /// Takes what has come, as much as is one turn's share: a flood must not stop the loop.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>) {
         let mut bytes = [0; LIMIT + 1];
         for _ in 0..BATCH {
             match self.socket.recv_from(&mut bytes) {
@@ -37,12 +38,12 @@
                         None => note!("a datagram from {from}, which is no peer"),
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 // An earlier datagram met a closed port; the next may be fine.
                 Err(_) => {}
             }
         }
-        true
+        ctx.deadlines.set(Due::Peers, ctx.now + 1);
     }
 
     /// Sends a message to one scheduler, or to all.
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -174,7 +174,7 @@
             LISTENER => parts.callers.accept(&mut ctx),
             PEERS => {
                 if let Some(peers) = parts.peers {
-                    while peers.ready(&mut ctx) {}
+                    peers.ready(&mut ctx);
                 }
             }
             Token(token) if parts.callers.has(token) => parts.callers.ready(&mut ctx, token),
@@ -187,10 +187,20 @@
         let (mut ctx, parts) = self.split(now);
         match due {
             Due::Timer(timer, _) => ctx.desk.timer(timer),
-            Due::Branch(request, attempt) => ctx.desk.time_up(now, BranchId { request, attempt }),
+            Due::Branch(request, attempt) => {
+                let branch = BranchId { request, attempt };
+                if !ctx.desk.time_up(now, branch) {
+                    parts.hops.release(&mut ctx, branch);
+                }
+            }
             Due::Link(token) => parts.hops.late(&mut ctx, token),
             Due::LinkIdle(token) => parts.hops.rested(&mut ctx, token),
             Due::Leg(token) => parts.callers.late(&mut ctx, token),
+            Due::Peers => {
+                if let Some(peers) = parts.peers {
+                    peers.ready(&mut ctx);
+                }
+            }
             Due::Accept => parts.callers.accept(&mut ctx),
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, due),
             Due::Farewell => {
