--- a/src/net/route_set.rs
+++ b/src/net/route_set.rs
@@ -350,3 +350,47 @@
     }
     if text.len() > LINE_LIMIT { Err("a change is too long") } else { Ok(()) }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn member(born_ms: u64, health: &str) -> Result<Member, WireError> {
+        let info = r#"{"azs":["a","b"],"kinds":["m1","m2"]}"#;
+        let (_, names) = calicolb::wire::settings(info).expect("the settings are sound");
+        let line = json!({"host":"s-1","dial":"127.0.0.1:1","site":"b","class":"m2","block":3,"health":health,
+            "share":1.5,"born_ms":born_ms});
+        read_member(&names, &serde_json::from_value(line).expect("the line is sound"))
+    }
+
+    #[test]
+    fn a_line_becomes_a_member_on_the_modules_clock() {
+        let old = member(0, "in_service").expect("it is sound");
+        assert_eq!((old.zone.0, old.kind.0, old.cell, old.weight, old.started), (1, 1, 3, 1.5, None));
+        // A start before ours is as good as a later one: both are Unix time.
+        let young = member(1_700_000_000_123, "terminating").expect("it is sound");
+        assert_eq!(young.started, Some(1_700_000_000_123_000));
+        assert_eq!((young.standing, young.worker), (Standing::Draining, hop_id("s-1")));
+        assert_eq!(member(0, "terminated").map(|member| member.standing), Ok(Standing::Gone));
+        assert!(member(0, "resting").is_err());
+        // No time at all must come of a figure that does not fit.
+        assert_eq!(member(u64::MAX, "in_service").map(|member| member.started), Ok(None));
+    }
+
+    #[test]
+    fn changes_are_read_line_by_line_and_a_bad_one_is_a_gap() {
+        let mut updates = Vec::new();
+        let mut text = b"\n{\"seq\":5}\r\n{\"seq\":6,\"who".to_vec();
+        assert_eq!(read_lines(&mut text, &mut updates), Ok(()));
+        text.extend_from_slice(b"le\":true}\n\n");
+        assert_eq!(read_lines(&mut text, &mut updates), Ok(()));
+        assert_eq!(
+            updates.iter().map(|update| (update.seq, update.whole)).collect::<Vec<_>>(),
+            [(5, false), (6, true)]
+        );
+        assert!(text.is_empty());
+        assert!(read_lines(&mut b"{\"seq\":\n".to_vec(), &mut updates).is_err());
+        assert!(read_lines(&mut vec![b'x'; LINE_LIMIT + 1], &mut updates).is_err());
+    }
+}
