Close a request's record only after the module has answered its batch

Seen by reading: a caller that sends a request and leaves within one turn gives the module an arrival and a lapse in one batch. It sends on the arrival; by then the record was gone (desk.rs, leave), no outcome was ever told, and the module counted that lane as taken for good. A test shows it: with one lane, the next request was never sent.

Records now go after the module's actions are carried out, so that such a branch ends as never sent.

--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -121,6 +121,8 @@
     next_timer: u64,
     events: VecDeque<Event>,
     work: Vec<Work<P>>,
+    /// Requests whose records may go, once the module has answered the batch that says so.
+    closing: Vec<u32>,
 }
 
 impl<P: Clone> Desk<P> {
@@ -136,6 +138,7 @@
             next_timer: 0,
             events: VecDeque::new(),
             work: Vec::new(),
+            closing: Vec::new(),
         }
     }
 
@@ -187,7 +190,7 @@
             entry.concluded = true;
             self.events.push_back(Event::Lapsed(RequestId(number)));
         }
-        self.forget(number);
+        self.closing.push(number);
     }
 
     /// The last byte of a branch has been written.
@@ -301,6 +304,11 @@
         for action in actions {
             self.carry_out(now, action, deadlines);
         }
+        // Not before: the module may have sent a request in answer to an event that came before its caller
+        // left, and waits for the outcome of that branch, or would count its lane as taken for ever.
+        for number in mem::take(&mut self.closing) {
+            self.forget(number);
+        }
         mem::take(&mut self.work)
     }
 
@@ -398,7 +406,7 @@
             concluded,
             report,
         });
-        self.forget(id.request);
+        self.closing.push(id.request);
     }
 
     /// Gives the final answer, once: whatever comes for a request that has one is passed over.
@@ -410,7 +418,7 @@
         entry.concluded = true;
         self.callers.remove(&entry.caller);
         self.work.push(Work::Answer { caller: entry.caller, answer });
-        self.forget(number);
+        self.closing.push(number);
     }
 
     /// A request's record goes once it is answered and its last branch is over.
@@ -488,9 +496,9 @@
             panic!("nothing is ever done");
         }
 
-        fn arrive(&mut self, class: usize) -> BranchId {
-            let job = Job {
-                name: "a1".to_owned(),
+        fn job(&self, class: usize, name: &str) -> Job<&'static str> {
+            Job {
+                name: name.to_owned(),
                 class: ClassIx(class),
                 tenant: None,
                 hint: None,
@@ -500,8 +508,11 @@
                 key: None,
                 retry: false,
                 payload: "job",
-            };
-            self.desk.arrive(self.now, 99, job).expect("there is room");
+            }
+        }
+
+        fn arrive(&mut self, class: usize) -> BranchId {
+            self.desk.arrive(self.now, 99, self.job(class, "a1")).expect("there is room");
             sent(&self.turn())
         }
 
@@ -584,4 +595,18 @@
         assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
         assert!(table.desk.entries.is_empty() && table.desk.names.is_empty());
     }
+
+    #[test]
+    fn who_comes_and_goes_in_one_batch_holds_no_lane() {
+        // The module sends on the arrival, before it hears of the leaving: that branch is never sent, and the
+        // module must be told so, or the hop's only lane stays taken.
+        let mut table = Table::new();
+        for _ in 0..5 {
+            table.desk.arrive(table.now, 98, table.job(0, "b1")).expect("there is room");
+            table.desk.leave(98);
+            assert_eq!(table.turn(), []);
+            assert_eq!(table.turn(), []);
+        }
+        assert_eq!(table.arrive(1).attempt, 0);
+    }
 }
