Take up a new configuration on SIGHUP, the old watch serving until the new one is open

At fault: src/net/turn.rs registered SIGTERM only, so SIGHUP had its default effect.

Now the file is read again (its keys before the variables, which cannot change), discovery's new address goes to the module as an event, and the module asks there at once. The old watch goes on until the new one is open. A faulty file is logged and changes nothing.

Ruled out: telling the module `lost` at the move; its first pause after a loss is 1 to 2 s, longer than the old address serves.

A test's wait for a log line now has one limit over all lines.

--- a/src/api.rs
+++ b/src/api.rs
@@ -393,6 +393,8 @@
         /// The worker's load report, if one came along.
         report: Option<Report>,
     },
+    /// The worker list is to be had elsewhere from now on; the subscription, if any, will end.
+    ListMoved,
     /// The client has left, or the answer is overdue; the request is over.
     Lapsed(RequestId),
     /// A message from another dispatcher.
--- a/src/config.rs
+++ b/src/config.rs
@@ -43,6 +43,13 @@
     pub most_open: usize,
 }
 
+/// Which of a key and the variable in its place counts where both are there.
+#[derive(Clone, Copy, PartialEq)]
+enum Precedence {
+    Environment,
+    File,
+}
+
 const DEFAULT_SOCKETS: u64 = 1_024;
 const DEFAULT_CONN_IDLE: Micros = 5_000_000;
 const DEFAULT_MOST_OPEN: u64 = 20_000;
@@ -50,19 +57,30 @@
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names, and the variables that may stand in for its keys.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        // The environment comes first: it is what a person sets to try something.
+        Config::load_from(env, Precedence::Environment)
+    }
+
+    /// Reads the file again. Now its keys come before the variables: these are from the start of the program
+    /// and cannot change, so that, were they first, a replaced file would be replaced in vain.
+    pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::load_from(env, Precedence::File)
+    }
+
+    fn load_from(env: impl Fn(&str) -> Option<String>, first: Precedence) -> Result<Config, String> {
         let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
         let text =
             std::fs::read_to_string(&path).map_err(|error| format!("RELAY_CONFIG: {path}: {error}"))?;
-        Config::read(&text, env)
+        Config::read(&text, env, first)
     }
 
-    fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    fn read(text: &str, env: impl Fn(&str) -> Option<String>, first: Precedence) -> Result<Config, String> {
         let json: Value = serde_json::from_str(text).map_err(|error| format!("RELAY_CONFIG: {error}"))?;
         let root = Section { at: "", map: json.as_object().ok_or("RELAY_CONFIG: it is not a JSON object")? };
-        // The environment comes first: it is what a person sets to try something.
-        let told = |key: &str, variable: &str| match env(variable) {
-            Some(value) => Ok::<_, String>(Some((variable.to_owned(), value))),
-            None => Ok(root.text(key)?.map(|value| (key.to_owned(), value.to_owned()))),
+        let told = |key: &str, variable: &str| {
+            let set = env(variable).map(|value| (variable.to_owned(), value));
+            let written = root.text(key)?.map(|value| (key.to_owned(), value.to_owned()));
+            Ok::<_, String>(if first == Precedence::Environment { set.or(written) } else { written.or(set) })
         };
         let needed = |key: &str, variable: &str| {
             told(key, variable)?.ok_or_else(|| format!("'{key}' is missing, and so is {variable}"))
@@ -198,7 +216,7 @@
         "request_classes":[{"name":"look","effect":"read_like"}]}}"#;
 
     fn read(text: &str) -> Result<Config, String> {
-        Config::read(text, |_| None)
+        Config::read(text, |_| None, Precedence::Environment)
     }
 
     /// Checks the message on a sound file in which one thing is changed.
@@ -220,10 +238,13 @@
     }
 
     #[test]
-    fn the_environment_comes_first() {
+    fn the_environment_comes_first_at_the_start_and_last_after_it() {
         let env = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.9:1".to_owned());
-        let config = Config::read(SOUND, env).expect("it is sound");
-        assert_eq!(config.listen.to_string(), "127.0.0.9:1");
+        let listen =
+            |text: &str, first| Config::read(text, env, first).expect("it is sound").listen.to_string();
+        assert_eq!(listen(SOUND, Precedence::Environment), "127.0.0.9:1");
+        assert_eq!(listen(SOUND, Precedence::File), "127.0.0.1:8443");
+        assert_eq!(listen(&SOUND.replace("\"listen\"", "\"l\""), Precedence::File), "127.0.0.9:1");
     }
 
     #[test]
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -275,6 +275,11 @@
         self.events.push_back(Event::Members(kind, members));
     }
 
+    /// The route set is to be had elsewhere.
+    pub fn list_moved(&mut self) {
+        self.events.push_back(Event::ListMoved);
+    }
+
     /// A message from another scheduler.
     pub fn peer(&mut self, from: u32, body: Vec<u8>) {
         self.events.push_back(Event::Peer { from, body });
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -25,6 +25,11 @@
         Peers { socket, peers, all }
     }
 
+    /// The schedulers are at these addresses from now on.
+    pub fn learn(&mut self, peers: Vec<SocketAddr>, all: Option<SocketAddr>) {
+        (self.peers, self.all) = (peers, all);
+    }
+
     /// Takes what has come, as much as is one turn's share: a flood must not stop the loop.
     pub fn ready(&mut self, ctx: &mut Ctx<'_>) {
         let mut bytes = [0; LIMIT + 1];
--- a/src/net/route_set.rs
+++ b/src/net/route_set.rs
@@ -78,11 +78,13 @@
     names: HashMap<WorkerId, String>,
     fetch: Option<Call>,
     watch: Option<Call>,
+    /// The watch before this one: it serves on until this one is open, so that no change falls in between.
+    before: Option<Call>,
 }
 
 impl RouteSet {
     pub fn new(discovery: SocketAddr) -> Self {
-        RouteSet { discovery, seq: 0, names: HashMap::new(), fetch: None, watch: None }
+        RouteSet { discovery, seq: 0, names: HashMap::new(), fetch: None, watch: None, before: None }
     }
 
     /// Some list is known.
@@ -107,14 +109,36 @@
     /// Begins the watch, or ends it.
     pub fn watch(&mut self, ctx: &mut Ctx<'_>, want: bool) {
         if let Some(call) = self.watch.take() {
-            end(ctx, call, Due::Watch);
+            ctx.deadlines.clear(Due::Watch);
+            if want && call.open {
+                self.leave_before(ctx);
+                self.before = Some(call);
+            } else {
+                hang_up(ctx, call);
+            }
         }
-        if want {
+        if !want {
+            self.leave_before(ctx);
+        } else {
             let target = format!("/discovery/hosts?watch=1&from={}", self.seq);
             self.watch = self.call(ctx, &target, Due::Watch);
         }
     }
 
+    fn leave_before(&mut self, ctx: &mut Ctx<'_>) {
+        if let Some(call) = self.before.take() {
+            hang_up(ctx, call);
+        }
+    }
+
+    /// Discovery is at this address from now on; what to ask of it, and when, is the module's to say.
+    pub fn move_to(&mut self, ctx: &mut Ctx<'_>, discovery: SocketAddr) {
+        if self.discovery != discovery {
+            self.discovery = discovery;
+            ctx.desk.list_moved();
+        }
+    }
+
     fn call(&mut self, ctx: &mut Ctx<'_>, target: &str, due: Due) -> Option<Call> {
         let mut made = TcpStream::connect(self.discovery);
         let token = ctx.next_token();
@@ -141,7 +165,7 @@
 
     /// The connection is one of these.
     pub fn has(&self, token: usize) -> bool {
-        [&self.fetch, &self.watch].into_iter().flatten().any(|call| call.token == token)
+        [&self.fetch, &self.watch, &self.before].into_iter().flatten().any(|call| call.token == token)
     }
 
     /// Something can be read or written on one of these connections.
@@ -172,10 +196,24 @@
                     if heard {
                         ctx.deadlines.set(Due::Watch, ctx.now + SILENCE);
                     }
+                    if call.open {
+                        self.leave_before(ctx);
+                    }
                     self.watch = Some(call);
                 }
                 Err(why) => self.lose(ctx, call, Due::Watch, why),
             }
+        } else if let Some(mut call) = self.before.take_if(|call| call.token == token) {
+            let mut updates = Vec::new();
+            let told = watched(&mut call, &mut updates);
+            for update in updates {
+                self.update(ctx, hops, update);
+            }
+            match told {
+                Ok(_) => self.before = Some(call),
+                // Nothing to tell the module: the call that takes its place has an outcome of its own.
+                Err(_) => hang_up(ctx, call),
+            }
         }
     }
 
@@ -268,11 +306,15 @@
     })
 }
 
-fn end(ctx: &mut Ctx<'_>, mut call: Call, due: Due) {
-    let _ = ctx.registry.deregister(&mut call.stream);
+fn end(ctx: &mut Ctx<'_>, call: Call, due: Due) {
+    hang_up(ctx, call);
     ctx.deadlines.clear(due);
 }
 
+fn hang_up(ctx: &mut Ctx<'_>, mut call: Call) {
+    let _ = ctx.registry.deregister(&mut call.stream);
+}
+
 /// Writes and reads; `Ok(None)` while the connection is not up or has not been written to.
 fn pump(call: &mut Call) -> Result<Option<Filled>, &'static str> {
     if !matches!(call.stream.take_error(), Ok(None)) {
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -14,8 +14,9 @@
 use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+use std::collections::BTreeSet;
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -68,13 +69,14 @@
 impl Turn {
     /// Opens the sockets and takes in the list of next hops that the configuration brings.
     pub fn new(config: Config) -> io::Result<Self> {
+        // First of all: a signal that comes before it is waited for ends the program.
+        let mut signals = Signals::new([SIGTERM, SIGHUP])?;
         let poll = Poll::new()?;
         let registry = poll.registry().try_clone()?;
         let clock = Clock::new();
         let mut listener = TcpListener::bind(config.listen)?;
         let at = listener.local_addr()?;
         registry.register(&mut listener, LISTENER, Interest::READABLE)?;
-        let mut signals = Signals::new([SIGTERM])?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE)?;
         let peers = match config.peers {
             Some(peers) => {
@@ -167,7 +169,7 @@
 
     fn ready(&mut self, now: Micros, token: Token) {
         if token == SIGNALS {
-            return self.stop(now);
+            return self.signalled(now);
         }
         let (mut ctx, parts) = self.split(now);
         match token {
@@ -232,10 +234,36 @@
         }
     }
 
+    fn signalled(&mut self, now: Micros) {
+        // Both may have come since the last turn, each several times; once is enough for either.
+        let signals: BTreeSet<i32> = self.signals.pending().collect();
+        if signals.contains(&SIGHUP) {
+            self.reload(now);
+        }
+        if signals.contains(&SIGTERM) {
+            self.stop(now);
+        }
+    }
+
+    /// SIGHUP: the configuration is read again. What the module knows, and all that is open, stays; a file
+    /// that cannot be read changes nothing.
+    fn reload(&mut self, now: Micros) {
+        let config = match Config::reload(|name| std::env::var(name).ok()) {
+            Ok(config) => config,
+            Err(message) => return note!("SIGHUP: configuration: {message}; the old one stays in force"),
+        };
+        note!("SIGHUP: discovery is at {}", config.discovery);
+        let (mut ctx, parts) = self.split(now);
+        parts.routes.move_to(&mut ctx, config.discovery);
+        if let (Some(peers), Some(told)) = (parts.peers, config.peers) {
+            peers.learn(told.each, told.all);
+        }
+    }
+
     /// SIGTERM: the work goes on, new work too; answers send their callers elsewhere, and later the legs at
     /// rest are ended.
     fn stop(&mut self, now: Micros) {
-        if self.signals.pending().count() > 0 && !self.stopping {
+        if !self.stopping {
             note!("SIGTERM: {} requests are open", self.desk.owed());
             self.stopping = true;
             self.callers.part();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -135,6 +135,10 @@
                 }
             }
             Event::Timer(_) => self.ask_list(out),
+            Event::ListMoved => {
+                self.subscribed = false; // at once: whatever the list has to tell will soon count as told
+                self.ask_list(out);
+            }
             Event::Streaming { request, attempt } => self.on_streaming(now, request, attempt),
             Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note),
             Event::Outcome { request, attempt, worker, ending, elapsed, concluded, report } => {
@@ -198,8 +202,8 @@
             if self.settings.limits.peers && self.settings.instances > 1 {
                 out.push(Action::Tell { to: None, body: self.greeting(1) });
             }
-            let homes = self.maps.iter().flat_map(|map| &map.ranges).flat_map(|range| range.home.iter());
-            let homes: Vec<usize> = homes.copied().collect();
+            let ranges = self.maps.iter().flat_map(|map| &map.ranges);
+            let homes: Vec<usize> = ranges.flat_map(|range| range.home.iter().copied()).collect();
             self.probe(now, &homes, homes.len(), out);
         }
         self.pump(now, out);
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,8 +9,9 @@
 //!
 //! A message is `METHOD TARGET` or `STATUS`, then `Header:value` words, then `| body`. In an expectation `*`
 //! stands for any value, and what is not named is not compared. `raw TEXT` and `chunk TEXT` are written as they
-//! are, the latter as one chunk; `\r`, `\n` in them are those bytes. `#N` is N bytes of padding. `TERM` to
-//! `program` is the signal. Every wait is for a condition, with one generous limit.
+//! are, the latter as one chunk; `\r`, `\n` in them are those bytes. `#N` is N bytes of padding. `TERM` or
+//! `HUP` to `program` is the signal; `send file d2` rewrites the configuration with discovery at the listener `d2`,
+//! `send file raw TEXT` puts that text in its place. Every wait is for a condition, with one generous limit.
 
 use std::collections::HashMap;
 use std::fs;
@@ -40,6 +41,7 @@
     conns: HashMap<String, Conn>,
     peer: UdpSocket,
     file: PathBuf,
+    listed: Vec<(String, SocketAddr)>,
 }
 
 /// The configuration, with these next hops as the list last known.
@@ -94,6 +96,7 @@
             listeners.iter().map(|(name, listener)| (name.clone(), place(listener))).collect();
         listed.sort();
         listeners.insert("d".to_owned(), bind());
+        listeners.insert("d2".to_owned(), bind());
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         peer.set_read_timeout(Some(LIMIT)).expect("a limit can be set");
         let text = config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"));
@@ -121,6 +124,7 @@
             conns,
             peer,
             file,
+            listed,
         };
         world.peers_at = world.hear("hears schedulers on ").expect("it tells").parse().expect("an address");
         world.at = world.hear("serves on ").expect("it tells").parse().expect("an address");
@@ -129,8 +133,11 @@
 
     /// Waits for a log line with this text; gives what follows it.
     fn hear(&mut self, text: &str) -> Result<String, String> {
+        // One limit for all lines: a program that goes on logging must not hold the test for ever.
+        let until = Instant::now() + LIMIT;
         loop {
-            let line = self.log.recv_timeout(LIMIT).map_err(|_| format!("the log never said '{text}'"))?;
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).map_err(|_| format!("the log never said '{text}'"))?;
             self.heard.push(line.clone());
             if let Some((_, rest)) = line.split_once(text) {
                 return Ok(rest.to_owned());
@@ -155,9 +162,21 @@
     fn step(&mut self, verb: &str, who: &str, rest: &str) -> Result<(), String> {
         match (verb, who) {
             ("send", "program") => {
-                let killed = Command::new("kill").args(["-TERM", &self.program.id().to_string()]).status();
+                let signal = format!("-{rest}");
+                let killed = Command::new("kill").args([&signal, &self.program.id().to_string()]).status();
                 killed.map(drop).map_err(|error| error.to_string())
             }
+            ("send", "file") => {
+                let text = match rest.strip_prefix("raw ") {
+                    Some(text) => text.to_owned(),
+                    None => {
+                        let place = |at: std::io::Result<SocketAddr>| at.map_err(|error| error.to_string());
+                        let discovery = self.listeners.get(rest).ok_or("nobody of this name")?.local_addr();
+                        config(&self.listed, place(discovery)?, place(self.peer.local_addr())?)
+                    }
+                };
+                fs::write(&self.file, text).map_err(|error| error.to_string())
+            }
             ("expect", "program") => self.hear(rest).map(drop),
             ("wait", "program") => {
                 let since = Instant::now();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -275,3 +275,39 @@
         "#;
     play_cramped(1, 40, &script);
 }
+
+#[test]
+fn a_new_configuration_moves_the_watch_and_loses_nothing() {
+    play(
+        1,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk {"seq":42,"whole":false,"hosts":[]}\n
+        send c1 POST /book Request-Id:a1 Request-Timeout:900
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        send file raw {"settings":{}}
+        send program HUP
+        expect program 'settings.request_classes' is missing
+        send file d2
+        send program HUP
+        expect d2 GET /discovery/hosts?watch=1&from=42
+        send d chunk {"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send d2 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d2 chunk {"seq":44,"whole":false,"hosts":[]}\n
+        wait d
+        send program HUP
+        expect program discovery is at
+        close d2
+        expect d2.2 GET /discovery/hosts?watch=1&from=44
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send program HUP
+        send program TERM
+        wait program
+        "#,
+    );
+}
