Let kept connections rest shorter once one broke under a request

A trace of every reuse (630 over three schedulers): no connection that had rested up to 0.10 s broke, of those that had rested longer about half, whichever worker they led to and long before the 5 s of the settings. At fault: the fixed resting time in src/net/next_hop.rs.

Now a break under a request on a kept connection halves the time that it had rested as the bound for all; a quiet minute doubles it again.

--- a/src/net/next_hop.rs
+++ b/src/net/next_hop.rs
@@ -24,6 +24,8 @@
 /// An idle connection is closed this long before its next hop may: the answer that began its rest, and a
 /// request that would end it, are each under way for some of that time.
 const IDLE_MARGIN: Micros = 300 * MILLI;
+/// After so long without a kept connection that broke under a request, they may rest longer again.
+const CALM: Micros = 60_000 * MILLI;
 /// A probe or a give-up that is not answered by then is dropped.
 const SIDE_CALL: Micros = 1_000 * MILLI;
 
@@ -45,6 +47,10 @@
     hop: WorkerId,
     up: bool,
     task: Task,
+    /// When it last came to rest; `None` on its first request.
+    rested: Option<Micros>,
+    /// How long it had rested when the request in work was written, unless that is its first.
+    rest: Option<Micros>,
 }
 
 struct Hop {
@@ -61,19 +67,28 @@
     /// Branches whose connection has not brought an answer yet.
     out: HashMap<BranchId, usize>,
     connect_timeout: Micros,
+    /// A connection that has rested longer is not used again. Something between here and a next hop may let
+    /// go of resting connections long before the settings say, and show it only at the next request: that one
+    /// may then have run, and if it must not run twice, it is lost.
     rest: Micros,
+    most_rest: Micros,
+    /// When a kept connection last broke under a request.
+    shaken: Micros,
     most: usize,
 }
 
 impl NextHops {
     /// `idle`: when a next hop closes an idle connection; `most`: connections at most.
     pub fn new(connect_timeout: Micros, idle: Micros, most: usize) -> Self {
+        let rest = idle.saturating_sub(IDLE_MARGIN).max(idle / 2);
         NextHops {
             hops: HashMap::new(),
             links: HashMap::new(),
             out: HashMap::new(),
             connect_timeout,
-            rest: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
+            rest,
+            most_rest: rest,
+            shaken: 0,
             most,
         }
     }
@@ -190,9 +205,18 @@
     }
 
     fn take_idle(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
+        if self.rest < self.most_rest && ctx.now > self.shaken + CALM {
+            self.rest = (self.rest * 2).min(self.most_rest);
+            self.shaken = ctx.now;
+        }
         while let Some(token) = self.hops.get_mut(&hop)?.idle.pop() {
             ctx.deadlines.clear(Due::LinkIdle(token));
             let Some(link) = self.links.get_mut(&token) else { continue };
+            link.rest = link.rested.map(|since| ctx.now.saturating_sub(since));
+            if link.rest.is_some_and(|rest| rest > self.rest) {
+                self.drop_link(ctx, token);
+                continue;
+            }
             // An end that came in since the poll: a request written now would count as one that may have run.
             let silent = matches!(link.stream.read(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
             if silent {
@@ -232,7 +256,15 @@
             return None;
         }
         ctx.deadlines.set(Due::Link(token), ctx.now + self.connect_timeout);
-        let link = Link { stream, buffer: Buffer::default(), hop, up: false, task: Task::Idle };
+        let link = Link {
+            stream,
+            buffer: Buffer::default(),
+            hop,
+            up: false,
+            task: Task::Idle,
+            rested: None,
+            rest: None,
+        };
         self.links.insert(token, link);
         Some(token)
     }
@@ -297,6 +329,7 @@
                 let task = std::mem::replace(&mut link.task, Task::Idle);
                 let (hop, clean) = (link.hop, link.buffer.input().is_empty());
                 ctx.deadlines.clear(Due::Link(token));
+                (link.rested, link.rest) = (Some(ctx.now), None);
                 match task {
                     Task::Branch(branch) => {
                         self.out.remove(&branch);
@@ -337,6 +370,11 @@
         let Some(link) = self.links.get_mut(&token) else { return };
         let (hop, up) = (link.hop, link.up);
         let task = std::mem::replace(&mut link.task, Task::Idle);
+        if let Some(rest) = link.rest {
+            // Half of what was too long: a few such breaks find the time that is safe.
+            self.rest = self.rest.min(rest / 2);
+            self.shaken = ctx.now;
+        }
         match task {
             Task::Branch(branch) => {
                 self.out.remove(&branch);
