Hold callers' faults against callers only, and try silent attempts elsewhere

A leg that never sent a whole request was kept 15 or 120 s (src/net/caller.rs); it now owes its first request within 2.5 s. Draining a 60 MB body could hold a whole turn; it now gets a share of one.

A branch without its 202 after 0.5 s is now told to the module: a safe job is called off and tried elsewhere, one that must not run twice waits on, and nothing is concluded about the queue.

--- a/src/api.rs
+++ b/src/api.rs
@@ -322,6 +322,8 @@
     Cancelled,
     /// Not sent; it never ran.
     Moot,
+    /// Turned down as a request that no worker can use: the fault is the caller's, not the worker's.
+    Unusable,
 }
 
 impl Ending {
@@ -338,6 +340,8 @@
     Started,
     /// This share of it is done.
     Progress(f64),
+    /// The worker has not said that it took the job, though it would have done so long since.
+    Silent,
 }
 
 /// What a dispatcher can be told.
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -21,12 +21,15 @@
 use std::rc::Rc;
 
 const SECOND: Micros = 1_000_000;
-/// A leg that stays in the middle of a request, or does not take its answer, is closed after this time.
-const STALLED: Micros = 15 * SECOND;
+/// Who connects owes a whole first request within this time: a slow or silent caller costs a descriptor.
+const FIRST: Micros = 5 * SECOND / 2;
+/// A leg that stays in the middle of a later request, or does not take its answer, is closed after this time.
+const STALLED: Micros = 5 * SECOND;
 /// A leg at rest is closed after this time.
 const IDLE: Micros = 120 * SECOND;
-/// How long a leg that was told of an error may go on sending before it is cut.
-const LINGER: Micros = SECOND;
+/// How long a leg that was told of an error may go on sending before it is cut: with 60 MB on the way a cut
+/// would take the answer along.
+const LINGER: Micros = 3 * SECOND;
 /// Accepting is tried again after this time when no descriptor could be had.
 const ACCEPT_AGAIN: Micros = SECOND / 50;
 /// Connections taken in one turn at most; the rest come in the next.
@@ -52,6 +55,8 @@
     last: bool,
     /// It carries call-backs.
     back: bool,
+    /// No whole request has come on it yet.
+    fresh: bool,
     since: Micros,
     /// When the request that is coming in began.
     begun: Option<Micros>,
@@ -112,13 +117,14 @@
         {
             return note!("watching a caller leg: {error}");
         }
-        ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+        ctx.deadlines.set(Due::Leg(token), ctx.now + FIRST);
         let leg = Leg {
             stream,
             buffer: Buffer::default(),
             state: State::Reading,
             last: false,
             back: false,
+            fresh: true,
             since: ctx.now,
             begun: None,
         };
@@ -152,11 +158,12 @@
     fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         loop {
             let Some(leg) = self.legs.get_mut(&token) else { return };
-            let mut filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
-            if leg.state == State::Ending {
-                while filled == Filled::Brimful && !leg.buffer.has_output() {
-                    leg.buffer.consume(usize::MAX / 2);
-                    filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
+            let filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
+            if leg.state == State::Ending && !leg.buffer.has_output() {
+                leg.buffer.consume(usize::MAX / 2);
+                if filled == Filled::Brimful {
+                    // Who sends without end gets its share of a turn, not the whole of it.
+                    return ctx.deadlines.set(Due::LegMore(token), ctx.now + 1);
                 }
             }
             while self
@@ -187,7 +194,9 @@
         match http::request(leg.buffer.input()) {
             Ok(None) => {
                 // Counted from its first byte: who sends a byte now and then does not hold a leg for ever.
-                let ends = if leg.buffer.input().is_empty() {
+                let ends = if leg.fresh {
+                    leg.since + FIRST
+                } else if leg.buffer.input().is_empty() {
                     ctx.now + IDLE
                 } else {
                     *leg.begun.get_or_insert(ctx.now) + STALLED
@@ -198,6 +207,7 @@
             Ok(Some((request, length))) => {
                 leg.buffer.consume(length);
                 leg.since = ctx.now;
+                leg.fresh = false;
                 leg.begun = None;
                 leg.last |= !request.keep_alive;
                 ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
@@ -308,7 +318,11 @@
 
     /// A leg has rested or stalled for too long.
     pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
-        if self.legs.get(&token).is_some_and(|leg| leg.state != State::Waiting) {
+        let Some(leg) = self.legs.get_mut(&token).filter(|leg| leg.state != State::Waiting) else { return };
+        if leg.state == State::Reading && !leg.at_rest() && !leg.buffer.has_output() {
+            leg.last = true;
+            self.reply(ctx, token, 408, &[], b"");
+        } else {
             self.drop_leg(ctx, token);
         }
     }
@@ -317,6 +331,7 @@
         let Some(mut leg) = self.legs.remove(&token) else { return };
         let _ = ctx.registry.deregister(&mut leg.stream);
         ctx.deadlines.clear(Due::Leg(token));
+        ctx.deadlines.clear(Due::LegMore(token));
     }
 
     /// The program will end: who asks is told so, but callers are served on for now.
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -17,6 +17,8 @@
     LinkIdle(usize),
     /// A caller leg has been idle, or in the middle of a request, for too long.
     Leg(usize),
+    /// A caller leg has more to read than was one turn's share.
+    LegMore(usize),
     /// Accepting goes on, after a turn's share of it, or after descriptors ran out.
     Accept,
     /// Datagrams are left from the last turn.
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -216,6 +216,14 @@
         }
     }
 
+    /// The next hop should have taken the job long since, and has not said so.
+    pub fn silent(&mut self, id: BranchId) {
+        if self.branch(id).is_some() {
+            let note = Note::Silent;
+            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.attempt, note });
+        }
+    }
+
     /// A branch has ended without a result, as its connection shows. Once the job is taken, what becomes of
     /// the connection says nothing of it any more.
     pub fn broke(&mut self, now: Micros, id: BranchId) {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -224,6 +224,7 @@
         405 => "Method Not Allowed",
         409 => "Conflict",
         413 => "Content Too Large",
+        408 => "Request Timeout",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         503 => "Service Unavailable",
--- a/src/net/next_hop.rs
+++ b/src/net/next_hop.rs
@@ -26,6 +26,9 @@
 const IDLE_MARGIN: Micros = 300 * MILLI;
 /// After so long without a kept connection that broke under a request, they may rest longer again.
 const CALM: Micros = 60_000 * MILLI;
+/// A next hop says at once that it takes a job. One that has not after this time, longer than any of their
+/// pauses, or the way to it, has fallen silent: the connection would show nothing of that.
+const SILENCE: Micros = 500 * MILLI;
 /// A probe or a give-up that is not answered by then is dropped.
 const SIDE_CALL: Micros = 1_000 * MILLI;
 
@@ -302,6 +305,7 @@
             Ok(true) => {
                 if let Task::Branch(branch) = link.task {
                     ctx.desk.written(branch);
+                    ctx.deadlines.set(Due::Link(token), ctx.now + SILENCE);
                 }
                 true
             }
@@ -402,9 +406,13 @@
         }
     }
 
-    /// The connect or a side call has taken too long.
+    /// The connect, a side call or the answer to a branch has taken too long.
     pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
-        self.fail(ctx, token);
+        match self.links.get(&token) {
+            // It may be with the next hop, and news of it may yet come: what to do is the module's to say.
+            Some(Link { up: true, task: Task::Branch(branch), .. }) => ctx.desk.silent(*branch),
+            _ => self.fail(ctx, token),
+        }
     }
 
     /// An idle connection has rested long enough.
@@ -439,7 +447,9 @@
             if status != 500 {
                 note!("a next hop answered {status}");
             }
-            ctx.desk.answered(ctx.now, branch, Ending::Error, report);
+            // What a caller did wrong must not be held against the next hop, nor tried on all the others.
+            let ending = if (400..500).contains(&status) { Ending::Unusable } else { Ending::Error };
+            ctx.desk.answered(ctx.now, branch, ending, report);
         }
     }
 }
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -206,6 +206,7 @@
             Due::Link(token) => parts.hops.late(&mut ctx, token),
             Due::LinkIdle(token) => parts.hops.rested(&mut ctx, token),
             Due::Leg(token) => parts.callers.late(&mut ctx, token),
+            Due::LegMore(token) => parts.callers.ready(&mut ctx, token),
             Due::Peers => {
                 if let Some(peers) = parts.peers {
                     peers.ready(&mut ctx);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -139,24 +139,25 @@
                 self.subscribed = false; // at once: whatever the list has to tell will soon count as told
                 self.ask_list(out);
             }
-            Event::Streaming { request, attempt } => self.on_streaming(now, request, attempt),
-            Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note),
+            Event::Streaming { request, attempt } => {
+                // The attempt is the client's now: nothing is owed for the request any more.
+                self.on_started(now, request, attempt);
+                self.close(request);
+            }
+            Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note, out),
             Event::Outcome { request, attempt, worker, ending, elapsed, concluded, report } => {
-                if let (Some(report), Some(&at)) = (report, self.index.get(&worker)) {
-                    self.on_report(now, at, &report);
+                if let Some(&at) = self.index.get(&worker) {
+                    self.on_report(now, at, report);
                 }
                 self.on_outcome(now, request, attempt, ending, elapsed, concluded, out);
             }
             Event::Probed { worker, ending, report, .. } => {
-                if let Some(&at) = self.index.get(&worker) {
-                    if let Some(report) = report {
-                        self.on_report(now, at, &report);
-                    }
-                    if ending == Ending::Unreachable {
-                        self.strike(now, at);
-                    }
-                    self.offer(now, at, out);
+                let Some(&at) = self.index.get(&worker) else { return };
+                self.on_report(now, at, report);
+                if ending == Ending::Unreachable {
+                    self.strike(now, at);
                 }
+                self.offer(now, at, out);
             }
             Event::Lapsed(request) => self.close(request),
             Event::Peer { from, body } => self.on_peer(now, from, &body, out),
@@ -476,7 +477,8 @@
         seen.max(told as f64)
     }
 
-    fn on_report(&mut self, now: Micros, at: usize, report: &Report) {
+    fn on_report(&mut self, now: Micros, at: usize, report: Option<Report>) {
+        let Some(report) = report else { return };
         let Some(free) = report.free_slots.filter(|free| free.is_finite()) else { return };
         let free = free.clamp(0.0, 1024.0);
         let then = now.saturating_sub(REPORT_AGE);
@@ -992,8 +994,7 @@
             return false;
         }
         // Rule 2.
-        let out = request.attempts.iter().any(|attempt| attempt.state == State::Out);
-        if out && !limits.copies {
+        if !limits.copies && request.attempts.iter().any(|attempt| attempt.state == State::Out) {
             return false;
         }
         let mut risky = request.attempts.iter().filter(|attempt| attempt.state != State::NeverRan);
@@ -1067,19 +1068,9 @@
         let attempt = request.attempts.len() as u32;
         request.attempts.push(Attempt { worker: at, sent: now, state: State::Out });
         let worker = &mut self.workers[at];
-        let clean = start <= now;
-        let awaits_start = self.settings.tells_start;
-        worker.own.push(Own {
-            request: id,
-            attempt,
-            slots,
-            sent: now,
-            end,
-            start,
-            clean,
-            awaits_start,
-            progress: None,
-        });
+        let (clean, awaits_start, progress) = (start <= now, self.settings.tells_start, None);
+        let own = Own { request: id, attempt, slots, sent: now, end, start, clean, awaits_start, progress };
+        worker.own.push(own);
         if cold {
             worker.cold_sent.push_back((now, size * slots as f64));
         }
@@ -1098,11 +1089,8 @@
         }
         request.done = true;
         let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
-        let harmless = match self.settings.classes[request.class].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => clear,
-        };
-        if harmless {
+        let effect = self.settings.classes[request.class].effect;
+        if clear || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
             let pause = (self.mean_time / 4.0) as Micros;
@@ -1139,12 +1127,6 @@
         Some((at, nr))
     }
 
-    fn on_streaming(&mut self, now: Micros, id: RequestId, attempt: u32) {
-        // The attempt is the client's now: nothing is owed for the request any more.
-        self.on_started(now, id, attempt);
-        self.close(id);
-    }
-
     fn on_started(&mut self, now: Micros, id: RequestId, attempt: u32) {
         let Some((at, nr)) = self.own(id, attempt) else { return };
         let size = self.requests[&id].size;
@@ -1156,11 +1138,22 @@
         own.awaits_start = false;
     }
 
-    fn on_note(&mut self, now: Micros, id: RequestId, attempt: u32, note: Note) {
+    fn on_note(&mut self, now: Micros, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
+        let Some((at, nr)) = self.own(id, attempt) else { return };
         match note {
             Note::Started => self.on_started(now, id, attempt),
+            Note::Silent if !self.workers[at].own[nr].awaits_start => {}
+            Note::Silent => {
+                // The way there is dead, or the worker: nothing of a queue there shows in this. A job that may
+                // run twice is tried elsewhere, any other can only be waited for.
+                self.workers[at].own[nr].awaits_start = false;
+                self.strike(now, at);
+                let effect = self.settings.classes[self.requests[&id].class].effect;
+                if effect == Effect::Safe && self.settings.limits.cancel {
+                    out.push(Action::Cancel { request: id, attempt });
+                }
+            }
             Note::Progress(done) if done > 0.0 && done <= 1.0 => {
-                let Some((at, nr)) = self.own(id, attempt) else { return };
                 let own = &mut self.workers[at].own[nr];
                 // The pace between two notes, or from the start, where that is known, to the first.
                 let pace = match own.progress {
@@ -1219,7 +1212,7 @@
                 self.on_connection(now, at, false);
             }
             Ending::Error | Ending::Broken => self.strike(now, at),
-            Ending::TimedOut | Ending::Cancelled | Ending::Moot => {}
+            Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unusable => {}
         }
         self.after_attempt(now, id, ending, out);
         self.forget(id);
@@ -1237,7 +1230,11 @@
         let once = matches!(self.settings.classes[request.class].effect, Effect::Unsafe) && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
-        if once || spent || over || ending == Ending::Moot {
+        if ending == Ending::Unusable {
+            // No other worker can use it either, and the caller need not come again with it.
+            out.push(Action::Fail(id));
+            self.close(id);
+        } else if once || spent || over || ending == Ending::Moot {
             self.finish(now, id, out);
         } else {
             self.hold(id);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -470,3 +470,18 @@
     assert!(!small.is_empty() && !large.is_empty());
     assert!(small.iter().all(|worker| !large.contains(worker)), "{small:?} and {large:?} overlap");
 }
+
+#[test]
+fn a_silent_attempt_is_called_off_only_where_the_job_may_run_twice() {
+    let silent = |class: usize| {
+        let mut settings = settings();
+        settings.tells_start = true;
+        settings.classes[class].effect = if class == 0 { Effect::Safe } else { Effect::Unsafe };
+        let mut bench = Bench::with_workers(settings, &[11, 12]);
+        assert_eq!(sends(&bench.arrive(1, class, 100 * MS)).len(), 1);
+        bench.at(500 * MS);
+        bench.tell(Event::Note { request: RequestId(1), attempt: 0, note: Note::Silent })
+    };
+    assert_eq!(silent(0), [Action::Cancel { request: RequestId(1), attempt: 0 }]);
+    assert_eq!(silent(1), []);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -341,3 +341,53 @@
         "#,
     );
 }
+
+#[test]
+fn what_a_next_hop_cannot_use_is_the_callers_fault_alone() {
+    play(
+        2,
+        r#"
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h2 POST /look Request-Id:a1
+        send h2 400
+        expect c1 500
+        send c1 POST /look Request-Id:a2 Request-Timeout:900
+        expect h2 POST /look Request-Id:a2
+        "#,
+    );
+}
+
+#[test]
+fn slow_silent_and_endless_callers_are_answered_or_let_go() {
+    play(
+        1,
+        r#"
+        send c1 raw POST /look HT
+        send c2 POST /look Request-Id:a1 Request-Timeout:9 | #60000000
+        expect c2 413
+        wait c2
+        expect c1 408
+        wait c1
+        wait c3
+        send c4 GET /up
+        expect c4 200
+        "#,
+    );
+}
+
+#[test]
+fn a_job_that_nobody_says_to_have_taken_is_tried_elsewhere_if_it_may_run_twice() {
+    play(
+        2,
+        r#"
+        send c1 POST /look Request-Id:a1 Request-Timeout:900 Work-Hint:8000000
+        expect h2 POST /look Request-Id:a1
+        wait h2
+        expect h1 POST /look Request-Id:a1
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        "#,
+    );
+}
