Count lanes with what runs of ours, and others' use in shares of lanes

While workers left one by one, jobs were refused that the rest could have run. Of 166 reports from that kind 160 named 1 free slot or none, since the job that brings a report is itself running when it is made.

At fault, src/rules.rs: on_report took the most free slots ever named for the lanes, without our own jobs there; mean_foreign averaged lanes over all kinds, so that the use of large workers made small ones look full. Now a job of ours that has run for longer than any report is old counts as a lane beside the free ones, and use is averaged as a share.

Ruled out: suspects (1 or 2 at a time), errors (4 breaks, 1 error), warmth (all warm), the list (every leaving told in time).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,8 @@
 const RECHECK: Micros = 20 * MILLI;
 /// Age that a report is taken to have when it comes: the settings do not tell.
 const REPORT_AGE: Micros = 500 * MILLI;
+/// Age that no report is beyond: what has run for so long was running when it was made.
+const REPORT_OLDEST: Micros = 1_800 * MILLI;
 /// A worker is probed at most this often: reports are refreshed about as slowly.
 const PROBE_EVERY: Micros = 500 * MILLI;
 /// Workers probed for one job at most, of its own range and of those it may spill to.
@@ -65,7 +67,7 @@
     /// The same by when their clients leave.
     expiries: BTreeSet<(Micros, RequestId)>,
     buckets: Vec<Bucket>,
-    /// By zone, the lanes of a worker that others use, as reports show on average.
+    /// By zone, the share of a worker's lanes that others use, as reports show on average.
     mean_foreign: Vec<f64>,
     mean_time: f64,
     most_slots: usize,
@@ -232,7 +234,7 @@
         }
         worker.standing = member.standing;
         worker.started = member.started.or(worker.started);
-        worker.zone = member.zone;
+        worker.zone = ZoneIx(member.zone.0.min(self.mean_foreign.len() - 1));
         worker.kind = kind;
         worker.cell = member.cell;
         worker.weight = if member.weight.is_finite() && member.weight > 0.0 { member.weight } else { 1.0 };
@@ -458,8 +460,8 @@
         let told: usize =
             worker.peers.iter().filter(|peer| peer.latest + 2 * SECOND > now).map(|p| p.lanes).sum();
         let home = worker.home && self.settings.limits.peers;
-        let prior =
-            if home { 0.0 } else { self.mean_foreign[worker.zone.0.min(self.mean_foreign.len() - 1)] };
+        let share = self.mean_foreign[worker.zone.0];
+        let prior = if home { 0.0 } else { share * self.lanes(at) as f64 };
         let seen = match worker.foreign {
             Some((then, lanes)) => {
                 let age = now.saturating_sub(then) as f64;
@@ -485,8 +487,11 @@
         let worker = &mut self.workers[at];
         let own: usize = worker.own.iter().filter(|own| own.start < then).map(|own| own.slots).sum();
         let seen = free + own as f64;
+        // A worker is seldom seen idle: without what runs there of ours, one of two lanes would seem to be all.
+        let ran = |own: &&Own| !own.awaits_start && own.start + REPORT_OLDEST < now;
+        let ours: usize = worker.own.iter().filter(ran).map(|own| own.slots).sum();
         let kind = &mut self.kinds[worker.kind];
-        let lanes = kind.lanes.unwrap_or(0.0).max(free.round());
+        let lanes = kind.lanes.unwrap_or(0.0).max((free + ours as f64).round());
         kind.lanes = Some(lanes);
         worker.lanes = Some(lanes);
         let waiting = report.backlog.filter(|backlog| backlog.is_finite()).unwrap_or(0.0).clamp(0.0, lanes);
@@ -497,10 +502,9 @@
     }
 
     fn on_zone_load(&mut self, at: usize, lanes: f64) {
-        let zone = self.workers[at].zone.0;
-        if let Some(mean) = self.mean_foreign.get_mut(zone) {
-            *mean += (lanes - *mean) * 0.1;
-        }
+        // In shares: lanes of large workers, taken for those of a small one, would make it seem full for ever.
+        let (zone, share) = (self.workers[at].zone.0, lanes / self.lanes(at) as f64);
+        self.mean_foreign[zone] += (share - self.mean_foreign[zone]) * 0.1;
     }
 
     /// Where no free-slot figure is given, lanes gain one after a finish at full model and lose one on
@@ -1113,10 +1117,8 @@
 
     /// A request's record goes once it is answered and its last attempt has ended.
     fn forget(&mut self, id: RequestId) {
-        let over = |request: &Request| {
-            request.done && request.attempts.iter().all(|attempt| attempt.state != State::Out)
-        };
-        if self.requests.get(&id).is_some_and(over) {
+        let out = |request: &Request| request.attempts.iter().any(|attempt| attempt.state == State::Out);
+        if self.requests.get(&id).is_some_and(|request| request.done && !out(request)) {
             self.requests.remove(&id);
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -485,3 +485,38 @@
     assert_eq!(silent(0), [Action::Cancel { request: RequestId(1), attempt: 0 }]);
     assert_eq!(silent(1), []);
 }
+
+/// A worker that never stands idle: a job of ours has run there for long when a report names one free slot.
+#[test]
+fn lanes_count_what_runs_of_ours_beside_the_free_slots() {
+    let mut settings = settings();
+    (settings.reports, settings.reports_free_slots, settings.tells_start) =
+        (ReportSource::Answers, true, true);
+    let mut bench = Bench::with_workers(settings, &[11]);
+    bench.arrive(1, 0, 3 * SECOND);
+    bench.tell(Event::Note { request: RequestId(1), attempt: 0, note: Note::Started });
+    bench.at(3 * SECOND);
+    bench.report(1, 0, WorkerId(11), Ending::Ok, true, Some(1.0));
+    // Both lanes take a job at once.
+    assert_eq!(sends(&bench.arrive(2, 0, 100 * MS)).len(), 1);
+    assert_eq!(sends(&bench.arrive(3, 0, 100 * MS)).len(), 1);
+}
+
+/// Large workers that are half in use say nothing of all lanes of a small one.
+#[test]
+fn the_use_of_large_workers_does_not_make_a_small_one_seem_full() {
+    let mut settings = settings();
+    (settings.reports, settings.reports_free_slots, settings.kinds) = (ReportSource::Answers, true, 2);
+    settings.limits.peers = false;
+    let mut bench = Bench::new(settings);
+    let mut small = member(12);
+    small.kind = KindIx(1);
+    bench.members(ListKind::Full, vec![member(11)]);
+    for (nr, free) in (1..60).zip([8.0, 4.0].into_iter().chain(std::iter::repeat(4.0))) {
+        bench.at(u64::from(nr) * SECOND).arrive(nr, 0, 100 * MS);
+        bench.report(nr, 0, WorkerId(11), Ending::Ok, true, Some(free));
+    }
+    // The large worker goes; nothing is known of the small one but its neighbour's use, half of its lanes.
+    bench.members(ListKind::Full, vec![small]);
+    assert_eq!(sends(&bench.arrive(100, 0, 100 * MS)).len(), 1);
+}
