Blame the rest of kept connections only when many of them break

Now a quarter of the latest rested connections must break, those that hardly rested do not count, and the bound ends at 50 ms.

--- a/src/net/next_hop.rs
+++ b/src/net/next_hop.rs
@@ -26,6 +26,11 @@
 const IDLE_MARGIN: Micros = 300 * MILLI;
 /// After so long without a kept connection that broke under a request, they may rest longer again.
 const CALM: Micros = 60_000 * MILLI;
+/// A connection that rested for less did not break because it rested.
+const BRIEF: Micros = 50 * MILLI;
+/// So many of the kept connections must break, by the weight of the last ten or so, before their rest is blamed:
+/// other breaks come now and then, and a new connection for every request would cost more than these.
+const BLAMED: f64 = 0.25;
 /// A next hop says at once that it takes a job. One that has not after this time, longer than any of their
 /// pauses, or the way to it, has fallen silent: the connection would show nothing of that.
 const SILENCE: Micros = 500 * MILLI;
@@ -63,6 +68,49 @@
     idle: Vec<usize>,
 }
 
+/// How long a connection may rest and be used again. Something between here and a next hop may let go of
+/// resting connections long before the settings say, and show it only at the next request: that one may then
+/// have run, and if it must not run twice, it is lost.
+struct Rest {
+    bound: Micros,
+    most: Micros,
+    /// The share of kept connections that broke under a request of late.
+    breaks: f64,
+    /// When the bound was last moved.
+    moved: Micros,
+}
+
+impl Rest {
+    fn new(most: Micros) -> Self {
+        Rest { bound: most, most, breaks: 0.0, moved: 0 }
+    }
+
+    fn bound(&mut self, now: Micros) -> Micros {
+        if self.bound < self.most && now > self.moved + CALM {
+            (self.bound, self.moved) = ((self.bound * 2).min(self.most), now);
+        }
+        self.bound
+    }
+
+    /// A connection that had rested so long brought an answer.
+    fn held(&mut self, rest: Micros) {
+        if rest >= BRIEF {
+            self.breaks *= 0.9;
+        }
+    }
+
+    /// A connection that had rested so long broke under a request.
+    fn broke(&mut self, now: Micros, rest: Micros) {
+        if rest >= BRIEF {
+            self.breaks += (1.0 - self.breaks) * 0.1;
+            if self.breaks > BLAMED {
+                // Half of what was too long: a few such breaks find the time that is safe.
+                (self.bound, self.moved) = (self.bound.min(rest / 2).max(BRIEF), now);
+            }
+        }
+    }
+}
+
 /// See the head of this file.
 pub struct NextHops {
     hops: HashMap<WorkerId, Hop>,
@@ -70,28 +118,19 @@
     /// Branches whose connection has not brought an answer yet.
     out: HashMap<BranchId, usize>,
     connect_timeout: Micros,
-    /// A connection that has rested longer is not used again. Something between here and a next hop may let
-    /// go of resting connections long before the settings say, and show it only at the next request: that one
-    /// may then have run, and if it must not run twice, it is lost.
-    rest: Micros,
-    most_rest: Micros,
-    /// When a kept connection last broke under a request.
-    shaken: Micros,
+    rest: Rest,
     most: usize,
 }
 
 impl NextHops {
     /// `idle`: when a next hop closes an idle connection; `most`: connections at most.
     pub fn new(connect_timeout: Micros, idle: Micros, most: usize) -> Self {
-        let rest = idle.saturating_sub(IDLE_MARGIN).max(idle / 2);
         NextHops {
             hops: HashMap::new(),
             links: HashMap::new(),
             out: HashMap::new(),
             connect_timeout,
-            rest,
-            most_rest: rest,
-            shaken: 0,
+            rest: Rest::new(idle.saturating_sub(IDLE_MARGIN).max(idle / 2)),
             most,
         }
     }
@@ -208,15 +247,11 @@
     }
 
     fn take_idle(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
-        if self.rest < self.most_rest && ctx.now > self.shaken + CALM {
-            self.rest = (self.rest * 2).min(self.most_rest);
-            self.shaken = ctx.now;
-        }
         while let Some(token) = self.hops.get_mut(&hop)?.idle.pop() {
             ctx.deadlines.clear(Due::LinkIdle(token));
             let Some(link) = self.links.get_mut(&token) else { continue };
             link.rest = link.rested.map(|since| ctx.now.saturating_sub(since));
-            if link.rest.is_some_and(|rest| rest > self.rest) {
+            if link.rest.is_some_and(|rest| rest > self.rest.bound(ctx.now)) {
                 self.drop_link(ctx, token);
                 continue;
             }
@@ -333,7 +368,10 @@
                 let task = std::mem::replace(&mut link.task, Task::Idle);
                 let (hop, clean) = (link.hop, link.buffer.input().is_empty());
                 ctx.deadlines.clear(Due::Link(token));
-                (link.rested, link.rest) = (Some(ctx.now), None);
+                if let Some(rest) = link.rest.take() {
+                    self.rest.held(rest);
+                }
+                link.rested = Some(ctx.now);
                 match task {
                     Task::Branch(branch) => {
                         self.out.remove(&branch);
@@ -355,7 +393,7 @@
                 match known {
                     Some(hop) if response.keep_alive && clean && filled == Filled::Dry => {
                         hop.idle.push(token);
-                        ctx.deadlines.set(Due::LinkIdle(token), ctx.now + self.rest);
+                        ctx.deadlines.set(Due::LinkIdle(token), ctx.now + self.rest.bound(ctx.now));
                     }
                     _ => self.drop_link(ctx, token),
                 }
@@ -375,9 +413,7 @@
         let (hop, up) = (link.hop, link.up);
         let task = std::mem::replace(&mut link.task, Task::Idle);
         if let Some(rest) = link.rest {
-            // Half of what was too long: a few such breaks find the time that is safe.
-            self.rest = self.rest.min(rest / 2);
-            self.shaken = ctx.now;
+            self.rest.broke(ctx.now, rest);
         }
         match task {
             Task::Branch(branch) => {
@@ -459,3 +495,30 @@
     let fields = value.as_object()?;
     Some(names.report(fields.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?)))))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn connections_rest_shorter_once_resting_is_what_breaks_them_and_longer_after_a_calm_time() {
+        const SECOND: Micros = 1_000 * MILLI;
+        let mut rest = Rest::new(4 * SECOND);
+        // Now and then one breaks: that is not for resting.
+        for nr in 0..400 {
+            if nr % 20 == 0 { rest.broke(SECOND, SECOND) } else { rest.held(SECOND) }
+        }
+        // Nor is what breaks though it hardly rested.
+        (0..100).for_each(|_| rest.broke(SECOND, BRIEF - 1));
+        assert_eq!(rest.bound(SECOND), 4 * SECOND);
+        // Half of those that rested break.
+        for _ in 0..6 {
+            rest.broke(SECOND, SECOND);
+            rest.held(SECOND);
+        }
+        assert_eq!(rest.bound(SECOND), SECOND / 2);
+        (0..100).for_each(|_| rest.broke(SECOND, BRIEF));
+        assert_eq!(rest.bound(SECOND), BRIEF);
+        assert_eq!(rest.bound(2 * SECOND + CALM), 2 * BRIEF);
+    }
+}
