Open a door for operators, and drain on LAMEDUCK as on SIGTERM

Ruled out: a fault in the drain that SIGTERM began, which was never reached; no log line, no crash. net/door takes the calls, net/drain is the one state for both; /up, which caller.rs decided by a flag of its own, now follows it. An answer still on its way at the parting left its leg open and at rest (caller.rs, flush): it ends now.

--- a/src/config.rs
+++ b/src/config.rs
@@ -25,6 +25,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call, if they may.
+    pub mgmt: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -89,6 +91,7 @@
             let (from, value) = needed(key, variable)?;
             address(&from, &value)
         };
+        let mgmt = told("mgmt", "RELAY_MGMT")?.map(|(from, value)| address(&from, &value)).transpose()?;
         let limits = root.section("limits")?;
         let settings = root.map.get("settings").ok_or("'settings' is missing")?;
         let ceilings = match settings.get("ceilings") {
@@ -125,6 +128,7 @@
             name: told("name", "RELAY_NAME")?.map_or_else(|| "calicolb".to_owned(), |found| found.1),
             listen: place("listen", "RELAY_LISTEN")?,
             discovery: place("discovery", "RELAY_DISCOVERY")?,
+            mgmt,
             seed: seed(&root)?,
             sockets: sockets as usize,
             peers: peers(&root, &module)?,
@@ -250,6 +254,7 @@
     #[test]
     fn messages_name_the_key_at_fault() {
         wrong("127.0.0.1:8443", "localhost", "'listen'");
+        wrong("\"limits\":", "\"mgmt\":\"door\",\"limits\":", "'mgmt'");
         wrong("discovery", "discover", "'discovery' is missing, and so is RELAY_DISCOVERY");
         wrong("8c1f30d27a5be964", "seedling", "'seed'");
         wrong("900", "\"many\"", "'limits.sockets'");
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -23,6 +23,8 @@
 const SECOND: Micros = 1_000_000;
 /// Who connects owes a whole first request within this time: a slow or silent caller costs a descriptor.
 const FIRST: Micros = 5 * SECOND / 2;
+/// The same once callers were told to go elsewhere: one that comes late and says nothing is let go soon.
+const FIRST_PARTING: Micros = SECOND;
 /// A leg that stays in the middle of a later request, or does not take its answer, is closed after this time.
 const STALLED: Micros = 5 * SECOND;
 /// A leg at rest is closed after this time.
@@ -67,18 +69,16 @@
     listener: TcpListener,
     legs: HashMap<usize, Leg>,
     most: usize,
-    /// The program will end: no new callers are wanted.
-    stopping: bool,
     /// Answers tell callers to go elsewhere.
     parting: bool,
-    /// The route set is known: work can be placed.
-    pub ready: bool,
+    /// New callers are welcome.
+    pub open: bool,
 }
 
 impl Callers {
     /// `most`: connections at most; beyond that, the longest at rest are closed.
     pub fn new(listener: TcpListener, most: usize) -> Self {
-        Callers { listener, legs: HashMap::new(), most, stopping: false, parting: false, ready: false }
+        Callers { listener, legs: HashMap::new(), most, parting: false, open: false }
     }
 
     /// The connection is one of these.
@@ -117,7 +117,7 @@
         {
             return note!("watching a caller leg: {error}");
         }
-        ctx.deadlines.set(Due::Leg(token), ctx.now + FIRST);
+        ctx.deadlines.set(Due::Leg(token), ctx.now + self.first());
         let leg = Leg {
             stream,
             buffer: Buffer::default(),
@@ -131,6 +131,11 @@
         self.legs.insert(token, leg);
     }
 
+    /// How long a new caller may take over its first request.
+    fn first(&self) -> Micros {
+        if self.parting { FIRST_PARTING } else { FIRST }
+    }
+
     /// Closes the leg that has been at rest for longest, of clients first; if none is, the one that has been in
     /// the middle of sending a request, which is not taken before its last byte. Tells whether there was one.
     pub fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
@@ -190,12 +195,13 @@
 
     /// Deals with the next request in the buffer; tells whether there was one.
     fn step(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        let first = self.first();
         let Some(leg) = self.legs.get_mut(&token) else { return false };
         match http::request(leg.buffer.input()) {
             Ok(None) => {
                 // Counted from its first byte: who sends a byte now and then does not hold a leg for ever.
                 let ends = if leg.fresh {
-                    leg.since + FIRST
+                    leg.since + first
                 } else if leg.buffer.input().is_empty() {
                     ctx.now + IDLE
                 } else {
@@ -232,7 +238,7 @@
         match path.as_str() {
             "/up" => {
                 wanted("GET")?;
-                let status = if self.ready && !self.stopping { 200 } else { 503 };
+                let status = if self.open { 200 } else { 503 };
                 self.reply(ctx, token, status, &[], b"");
             }
             "/_jobs/news" => {
@@ -291,10 +297,14 @@
 
     /// Writes what waits; tells whether the leg goes on.
     fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        let parting = self.parting;
         let Some(leg) = self.legs.get_mut(&token) else { return false };
-        match leg.buffer.flush(&mut leg.stream) {
+        let flushed = leg.buffer.flush(&mut leg.stream);
+        // An answer that was on its way when callers were told to go: its leg must not be kept after it.
+        let last = leg.last || (parting && !leg.back && leg.buffer.input().is_empty());
+        match flushed {
             Ok(false) => false,
-            Ok(true) if leg.last && leg.state == State::Reading => {
+            Ok(true) if last && leg.state == State::Reading => {
                 // Closing with input unread would reset the connection, and the answer with it.
                 let _ = leg.stream.shutdown(Shutdown::Write);
                 leg.state = State::Ending;
@@ -334,9 +344,9 @@
         ctx.deadlines.clear(Due::LegMore(token));
     }
 
-    /// The program will end: who asks is told so, but callers are served on for now.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Answers are no longer the last of their legs.
+    pub fn stay(&mut self) {
+        self.parting = false;
     }
 
     /// Closes the legs at rest, between two requests, and from now on every answer is the last of its leg;
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -27,7 +27,11 @@
     Fetch,
     /// Nothing has come on the watch for too long.
     Watch,
-    /// After SIGTERM: callers have been told elsewhere to go by now.
+    /// An operator's call has been open for too long.
+    Call(usize),
+    /// The operators' door is tried again after descriptors ran out.
+    Door,
+    /// In a drain: callers have been told elsewhere to go by now.
     Farewell,
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,8 @@
 mod caller;
 mod deadlines;
 mod desk;
+mod door;
+mod drain;
 mod http;
 pub(crate) mod log;
 mod next_hop;
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -6,6 +6,8 @@
 use crate::net::caller::Callers;
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::desk::{BranchId, Desk, Work};
+use crate::net::door::{CALLS, Door, Order};
+use crate::net::drain::{Drain, PARTING, Why};
 use crate::net::log::note;
 use crate::net::next_hop::{NextHops, Payload};
 use crate::net::peers::Peers;
@@ -23,6 +25,7 @@
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const PEERS: Token = Token(2);
+const DOOR: Token = Token(3);
 /// Numbers above this one are for connections.
 const FIRST: usize = 15;
 /// SIGKILL comes so long after SIGTERM at the soonest, beyond the longest patience of a caller, ...
@@ -65,9 +68,10 @@
     hops: NextHops,
     routes: RouteSet,
     peers: Option<Peers>,
-    /// SIGTERM has come; and callers have had the time to hear of it.
-    stopping: bool,
-    parted: bool,
+    door: Option<Door>,
+    drain: Drain,
+    /// Clients were served already: a list of next hops was known.
+    begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
     grace: Micros,
 }
@@ -93,8 +97,18 @@
             }
             None => None,
         };
+        let door = match config.mgmt {
+            Some(mgmt) => {
+                let mut listener = TcpListener::bind(mgmt)?;
+                registry.register(&mut listener, DOOR, Interest::READABLE)?;
+                note!("{} hears operators on {}", config.name, listener.local_addr()?);
+                Some(Door::new(listener))
+            }
+            None => None,
+        };
+        let own = OWN_SOCKETS + if door.is_some() { CALLS } else { 0 };
         // A third of the descriptors is kept for next hops: however many callers come, work can be placed.
-        let usable = config.sockets.saturating_sub(OWN_SOCKETS).max(8);
+        let usable = config.sockets.saturating_sub(own).max(8);
         let to_hops = usable / 3;
         let to_callers = usable - to_hops;
         // Requests in work hold a leg each. Some are left for call-backs: without these no work would end.
@@ -115,8 +129,9 @@
             hops,
             routes: RouteSet::new(config.discovery),
             peers,
-            stopping: false,
-            parted: false,
+            door,
+            drain: Drain::default(),
+            begun: false,
         };
         note!("{} serves on {at}", config.name);
         let (mut ctx, parts) = turn.split(turn.clock.now());
@@ -147,14 +162,15 @@
             for work in self.desk.settle(now, &mut self.deadlines) {
                 self.carry_out(now, work);
             }
-            self.callers.ready = self.routes.known();
+            self.begun |= self.routes.known();
+            self.callers.open = self.routes.known() && self.drain.open();
             done = if self.done() { done + 1 } else { 0 };
         }
         Ok(())
     }
 
     fn done(&self) -> bool {
-        self.parted && self.desk.owed() == 0 && self.callers.at_rest()
+        self.drain.last() && self.desk.owed() == 0 && self.callers.at_rest()
     }
 
     fn split(&mut self, now: Micros) -> (Ctx<'_>, Parts<'_>) {
@@ -171,6 +187,7 @@
             hops: &mut self.hops,
             routes: &mut self.routes,
             peers: &mut self.peers,
+            door: &mut self.door,
         };
         (ctx, parts)
     }
@@ -187,9 +204,46 @@
                     peers.ready(&mut ctx);
                 }
             }
+            DOOR => self.door_opens(now),
             Token(token) if parts.callers.has(token) => parts.callers.ready(&mut ctx, token),
             Token(token) if parts.routes.has(token) => parts.routes.ready(&mut ctx, parts.hops, token),
-            Token(token) => parts.hops.ready(&mut ctx, token),
+            Token(token) => match parts.door {
+                Some(door) if door.has(token) => {
+                    if let Some(order) = door.ready(&mut ctx, token) {
+                        self.order(now, token, order);
+                    }
+                }
+                _ => parts.hops.ready(&mut ctx, token),
+            },
+        }
+    }
+
+    /// Operators call.
+    fn door_opens(&mut self, now: Micros) {
+        let (mut ctx, parts) = self.split(now);
+        let Some(door) = parts.door else { return };
+        for (token, order) in door.accept(&mut ctx, parts.callers) {
+            self.order(now, token, order);
+        }
+    }
+
+    /// Carries out what an operator wants, and answers.
+    fn order(&mut self, now: Micros, token: usize, order: Option<Order>) {
+        let answer = match order {
+            Some(Order::Ping) if self.begun => "done\n".to_owned(),
+            Some(Order::Ping) => "error no list of stock workers is known yet\n".to_owned(),
+            Some(Order::Info) => "error not yet\n".to_owned(),
+            Some(Order::Lameduck) => {
+                self.begin_drain(now, Why::Asked);
+                "done\n".to_owned()
+            }
+            Some(Order::Rejoin) if self.rejoin() => "done\n".to_owned(),
+            Some(Order::Rejoin) => "error the program is ending\n".to_owned(),
+            None => "error unknown call\n".to_owned(),
+        };
+        let (mut ctx, parts) = self.split(now);
+        if let Some(door) = parts.door {
+            door.answer(&mut ctx, token, &answer);
         }
     }
 
@@ -216,8 +270,14 @@
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, due),
             Due::Farewell => {
                 parts.callers.farewell(&mut ctx);
-                self.parted = true;
+                self.drain.part();
+            }
+            Due::Call(token) => {
+                if let Some(door) = parts.door {
+                    door.late(&mut ctx, token);
+                }
             }
+            Due::Door => self.door_opens(now),
         }
     }
 
@@ -250,7 +310,7 @@
             self.reload(now);
         }
         if signals.contains(&SIGTERM) {
-            self.stop(now);
+            self.begin_drain(now, Why::Ending);
         }
     }
 
@@ -269,17 +329,30 @@
         }
     }
 
-    /// SIGTERM: the work goes on, new work too, as far as it can be done before the end. Only when the better
-    /// part of that time is over are callers sent elsewhere: until then the scheduler that was restarted
-    /// before this one may not serve yet, and who is sent away finds nobody.
-    fn stop(&mut self, now: Micros) {
-        if !self.stopping {
+    /// Begins to send clients away. The work goes on, new work too; when callers have had the time to hear of
+    /// it, their connections are parted with. After SIGTERM only what can be done before the end is taken.
+    fn begin_drain(&mut self, now: Micros, why: Why) {
+        if why == Why::Ending && !self.drain.ending() {
             note!("SIGTERM: {} requests are open", self.desk.owed());
-            self.stopping = true;
-            self.callers.stop();
             self.desk.stop(now + self.grace.saturating_sub(LAST_ANSWER));
-            self.deadlines.set(Due::Farewell, now + self.grace * 3 / 5);
         }
+        if self.drain.begin(why) {
+            note!("clients are sent away: {} requests are open", self.desk.owed());
+            self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
+        }
+        self.callers.open = false;
+    }
+
+    /// Ends a drain; tells whether the scheduler is open.
+    fn rejoin(&mut self) -> bool {
+        let open = self.drain.rejoin();
+        if open {
+            note!("clients are welcome");
+            self.deadlines.clear(Due::Farewell);
+            self.callers.stay();
+            self.callers.open = self.routes.known();
+        }
+        open
     }
 }
 
@@ -288,4 +361,5 @@
     hops: &'a mut NextHops,
     routes: &'a mut RouteSet,
     peers: &'a mut Option<Peers>,
+    door: &'a mut Option<Door>,
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -1,9 +1,10 @@
 //! A small language for conversations with the running program: one step a line.
 //!
 //! * `send WHO MESSAGE` writes; a name that is new opens a connection: `c…` to the program as a client,
-//!   `n…` to the program as a next hop with news, `p` a datagram as the scheduler of rank 1.
+//!   `n…` to the program as a next hop with news, `o…` to its operators' door, `p` a datagram as the scheduler of rank 1.
 //! * `expect WHO MESSAGE` reads a message and compares; a new name `h1`, `h1.2` takes the next connection
 //!   made to next hop `h1`, `d…` the next one made to discovery. `expect program REST` waits for a log line.
+//!   From the door, `expect o… LINE` reads one line, and passes over others before it.
 //! * `close WHO` closes a connection, or the listener of a next hop that has none of this name.
 //! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
 //!
@@ -36,6 +37,7 @@
     log: Receiver<String>,
     heard: Vec<String>,
     at: SocketAddr,
+    door_at: SocketAddr,
     peers_at: SocketAddr,
     listeners: HashMap<String, TcpListener>,
     conns: HashMap<String, Conn>,
@@ -54,7 +56,7 @@
     let hosts: Vec<String> = hops.iter().map(line).collect();
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5eed","limits":{{"sockets":256}},
-        "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9","{peer}"],"peers_all":"{peer}",
+        "mgmt":"127.0.0.1:0","peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9","{peer}"],"peers_all":"{peer}",
         "known":{{"seq":41,"whole":true,"hosts":[{}]}},"settings":{{"azs":["north","south"],"kinds":["big"],
         "ceilings":{{"cancelling":true,"connect_timeout_us":250000,"max_retry_after_us":2000000,"may_duplicate":true,
         "most_tries":4,"peers":true,"probes":true,"retry_after":false}},"counted_by":"work","extra":{{"class_kind":[-1,-1],
@@ -119,6 +121,7 @@
             log,
             heard: Vec::new(),
             at: nowhere,
+            door_at: nowhere,
             peers_at: nowhere,
             listeners,
             conns,
@@ -127,6 +130,7 @@
             listed,
         };
         world.peers_at = world.hear("hears schedulers on ").expect("it tells").parse().expect("an address");
+        world.door_at = world.hear("hears operators on ").expect("it tells").parse().expect("an address");
         world.at = world.hear("serves on ").expect("it tells").parse().expect("an address");
         world
     }
@@ -151,6 +155,9 @@
                 name if name.starts_with(['c', 'n']) => {
                     TcpStream::connect(self.at).map_err(|e| e.to_string())?
                 }
+                name if name.starts_with('o') => {
+                    TcpStream::connect(self.door_at).map_err(|e| e.to_string())?
+                }
                 name => accept(self.listeners.get(name).ok_or("nobody of this name")?)?,
             };
             stream.set_read_timeout(Some(LIMIT)).map_err(|error| error.to_string())?;
@@ -209,6 +216,7 @@
                 let text = wire(rest);
                 self.conn(who)?.stream.write_all(&text).map_err(|error| error.to_string())
             }
+            ("expect", name) if name.starts_with('o') => self.conn(who)?.expect_line(rest),
             ("expect", _) => self.conn(who)?.expect(rest),
             ("close", _) => {
                 let known = self.conns.remove(who).is_some() || self.listeners.remove(who).is_some();
@@ -301,6 +309,18 @@
         }
     }
 
+    fn expect_line(&mut self, want: &str) -> Result<(), String> {
+        loop {
+            while let Some(end) = self.held.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = self.held.drain(..=end).collect();
+                if line.trim_ascii_end() == want.as_bytes() {
+                    return Ok(());
+                }
+            }
+            self.more()?;
+        }
+    }
+
     fn expect(&mut self, want: &str) -> Result<(), String> {
         let end = loop {
             match self.held.windows(4).position(|four| four == b"\r\n\r\n") {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -363,3 +363,59 @@
         "#,
     );
 }
+
+#[test]
+fn a_drain_sends_clients_away_and_rejoin_takes_them_back() {
+    // LAMEDUCK is SIGTERM without the end: callers are served on for a while, then told to go elsewhere.
+    play(
+        1,
+        r#"
+        send c1 GET /up
+        expect c1 200
+        send c2 GET /up
+        expect c2 200
+        send o1 raw LAMEDUCK\n
+        expect o1 done
+        wait o1
+        send c1 GET /up
+        expect c1 503
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect h1 POST /look Request-Id:a1
+        send h1 202
+        wait c2
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 Connection:close | r1
+        wait c1
+        send o2 raw REJOIN\n
+        expect o2 done
+        send c3 GET /up
+        expect c3 200
+        send c3 POST /look Request-Id:a2 Request-Timeout:20
+        expect h1 POST /look Request-Id:a2
+        "#,
+    );
+}
+
+#[test]
+fn the_door_answers_whoever_calls_and_lets_nobody_keep_it() {
+    let mut script =
+        String::from("send o1 raw PI\nsend ox raw NONSENSE\\r\\n\nexpect ox error unknown call\nwait ox\n");
+    // More callers that say nothing than may be open: the first is let go for the last.
+    for nr in 2..20 {
+        script += &format!("send o{nr} raw P\n");
+    }
+    script += &format!("send ob raw {}\n", "x".repeat(5000));
+    script += r#"
+        wait o1
+        send oa raw PING\n
+        expect oa done
+        expect ob error unknown call
+        expect o19 error no call came
+        send program TERM
+        expect program SIGTERM
+        send oc raw REJOIN\n
+        expect oc error the program is ending
+        "#;
+    play(1, &script);
+}
