--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,8 @@
 //! [`Action`](crate::api::Action)s that come back. Names of classes, tenants, zones and kinds stay
 //! with the host: the module sees indices into the lists of [`Settings`](crate::api::Settings).
 
+use serde::{Deserialize, Serialize};
+
 /// A time or a span on the host's clock, in microseconds.
 pub type Micros = u64;
 
@@ -13,7 +15,7 @@
 pub struct RequestId(pub u32);
 
 /// A worker; the number tells nothing of zone, kind or age, but is the same for every dispatcher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct WorkerId(pub u32);
 
 /// Index into [`Settings::classes`].
@@ -25,7 +27,7 @@
 pub struct TenantIx(pub usize);
 
 /// A zone, numbered from 0 by the host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct ZoneIx(pub usize);
 
 /// A kind of machine, below [`Settings::kinds`].
@@ -216,7 +218,7 @@
 }
 
 /// State of a worker in the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     /// In service.
     #[default]
@@ -344,6 +346,25 @@
     Silent,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt, in order of sending from 0.
+    pub attempt: u32,
+    /// The worker.
+    pub worker: WorkerId,
+    /// How it ended.
+    pub ending: Ending,
+    /// Time since it was sent.
+    pub elapsed: Micros,
+    /// The request has its final answer.
+    pub concluded: bool,
+    /// The worker's load report, if one came along.
+    pub report: Option<Report>,
+}
+
 /// What a dispatcher can be told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -370,22 +391,7 @@
         note: Note,
     },
     /// An attempt has ended.
-    Outcome {
-        /// The request.
-        request: RequestId,
-        /// The attempt, in order of sending from 0.
-        attempt: u32,
-        /// The worker.
-        worker: WorkerId,
-        /// How it ended.
-        ending: Ending,
-        /// Time since it was sent.
-        elapsed: Micros,
-        /// The request has its final answer.
-        concluded: bool,
-        /// The worker's load report, if one came along.
-        report: Option<Report>,
-    },
+    Outcome(Outcome),
     /// A probe has ended.
     Probed {
         /// The worker.
@@ -397,6 +403,11 @@
         /// The worker's load report, if one came along.
         report: Option<Report>,
     },
+    /// Another process of this same dispatcher hands on what it has learned (see
+    /// [`Dispatcher::knowledge`](crate::rules::Dispatcher::knowledge)), and ends when its work is done.
+    Handed(serde_json::Value),
+    /// Another process of this same dispatcher has taken over, or, with `false`, has gone again.
+    Succeeded(bool),
     /// The worker list is to be had elsewhere from now on; the subscription, if any, will end.
     ListMoved,
     /// The client has left, or the answer is overdue; the request is over.
@@ -442,7 +453,7 @@
     Probe(WorkerId),
     /// Send a message to one dispatcher, or to all others.
     Tell {
-        /// Its number; `None`: all.
+        /// Its number; `None`: all. The own one: the process that has taken over.
         to: Option<u32>,
         /// What is said; 256 bytes at most.
         body: Vec<u8>,
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -3,6 +3,7 @@
 //! the same decisions; and it decides nothing itself.
 
 use crate::net::deadlines::{Deadlines, Due};
+use crate::net::figures::Figures;
 use crate::net::log::note;
 use calicolb::api::*;
 use calicolb::rules::Dispatcher;
@@ -102,6 +103,7 @@
 struct Entry<P> {
     name: String,
     caller: CallerId,
+    class: ClassIx,
     expires: Micros,
     payload: P,
     /// The final answer is given, or nobody waits for it any more.
@@ -125,12 +127,14 @@
     work: Vec<Work<P>>,
     /// Requests whose records may go, once the module has answered the batch that says so.
     closing: Vec<u32>,
+    figures: Figures,
 }
 
 impl<P: Clone> Desk<P> {
     pub fn new(settings: Settings, seed: u64, now: Micros, most_open: usize) -> Self {
         Desk {
             most_tries: settings.limits.tries,
+            figures: Figures::new(settings.classes.len()),
             dispatcher: Dispatcher::new(settings, seed, now),
             most_open,
             entries: HashMap::new(),
@@ -153,6 +157,7 @@
             return Err(Unfit::Repeated);
         }
         if self.entries.len() >= self.most_open {
+            self.figures.of(job.class).refused += 1;
             return Err(Unfit::TooMany);
         }
         while self.entries.contains_key(&self.next_request) {
@@ -166,6 +171,7 @@
         let entry = Entry {
             name: job.name,
             caller,
+            class: job.class,
             expires,
             payload: job.payload,
             concluded: false,
@@ -204,8 +210,10 @@
 
     /// The last byte of a branch has been written.
     pub fn written(&mut self, id: BranchId) {
-        if let Some(branch) = self.branch(id) {
-            branch.written = true;
+        let Some(branch) = self.branch(id) else { return };
+        branch.written = true;
+        if let Some(entry) = self.entries.get(&id.request) {
+            self.figures.of(entry.class).attempts += 1;
         }
     }
 
@@ -339,6 +347,16 @@
         !self.events.is_empty()
     }
 
+    /// What was counted since the start.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// Listed next hops that the module does not send to at present.
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.dispatcher.avoided(now)
+    }
+
     /// Requests that are still owed an answer.
     pub fn owed(&self) -> usize {
         self.callers.len()
@@ -419,7 +437,7 @@
         branch.over = true;
         let (worker, elapsed) = (branch.hop, now.saturating_sub(branch.sent));
         let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
-        self.events.push_back(Event::Outcome {
+        self.events.push_back(Event::Outcome(Outcome {
             request: RequestId(id.request),
             attempt: id.attempt,
             worker,
@@ -427,7 +445,7 @@
             elapsed,
             concluded,
             report,
-        });
+        }));
         self.closing.push(id.request);
     }
 
@@ -438,6 +456,12 @@
             return;
         }
         entry.concluded = true;
+        let tally = self.figures.of(entry.class);
+        match answer {
+            Answer::Served(_) => tally.served += 1,
+            Answer::Busy { .. } => tally.refused += 1,
+            Answer::Failed => tally.failed += 1,
+        }
         self.callers.remove(&entry.caller);
         self.work.push(Work::Answer { caller: entry.caller, answer });
         self.closing.push(number);
--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,87 @@
+//! The figures that operators are shown. Each request and each branch is counted once, where it ends or is
+//! written; what can be looked up is not counted.
+
+use calicolb::api::ClassIx;
+use std::fmt::Write;
+
+/// How many requests of a class ended how, and how many branches were written whole for them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub attempts: u64,
+}
+
+/// What has been counted since the start of the process.
+pub struct Figures(Vec<Tally>);
+
+/// What is true at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Present {
+    pub in_flight: usize,
+    pub known: usize,
+    pub avoided: usize,
+}
+
+impl Figures {
+    pub fn new(classes: usize) -> Self {
+        Figures(vec![Tally::default(); classes])
+    }
+
+    /// The counts of a class.
+    pub fn of(&mut self, class: ClassIx) -> &mut Tally {
+        &mut self.0[class.0]
+    }
+
+    /// The figures as lines, with a last line `end`.
+    pub fn write<'a>(&self, classes: impl Iterator<Item = &'a str>, present: Present) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            let _ = writeln!(text, "scheduler.{name}={value}");
+        };
+        for (class, tally) in classes.zip(&self.0) {
+            let counts = [
+                ("served", tally.served),
+                ("refused", tally.refused),
+                ("failed", tally.failed),
+                ("attempts", tally.attempts),
+            ];
+            counts.iter().for_each(|(name, count)| line(&format!("requests.{class}.{name}"), *count));
+        }
+        line("attempts", self.0.iter().map(|tally| tally.attempts).sum());
+        line("in_flight", present.in_flight as u64);
+        line("stock_workers_known", present.known as u64);
+        line("stock_workers_excluded", present.avoided as u64);
+        text.push_str("end\n");
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_are_lines_by_class_and_end_with_end() {
+        let mut figures = Figures::new(2);
+        figures.of(ClassIx(1)).served += 812;
+        figures.of(ClassIx(1)).attempts += 900;
+        figures.of(ClassIx(0)).attempts += 1;
+        let text =
+            figures.write(["look", "book"].into_iter(), Present { in_flight: 14, known: 3, avoided: 1 });
+        let lines: Vec<&str> = text.lines().collect();
+        for line in [
+            "scheduler.requests.book.served=812",
+            "scheduler.requests.look.served=0",
+            "scheduler.requests.book.attempts=900",
+            "scheduler.attempts=901",
+            "scheduler.in_flight=14",
+            "scheduler.stock_workers_known=3",
+            "scheduler.stock_workers_excluded=1",
+        ] {
+            assert!(lines.contains(&line), "{line} is not in {text}");
+        }
+        assert_eq!(lines.last(), Some(&"end"));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod desk;
 mod door;
 mod drain;
+mod figures;
 mod http;
 pub(crate) mod log;
 mod next_hop;
--- a/src/net/route_set.rs
+++ b/src/net/route_set.rs
@@ -87,9 +87,9 @@
         RouteSet { discovery, seq: 0, names: HashMap::new(), fetch: None, watch: None, before: None }
     }
 
-    /// Some list is known.
-    pub fn known(&self) -> bool {
-        !self.names.is_empty()
+    /// How many next hops are on the list.
+    pub fn known(&self) -> usize {
+        self.names.len()
     }
 
     /// Takes in the copy of the list that came with the configuration.
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -8,6 +8,7 @@
 use crate::net::desk::{BranchId, Desk, Work};
 use crate::net::door::{CALLS, Door, Order};
 use crate::net::drain::{Drain, PARTING, Why};
+use crate::net::figures::Present;
 use crate::net::log::note;
 use crate::net::next_hop::{NextHops, Payload};
 use crate::net::peers::Peers;
@@ -162,8 +163,8 @@
             for work in self.desk.settle(now, &mut self.deadlines) {
                 self.carry_out(now, work);
             }
-            self.begun |= self.routes.known();
-            self.callers.open = self.routes.known() && self.drain.open();
+            self.begun |= self.routes.known() > 0;
+            self.callers.open = self.routes.known() > 0 && self.drain.open();
             done = if self.done() { done + 1 } else { 0 };
         }
         Ok(())
@@ -232,7 +233,14 @@
         let answer = match order {
             Some(Order::Ping) if self.begun => "done\n".to_owned(),
             Some(Order::Ping) => "error no list of stock workers is known yet\n".to_owned(),
-            Some(Order::Info) => "error not yet\n".to_owned(),
+            Some(Order::Info) => {
+                let present = Present {
+                    in_flight: self.desk.owed(),
+                    known: self.routes.known(),
+                    avoided: self.desk.avoided(now),
+                };
+                self.desk.figures().write(self.names.classes(), present)
+            }
             Some(Order::Lameduck) => {
                 self.begin_drain(now, Why::Asked);
                 "done\n".to_owned()
@@ -350,7 +358,7 @@
             note!("clients are welcome");
             self.deadlines.clear(Due::Farewell);
             self.callers.stay();
-            self.callers.open = self.routes.known();
+            self.callers.open = self.routes.known() > 0;
         }
         open
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,8 +57,7 @@
     rng: fastrand::Rng,
     workers: Vec<Worker>,
     index: Table<WorkerId, usize>,
-    kinds: Vec<Kind>,
-    classes: Vec<ClassModel>,
+    know: Knowledge,
     maps: Vec<SizeMap>,
     maps_stale: bool,
     requests: Table<RequestId, Request>,
@@ -66,60 +65,35 @@
     held: BTreeSet<(Micros, RequestId)>,
     /// The same by when their clients leave.
     expiries: BTreeSet<(Micros, RequestId)>,
-    buckets: Vec<Bucket>,
-    /// By zone, the share of a worker's lanes that others use, as reports show on average.
-    mean_foreign: Vec<f64>,
-    mean_time: f64,
-    most_slots: usize,
-    work_rate: f64,
-    work_at: Micros,
     wake: Option<Micros>,
+    /// Another process has taken over: this one ends its work, and that one alone speaks for both.
+    succeeded: bool,
     subscribed: bool,
     list_tries: u32,
     spill_from: usize,
     /// The zone, if it is known, and the ranks of each cohort.
     cohorts: Vec<(Option<u8>, Vec<u32>)>,
-    /// The zones of the dispatchers, by rank, as far as they told.
-    zones: Vec<Option<u8>>,
-    /// Connections to each zone that failed in a row, and until when the zone is left alone.
-    cuts: Vec<(u32, Micros)>,
 }
 
 impl Dispatcher {
     /// A dispatcher without any knowledge but its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let kinds = (0..settings.kinds.max(1)).map(|_| Kind::default()).collect();
-        let classes = settings.classes.iter().map(|_| ClassModel::default()).collect();
-        let buckets = settings.tenants.iter().map(|_| Bucket { tokens: 3.0, at: now }).collect();
-        let mut zones = vec![None; settings.instances.max(settings.rank + 1) as usize];
-        if settings.limits.peers {
-            zones[settings.rank as usize] = Some(settings.zone.0 as u8);
-        }
-        let maps = (0..=settings.kinds).map(|_| SizeMap::default()).collect();
         Dispatcher {
             rng: fastrand::Rng::with_seed(seed),
             workers: Vec::new(),
             index: Table::default(),
-            kinds,
-            classes,
-            maps,
+            know: Knowledge::new(&settings, now),
+            maps: (0..=settings.kinds).map(|_| SizeMap::default()).collect(),
             maps_stale: true,
             requests: Table::default(),
             held: BTreeSet::new(),
             expiries: BTreeSet::new(),
-            buckets,
-            mean_foreign: vec![0.0; settings.zones.max(1)],
-            mean_time: SECOND as f64,
-            most_slots: 1,
-            work_rate: 0.0,
-            work_at: now,
             wake: None,
+            succeeded: false,
             subscribed: false,
             list_tries: 0,
             spill_from: 0,
             cohorts: Vec::new(),
-            zones,
-            cuts: vec![(0, 0); settings.zones.max(1)],
             settings,
         }
     }
@@ -141,17 +115,22 @@
                 self.subscribed = false; // at once: whatever the list has to tell will soon count as told
                 self.ask_list(out);
             }
+            Event::Handed(knowledge) => self.on_handed(knowledge, out),
+            Event::Succeeded(succeeded) => {
+                self.succeeded = succeeded;
+                (0..self.workers.len()).for_each(|at| self.tell_peers(now, at, out));
+            }
             Event::Streaming { request, attempt } => {
                 // The attempt is the client's now: nothing is owed for the request any more.
                 self.on_started(now, request, attempt);
                 self.close(request);
             }
             Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note, out),
-            Event::Outcome { request, attempt, worker, ending, elapsed, concluded, report } => {
-                if let Some(&at) = self.index.get(&worker) {
-                    self.on_report(now, at, report);
+            Event::Outcome(outcome) => {
+                if let Some(&at) = self.index.get(&outcome.worker) {
+                    self.on_report(now, at, outcome.report);
                 }
-                self.on_outcome(now, request, attempt, ending, elapsed, concluded, out);
+                self.on_outcome(now, outcome, out);
             }
             Event::Probed { worker, ending, report, .. } => {
                 let Some(&at) = self.index.get(&worker) else { return };
@@ -166,6 +145,28 @@
         }
     }
 
+    // ---- Two processes of one dispatcher ---------------------------------------------------------
+
+    /// What was learned, for the process that takes over.
+    pub fn knowledge(&self) -> serde_json::Value {
+        serde_json::json!([self.workers, self.maps, self.know])
+    }
+
+    fn on_handed(&mut self, handed: serde_json::Value, out: &mut Vec<Action>) {
+        match serde_json::from_value::<(Vec<Worker>, Vec<SizeMap>, Knowledge)>(handed) {
+            Ok((workers, maps, know))
+                if know.like(&self.know)
+                    && maps.len() == self.maps.len()
+                    && workers.iter().all(|worker| know.covers(worker)) =>
+            {
+                self.index = workers.iter().enumerate().map(|(at, worker)| (worker.id, at)).collect();
+                (self.workers, self.maps, self.know) = (workers, maps, know);
+            }
+            _ => out.push(Action::Log("what another process handed on does not fit".to_owned())),
+        }
+        self.ask_list(out); // at once: whatever the list has to tell will soon count as told
+    }
+
     // ---- Membership ------------------------------------------------------------------------------
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, out: &mut Vec<Action>) {
@@ -213,7 +214,7 @@
     }
 
     fn on_member(&mut self, member: Member) {
-        let kind = member.kind.0.min(self.kinds.len() - 1);
+        let kind = member.kind.0.min(self.know.kinds.len() - 1);
         let at = match self.index.get(&member.worker) {
             Some(&at) => at,
             None => {
@@ -234,7 +235,7 @@
         }
         worker.standing = member.standing;
         worker.started = member.started.or(worker.started);
-        worker.zone = ZoneIx(member.zone.0.min(self.mean_foreign.len() - 1));
+        worker.zone = ZoneIx(member.zone.0.min(self.know.mean_foreign.len() - 1));
         worker.kind = kind;
         worker.cell = member.cell;
         worker.weight = if member.weight.is_finite() && member.weight > 0.0 { member.weight } else { 1.0 };
@@ -262,7 +263,7 @@
         let apart = size < 2 * self.settings.zones;
         let zones = (0..self.settings.zones).map(|zone| Some(zone as u8)).filter(|_| apart);
         for zone in zones.chain([None]) {
-            let here = |rank: &u32| !apart || self.zones[*rank as usize] == zone;
+            let here = |rank: &u32| !apart || self.know.zones[*rank as usize] == zone;
             let ranks: Vec<u32> = (0..self.settings.instances).filter(here).collect();
             let count = (ranks.len() / size).max(usize::from(!ranks.is_empty()));
             let part = |nr: usize| ranks[nr * ranks.len() / count..(nr + 1) * ranks.len() / count].to_vec();
@@ -289,13 +290,13 @@
 
     /// Until run times tell more, kinds are as fast as their listed weights say.
     fn seed_speeds(&mut self) {
-        let mut sums = vec![(0.0, 0.0); self.kinds.len()];
+        let mut sums = vec![(0.0, 0.0); self.know.kinds.len()];
         for worker in self.workers.iter().filter(|worker| worker.standing == Standing::On) {
             sums[worker.kind].0 += worker.weight;
             sums[worker.kind].1 += 1.0;
         }
         let total: (f64, f64) = sums.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        for (kind, (weight, count)) in self.kinds.iter_mut().zip(sums) {
+        for (kind, (weight, count)) in self.know.kinds.iter_mut().zip(sums) {
             if kind.seen == 0.0 && count > 0.0 {
                 kind.ln_speed = (weight / count / (total.0 / total.1)).ln();
             }
@@ -309,7 +310,7 @@
                 worker.standing == Standing::On && wanted.is_none_or(|kind| kind == worker.kind)
             })
             .collect();
-        let speed = |at: usize| self.kinds[self.workers[at].kind].ln_speed;
+        let speed = |at: usize| self.know.kinds[self.workers[at].kind].ln_speed;
         order.sort_by(|&a, &b| {
             let key = |at: usize| (self.workers[at].kind, self.workers[at].id);
             speed(a).total_cmp(&speed(b)).then(key(a).cmp(&key(b)))
@@ -367,7 +368,7 @@
         let mut sizes: Vec<f64> = self.maps[need].sizes.iter().copied().collect();
         sizes.sort_by(f64::total_cmp);
         let work: f64 = sizes.iter().sum();
-        let power = |at: &usize| self.kinds[self.workers[*at].kind].ln_speed.exp();
+        let power = |at: &usize| self.know.kinds[self.workers[*at].kind].ln_speed.exp();
         let all: f64 = order.iter().map(power).sum();
         let mut bounds = Vec::with_capacity(count);
         let (mut at, mut sum, mut share) = (0, 0.0, 0.0);
@@ -389,7 +390,7 @@
     // ---- Estimator -------------------------------------------------------------------------------
 
     fn estimate(&self, class: usize, hint: Option<f64>) -> f64 {
-        let model = &self.classes[class];
+        let model = &self.know.classes[class];
         let spec = &self.settings.classes[class];
         let size = match hint {
             Some(hint) if hint.is_finite() && hint > 0.0 => hint * model.ln_ratio.exp(),
@@ -401,7 +402,7 @@
 
     fn speed(&self, at: usize) -> f64 {
         let worker = &self.workers[at];
-        (self.kinds[worker.kind].ln_speed + worker.ln_speed).exp()
+        (self.know.kinds[worker.kind].ln_speed + worker.ln_speed).exp()
     }
 
     /// How long a job of this size would run there.
@@ -416,8 +417,8 @@
             return;
         }
         let speed = self.speed(at);
-        self.mean_time += (time as f64 - self.mean_time) * 0.05;
-        let model = &mut self.classes[class];
+        self.know.mean_time += (time as f64 - self.know.mean_time) * 0.05;
+        let model = &mut self.know.classes[class];
         let size = time as f64 * speed;
         let gain = |seen: f64, least: f64| (1.0 / (seen + 2.0)).max(least);
         model.mean_size += (size - model.mean_size) * gain(model.seen, 0.05);
@@ -426,7 +427,7 @@
             model.ln_ratio += error * gain(model.seen, 0.03);
             model.spread += (error.abs() - model.spread) * gain(model.seen + 4.0, 0.05);
             let worker = &mut self.workers[at];
-            let kind = &mut self.kinds[worker.kind];
+            let kind = &mut self.know.kinds[worker.kind];
             kind.ln_speed -= error * gain(kind.seen + 4.0, 0.02);
             worker.ln_speed -= error * 0.1;
             worker.ln_speed = worker.ln_speed.clamp(-0.7, 0.7);
@@ -450,8 +451,8 @@
 
     fn lanes(&self, at: usize) -> usize {
         let worker = &self.workers[at];
-        let lanes = worker.lanes.or(self.kinds[worker.kind].lanes);
-        (lanes.map_or(0, |lanes| lanes.round() as usize)).max(self.most_slots)
+        let lanes = worker.lanes.or(self.know.kinds[worker.kind].lanes);
+        (lanes.map_or(0, |lanes| lanes.round() as usize)).max(self.know.most_slots)
     }
 
     /// Lanes that others are taken to use there.
@@ -460,19 +461,18 @@
         let told: usize =
             worker.peers.iter().filter(|peer| peer.latest + 2 * SECOND > now).map(|p| p.lanes).sum();
         let home = worker.home && self.settings.limits.peers;
-        let share = self.mean_foreign[worker.zone.0];
+        let share = self.know.mean_foreign[worker.zone.0];
         let prior = if home { 0.0 } else { share * self.lanes(at) as f64 };
         let seen = match worker.foreign {
             Some((then, lanes)) => {
                 let age = now.saturating_sub(then) as f64;
-                let keep = (-age / self.mean_time).exp();
+                let keep = (-age / self.know.mean_time).exp();
                 lanes * keep + prior * (1.0 - keep)
             }
             None => prior,
         };
         // A job of ours that waits to start tells that all lanes are taken.
-        let waits = |own: &&Own| own.awaits_start && now > own.sent + START_NEWS;
-        if worker.own.iter().any(|own| waits(&own)) {
+        if worker.own.iter().any(|own| own.awaits_start && now > own.sent + START_NEWS) {
             let running: usize = worker.own.iter().filter(|own| !own.awaits_start).map(|own| own.slots).sum();
             return seen.max(told as f64).max((self.lanes(at) - running.min(self.lanes(at))) as f64);
         }
@@ -490,7 +490,7 @@
         // A worker is seldom seen idle: without what runs there of ours, one of two lanes would seem to be all.
         let ran = |own: &&Own| !own.awaits_start && own.start + REPORT_OLDEST < now;
         let ours: usize = worker.own.iter().filter(ran).map(|own| own.slots).sum();
-        let kind = &mut self.kinds[worker.kind];
+        let kind = &mut self.know.kinds[worker.kind];
         let lanes = kind.lanes.unwrap_or(0.0).max((free + ours as f64).round());
         kind.lanes = Some(lanes);
         worker.lanes = Some(lanes);
@@ -504,7 +504,7 @@
     fn on_zone_load(&mut self, at: usize, lanes: f64) {
         // In shares: lanes of large workers, taken for those of a small one, would make it seem full for ever.
         let (zone, share) = (self.workers[at].zone.0, lanes / self.lanes(at) as f64);
-        self.mean_foreign[zone] += (share - self.mean_foreign[zone]) * 0.1;
+        self.know.mean_foreign[zone] += (share - self.know.mean_foreign[zone]) * 0.1;
     }
 
     /// Where no free-slot figure is given, lanes gain one after a finish at full model and lose one on
@@ -514,7 +514,7 @@
             return;
         }
         let lanes = self.lanes(at);
-        let busy = slots + self.workers[at].own.iter().map(|own| own.slots).sum::<usize>();
+        let busy = slots + self.workers[at].busy();
         if clean && busy >= lanes {
             self.workers[at].lanes = Some(lanes as f64 + 1.0);
         } else if !clean {
@@ -526,7 +526,7 @@
     /// the zone is left alone for a while, and the next job after that is a trial.
     fn on_connection(&mut self, now: Micros, at: usize, made: bool) {
         let zone = self.workers[at].zone;
-        let Some(cut) = self.cuts.get_mut(zone.0) else { return };
+        let cut = &mut self.know.cuts[zone.0];
         *cut = if made { (0, 0) } else { (cut.0 + 1, cut.1) };
         if zone != self.settings.zone && cut.0 >= 3 {
             cut.1 = now + SECOND;
@@ -564,13 +564,14 @@
     }
 
     fn on_peer(&mut self, now: Micros, from: u32, body: &[u8], out: &mut Vec<Action>) {
-        if from >= self.settings.instances || from == self.settings.rank {
+        if from >= self.settings.instances {
             return;
         }
+        let kin = from == self.settings.rank;
         let (lanes, id, soonest, latest) = match *body {
-            [PEER_VERSION, zone, greets] if usize::from(zone) < self.settings.zones => {
-                if self.zones[from as usize] != Some(zone) {
-                    self.zones[from as usize] = Some(zone);
+            [PEER_VERSION, zone, greets] if usize::from(zone) < self.settings.zones && !kin => {
+                if self.know.zones[from as usize] != Some(zone) {
+                    self.know.zones[from as usize] = Some(zone);
                     self.maps_stale = true;
                 }
                 // One that has just started does not know where this one stands.
@@ -590,14 +591,16 @@
         let peers = &mut self.workers[at].peers;
         let before = peers.iter().position(|peer| peer.from == from);
         let load = PeerLoad { from, lanes: usize::from(lanes), soonest, latest };
-        match (before, lanes) {
-            (Some(nr), 0) => {
-                peers.swap_remove(nr);
-                self.offer(now, at, out);
-            }
-            (Some(nr), _) => peers[nr] = load,
-            (None, 0) => {}
-            (None, _) => peers.push(load),
+        if let Some(nr) = before {
+            peers.swap_remove(nr);
+        }
+        if lanes > 0 {
+            peers.push(load);
+        } else if before.is_some() {
+            self.offer(now, at, out);
+        }
+        if kin {
+            self.tell_peers(now, at, out);
         }
     }
 
@@ -605,23 +608,29 @@
         vec![PEER_VERSION, self.settings.zone.0 as u8, asks]
     }
 
-    /// Tells the worker's cohort what this dispatcher has there now.
+    /// Tells the worker's cohort what this dispatcher has there now, both its processes if there are two; the
+    /// one that was succeeded tells the other.
     fn tell_peers(&self, now: Micros, at: usize, out: &mut Vec<Action>) {
-        if !self.settings.limits.peers || self.settings.instances < 2 {
+        if !self.succeeded && (!self.settings.limits.peers || self.settings.instances < 2) {
             return;
         }
-        let worker = &self.workers[at];
-        let lanes: usize = worker.own.iter().map(|own| own.slots).sum();
+        let (worker, rank) = (&self.workers[at], self.settings.rank);
+        let kin = worker.peers.iter().find(|peer| peer.from == rank && peer.latest + 2 * SECOND > now);
+        let lanes = worker.busy() + kin.map_or(0, |kin| kin.lanes);
         let span = |end: Option<Micros>| {
             u8::try_from(end.unwrap_or(now).saturating_sub(now) / PEER_UNIT).unwrap_or(u8::MAX)
         };
+        let ends = worker.own.iter().map(|own| own.end);
+        let soonest = span(ends.clone().chain(kin.map(|kin| kin.soonest)).min());
+        let latest = span(ends.chain(kin.map(|kin| kin.latest)).max());
         let [a, b, c, d] = worker.id.0.to_le_bytes();
-        let soonest = span(worker.own.iter().map(|own| own.end).min());
-        let latest = span(worker.own.iter().map(|own| own.end).max());
         let body = vec![PEER_VERSION, lanes.min(255) as u8, a, b, c, d, soonest, latest];
-        for &rank in self.cohorts.get(worker.cohort).iter().flat_map(|cohort| &cohort.1) {
-            if rank != self.settings.rank {
-                out.push(Action::Tell { to: Some(rank), body: body.clone() });
+        if self.succeeded {
+            return out.push(Action::Tell { to: Some(rank), body });
+        }
+        for &other in self.cohorts.get(worker.cohort).iter().flat_map(|cohort| &cohort.1) {
+            if other != rank {
+                out.push(Action::Tell { to: Some(other), body: body.clone() });
             }
         }
     }
@@ -649,7 +658,7 @@
             }
         }
         for nr in told..foreign {
-            busy.push(now + (self.mean_time / 2.0) as Micros * (1 + (nr - told) as Micros) / 2 + MILLI);
+            busy.push(now + (self.know.mean_time / 2.0) as Micros * (1 + (nr - told) as Micros) / 2 + MILLI);
         }
         lanes.clear();
         lanes.resize(self.lanes(at), now);
@@ -706,12 +715,21 @@
         start + run as Micros <= job.deadline
     }
 
-    fn usable(&self, at: usize, now: Micros, request: &Request) -> bool {
+    /// Nothing is sent there for now: it does not run, failed lately, or the way to its zone is cut.
+    fn avoids(&self, now: Micros, at: usize) -> bool {
         let worker = &self.workers[at];
-        worker.standing == Standing::On
-            && worker.suspect_until <= now
-            && self.cuts.get(worker.zone.0).is_none_or(|cut| cut.1 <= now)
-            && self.may_send(now, request, at)
+        let cut = self.know.cuts[worker.zone.0].1 > now;
+        worker.standing != Standing::On || worker.suspect_until > now || cut
+    }
+
+    /// Listed workers that nothing is sent to for now.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let listed = |at: &usize| self.workers[*at].standing != Standing::Gone;
+        (0..self.workers.len()).filter(listed).filter(|&at| self.avoids(now, at)).count()
+    }
+
+    fn usable(&self, at: usize, now: Micros, request: &Request) -> bool {
+        !self.avoids(now, at) && self.may_send(now, request, at)
     }
 
     /// Tries the workers of the job's range, its cohort's first, then the neighbouring ranges' and a few
@@ -748,7 +766,7 @@
                 continue;
             }
             if let Some((start, end)) = self.demand(at, now, id, &mut scratch) {
-                let own: usize = self.workers[at].own.iter().map(|own| own.slots).sum();
+                let own = self.workers[at].busy();
                 let free = self.lanes(at) as f64 - own as f64 - self.foreign(at, now) - cross;
                 if start <= now && free > most {
                     most = free;
@@ -807,18 +825,18 @@
         let spec = &self.settings.classes[class];
         let size = self.estimate(class, arrival.hint);
         let slots = arrival.slots.clamp(1, 1024) as usize;
-        self.most_slots = self.most_slots.max(slots);
+        self.know.most_slots = self.know.most_slots.max(slots);
         // A client's retry belongs to its first try, whose aim has been running since.
         let origin = if arrival.retry { arrival.expires.saturating_sub(spec.deadline).min(now) } else { now };
-        let doubt = (-self.classes[class].spread).exp();
+        let doubt = (-self.know.classes[class].spread).exp();
         let aim = origin + spec.aim + (spec.stretch.max(0.0) * size * doubt) as Micros;
         let deadline = aim.min(arrival.expires);
         let order = if over { arrival.expires } else { deadline };
         let work = size * slots as f64;
-        let span = now.saturating_sub(self.work_at) as f64;
+        let span = now.saturating_sub(self.know.work_at) as f64;
         let keep = (-span / (10.0 * SECOND as f64)).exp();
-        self.work_rate = self.work_rate * keep + work / 10.0;
-        self.work_at = now;
+        self.know.work_rate = self.know.work_rate * keep + work / 10.0;
+        self.know.work_at = now;
         let map = &mut self.maps[spec.kind.map_or(0, |kind| kind.0 + 1)];
         map.sizes.push_back(work);
         if map.sizes.len() > SAMPLE {
@@ -848,21 +866,15 @@
             },
         );
         self.spill_from = self.spill_from.wrapping_add(SPILL);
-        let sent = self.admit(now, arrival.request, out);
+        self.hold(arrival.request);
+        let mut wake = Micros::MAX;
+        let sent = self.release(now, arrival.request, &mut wake, out);
+        self.wake_for_held(now, wake, out);
         if self.requests.contains_key(&arrival.request) {
             self.probe_for(now, arrival.request, !sent, out);
         }
     }
 
-    /// Holds a job, and deals with it at once; tells whether it has left the queue.
-    fn admit(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) -> bool {
-        self.hold(id);
-        let mut wake = Micros::MAX;
-        let left = self.release(now, id, &mut wake, out);
-        self.wake_for_held(now, wake, out);
-        left
-    }
-
     /// A lane of this worker may have come free: the held jobs are tried there, earliest deadline first.
     fn offer(&mut self, now: Micros, at: usize, out: &mut Vec<Action>) {
         let first: Vec<RequestId> = self.held.iter().take(LOOK).map(|&(_, id)| id).collect();
@@ -1032,7 +1044,8 @@
         }
         // Rule 4.
         if self.warmth(at, now) < 1.0 {
-            let Some(budget) = self.cold_budget(now, at) else { return false };
+            // What a cold worker was sent counts on in the process that took over.
+            let Some(budget) = self.cold_budget(now, at).filter(|_| !self.succeeded) else { return false };
             let since = now.saturating_sub(self.settings.rules.fall_window);
             let sent: f64 =
                 worker.cold_sent.iter().filter(|(then, _)| *then >= since).map(|sent| sent.1).sum();
@@ -1049,7 +1062,7 @@
         let power = self.lanes(at) as f64 * self.speed(at);
         let window = rules.fall_window as f64;
         let budget = COLD_SHARE * rules.fall_multiple * self.warmth(at, now) * power * window;
-        let usual = (self.work_rate / SECOND as f64 * window).max(self.mean_time * 2.0);
+        let usual = (self.know.work_rate / SECOND as f64 * window).max(self.know.mean_time * 2.0);
         let wardens = (budget / (2.0 * usual)).floor().clamp(1.0, f64::from(self.settings.instances));
         let draw =
             mix(u64::from(worker.id.0), worker.started.unwrap_or(0)) % u64::from(self.settings.instances);
@@ -1097,7 +1110,7 @@
         if clear || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
-            let pause = (self.mean_time / 4.0) as Micros;
+            let pause = (self.know.mean_time / 4.0) as Micros;
             let come_back = limits.retry_advice.then_some(pause.min(limits.retry_advice_max).min(left / 4));
             out.push(Action::Refuse { request: id, come_back });
         } else {
@@ -1161,7 +1174,7 @@
                 let pace = match own.progress {
                     Some((then, before)) if done > before => (done - before) / (now - then).max(1) as f64,
                     _ if own.clean => done / (now - own.start.min(now)).max(1) as f64,
-                    _ => 1.0 / self.mean_time,
+                    _ => 1.0 / self.know.mean_time,
                 };
                 own.progress = Some((now, done));
                 own.end = now + ((1.0 - done) / pace).min(3600.0 * SECOND as f64) as Micros;
@@ -1170,17 +1183,8 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_outcome(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u32,
-        ending: Ending,
-        elapsed: Micros,
-        concluded: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_outcome(&mut self, now: Micros, outcome: Outcome, out: &mut Vec<Action>) {
+        let Outcome { request: id, attempt, ending, elapsed, concluded, .. } = outcome;
         let Some((at, nr)) = self.own(id, attempt) else { return };
         let own = self.workers[at].own.swap_remove(nr);
         self.tell_peers(now, at, out);
@@ -1254,7 +1258,7 @@
             return false;
         }
         let rate = spec.quota_per_s / f64::from(self.settings.instances);
-        let bucket = &mut self.buckets[nr];
+        let bucket = &mut self.know.buckets[nr];
         let gone = now.saturating_sub(bucket.at) as f64 / SECOND as f64;
         bucket.at = now;
         bucket.tokens = (bucket.tokens + gone * rate).min((rate * 5.0).max(3.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module keeps in mind: plain records without behaviour, and its hashing.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
 
@@ -48,7 +49,69 @@
     pub(crate) progress: Option<(Micros, f64)>,
 }
 
+/// What is learned in the course of time, apart from the workers and the sizes of jobs.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Knowledge {
+    pub(crate) kinds: Vec<Kind>,
+    pub(crate) classes: Vec<ClassModel>,
+    pub(crate) buckets: Vec<Bucket>,
+    /// By zone, the share of a worker's lanes that others use, as reports show on average.
+    pub(crate) mean_foreign: Vec<f64>,
+    pub(crate) mean_time: f64,
+    pub(crate) most_slots: usize,
+    pub(crate) work_rate: f64,
+    pub(crate) work_at: Micros,
+    /// The zones of the dispatchers, by rank, as far as they told.
+    pub(crate) zones: Vec<Option<u8>>,
+    /// Connections to each zone that failed in a row, and until when the zone is left alone.
+    pub(crate) cuts: Vec<(u32, Micros)>,
+}
+
+impl Knowledge {
+    /// What is known at the start.
+    pub(crate) fn new(settings: &Settings, now: Micros) -> Self {
+        let mut zones = vec![None; settings.instances.max(settings.rank + 1) as usize];
+        if settings.limits.peers {
+            zones[settings.rank as usize] = Some(settings.zone.0 as u8);
+        }
+        Knowledge {
+            kinds: (0..settings.kinds.max(1)).map(|_| Kind::default()).collect(),
+            classes: settings.classes.iter().map(|_| ClassModel::default()).collect(),
+            buckets: settings.tenants.iter().map(|_| Bucket { tokens: 3.0, at: now }).collect(),
+            mean_foreign: vec![0.0; settings.zones.max(1)],
+            mean_time: 1_000_000.0,
+            most_slots: 1,
+            work_rate: 0.0,
+            work_at: now,
+            zones,
+            cuts: vec![(0, 0); settings.zones.max(1)],
+        }
+    }
+
+    /// Speaks of as many kinds, classes, tenants, zones and dispatchers as this one: what another process hands
+    /// on may come from other settings.
+    pub(crate) fn like(&self, other: &Knowledge) -> bool {
+        let shape = |of: &Knowledge| {
+            (
+                of.kinds.len(),
+                of.classes.len(),
+                of.buckets.len(),
+                of.mean_foreign.len(),
+                of.zones.len(),
+                of.cuts.len(),
+            )
+        };
+        shape(self) == shape(other)
+    }
+
+    /// This worker's zone and kind are among those that it speaks of.
+    pub(crate) fn covers(&self, worker: &Worker) -> bool {
+        worker.zone.0 < self.mean_foreign.len() && worker.kind < self.kinds.len()
+    }
+}
+
 /// What a peer has on a worker, as it told.
+#[derive(Serialize, Deserialize)]
 pub(crate) struct PeerLoad {
     pub(crate) from: u32,
     pub(crate) lanes: usize,
@@ -56,7 +119,7 @@
     pub(crate) latest: Micros,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Worker {
     pub(crate) id: WorkerId,
     pub(crate) zone: ZoneIx,
@@ -66,8 +129,10 @@
     pub(crate) weight: f64,
     pub(crate) started: Option<Micros>,
     pub(crate) cold_sent: VecDeque<(Micros, f64)>,
+    #[serde(skip)]
     pub(crate) own: Vec<Own>,
     /// Held jobs admitted to its lanes.
+    #[serde(skip)]
     pub(crate) planned: Vec<(Micros, RequestId)>,
     pub(crate) peers: Vec<PeerLoad>,
     pub(crate) lanes: Option<f64>,
@@ -79,19 +144,28 @@
     pub(crate) probed: Micros,
     /// Its load is known from a report, or from being full, at this time.
     pub(crate) known: Micros,
+    #[serde(skip)]
     pub(crate) cohort: usize,
     /// This dispatcher is in the worker's cohort.
+    #[serde(skip)]
     pub(crate) home: bool,
 }
 
-#[derive(Default)]
+impl Worker {
+    /// Lanes that this dispatcher's attempts take there.
+    pub(crate) fn busy(&self) -> usize {
+        self.own.iter().map(|own| own.slots).sum()
+    }
+}
+
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Kind {
     pub(crate) ln_speed: f64,
     pub(crate) seen: f64,
     pub(crate) lanes: Option<f64>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct ClassModel {
     pub(crate) ln_ratio: f64,
     /// Mean error of the hint, in logarithms.
@@ -145,13 +219,16 @@
     pub(crate) far: Vec<usize>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct SizeMap {
+    #[serde(skip)]
     pub(crate) ranges: Vec<Range>,
     pub(crate) sizes: VecDeque<f64>,
+    #[serde(skip)]
     pub(crate) fresh: usize,
 }
 
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -49,6 +49,11 @@
         index("class", &self.classes, name).map(ClassIx)
     }
 
+    /// The names of the classes, in their order.
+    pub fn classes(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(String::as_str)
+    }
+
     /// The tenant of this name.
     pub fn tenant(&self, name: &str) -> Result<TenantIx, WireError> {
         index("tenant", &self.tenants, name).map(TenantIx)
@@ -338,7 +343,7 @@
         }
         _ => match ending {
             Some(ending) => {
-                Ok(Event::Outcome { request, attempt, worker, ending, elapsed, concluded, report })
+                Ok(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }))
             }
             None => bad("OUTCOME: field 'state_code' is missing"),
         },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -145,7 +145,7 @@
     ) -> Vec<Action> {
         let report = free_slots.map(|free| Report { free_slots: Some(free), ..Report::default() });
         let (request, elapsed) = (RequestId(id), 100 * MS);
-        self.tell(Event::Outcome { request, attempt, worker, ending, elapsed, concluded, report })
+        self.tell(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }))
     }
 
     /// Lets the timers that the module has set fire, every 10 ms, for this long.
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -103,7 +103,7 @@
                     .size
                     .is_multiple_of(3)
                     .then(|| Report { free_slots: Some((step.size % 5) as f64), ..Report::default() });
-                Some(Event::Outcome {
+                Some(Event::Outcome(Outcome {
                     request: RequestId(id),
                     attempt: attempt as u32,
                     worker: WorkerId(worker),
@@ -111,7 +111,7 @@
                     elapsed: self.now - sent,
                     concluded: job.answered,
                     report,
-                })
+                }))
             }
             15 => {
                 let id = 1 + step.pick % WORKERS;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -419,3 +419,45 @@
         "#;
     play(1, &script);
 }
+
+#[test]
+fn the_figures_tell_what_was_served_refused_failed_and_sent() {
+    play(
+        1,
+        r#"
+        send c1 POST /look Request-Id:a1 Request-Timeout:9
+        expect h1 POST /look Request-Id:a1
+        send o1 raw INFO\n
+        expect o1 scheduler.requests.look.served=0
+        expect o1 scheduler.requests.look.attempts=1
+        expect o1 scheduler.attempts=1
+        expect o1 scheduler.in_flight=1
+        expect o1 scheduler.stock_workers_known=1
+        expect o1 scheduler.stock_workers_excluded=0
+        expect o1 end
+        wait o1
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        close h1
+        send c1 POST /book Request-Id:a2 Request-Timeout:9
+        expect h1.2 POST /book Request-Id:a2
+        close h1.2
+        expect c1 500
+        send c1 POST /look Request-Id:a3 Request-Timeout:9
+        expect c1 503
+        send o2 raw INFO\n
+        expect o2 scheduler.requests.look.served=1
+        expect o2 scheduler.requests.look.refused=1
+        expect o2 scheduler.requests.look.failed=0
+        expect o2 scheduler.requests.book.served=0
+        expect o2 scheduler.requests.book.failed=1
+        expect o2 scheduler.attempts=2
+        expect o2 scheduler.in_flight=0
+        expect o2 scheduler.stock_workers_excluded=1
+        "#,
+    );
+}
