--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -164,19 +164,24 @@
 
     /// Begins to serve, with what the elder handed over, or else with the list of the configuration.
     fn start(&mut self, now: Micros, handover: Option<Handover>) -> io::Result<()> {
-        let Some(mut known) = self.waiting.take() else { return Ok(()) };
+        if let Some(handover) = &handover {
+            // Also from an elder that was silent for too long: its open requests are still its own.
+            note!("{} requests are open at the elder", handover.open.len());
+            self.desk.share();
+            handover.open.iter().for_each(|name| self.desk.elsewhere(name.clone(), true));
+        }
+        let Some(known) = self.waiting.take() else { return Ok(()) };
         self.open_peers(now)?;
         self.share_out(now);
         let (mut ctx, parts) = self.split(now);
         ctx.deadlines.clear(Due::Elder);
-        let mut drained = false;
-        if let Some(handover) = handover {
-            ctx.desk.inherit(handover.knowledge);
-            ctx.desk.share();
-            handover.open.into_iter().for_each(|name| ctx.desk.elsewhere(name, true));
-            known = Some(handover.routes);
-            drained = handover.drained;
-        }
+        let (known, drained) = match handover {
+            Some(handover) => {
+                ctx.desk.inherit(handover.knowledge);
+                (Some(handover.routes), handover.drained)
+            }
+            None => (known, false),
+        };
         parts.routes.warm(&mut ctx, parts.hops, known);
         parts.callers.listen(&mut ctx, LISTENER)?;
         parts.kin.listen(ctx.registry, MEETING);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -520,3 +520,54 @@
     bench.members(ListKind::Full, vec![small]);
     assert_eq!(sends(&bench.arrive(100, 0, 100 * MS)).len(), 1);
 }
+
+#[test]
+fn who_takes_over_knows_what_was_learned_and_what_is_still_out() {
+    let mut elder = Bench::with_workers(peer_settings(0), &[11]);
+    // Hints are three times too high there: that is learned.
+    for nr in 0..40 {
+        elder.arrive(nr, 0, 300 * MS);
+        elder.now += 100 * MS;
+        elder.outcome(nr, 0, WorkerId(11), Ending::Ok);
+    }
+    assert_eq!(sends(&elder.arrive(50, 1, 900 * MS)).len(), 1);
+    let knowledge = elder.dispatcher.knowledge();
+    let told = elder.tell(Event::Succeeded(true));
+    let to_kin = |actions: &[Action]| -> Vec<Vec<u8>> {
+        let pick = |action: &Action| match action {
+            Action::Tell { to: Some(0), body } => Some(body.clone()),
+            _ => None,
+        };
+        actions.iter().filter_map(pick).collect()
+    };
+    assert_eq!(to_kin(&told).len(), 1);
+    let now = elder.now;
+    let start = |knowledge: Option<serde_json::Value>| {
+        let mut heir = Bench::new(peer_settings(0));
+        heir.now = now;
+        knowledge.into_iter().for_each(|knowledge| drop(heir.tell(Event::Handed(knowledge))));
+        heir.members(ListKind::Saved, vec![member(11)]);
+        heir
+    };
+    // What the elder has there takes the only lane ...
+    let mut heir = start(Some(knowledge));
+    let shared = heir.tell(Event::Peer { from: 0, body: to_kin(&told)[0].clone() });
+    assert!(shared.iter().any(|action| matches!(action, Action::Tell { to: Some(1), .. })), "told on");
+    assert!(sends(&heir.arrive(1, 0, 300 * MS)).is_empty());
+    // ... and when that is over, the job is sent at once, and taken to end when it will, not when its hint says.
+    let done = to_kin(&elder.outcome(50, 0, WorkerId(11), Ending::Ok));
+    heir.now += 10 * MS;
+    let actions = heir.tell(Event::Peer { from: 0, body: done[0].clone() });
+    assert_eq!(sends(&actions), [(1, WorkerId(11))]);
+    let end = |actions: &[Action]| {
+        let told = actions.iter().rev().find_map(|action| match action {
+            Action::Tell { to: Some(1), body } => body.last().copied(),
+            _ => None,
+        });
+        told.expect("the other dispatcher is told")
+    };
+    assert_eq!(end(&actions), 1);
+    // What does not fit is passed over.
+    let mut stranger = start(Some(serde_json::json!([[], [], {}])));
+    assert_eq!(end(&stranger.arrive(1, 0, 300 * MS)), 4);
+}
