Call off what still runs for a client that has left

Ruled out: pieces and silence, each request in pieces was answered and no worker was blamed; late and refused jobs are few. rules.rs closed the request on Lapsed and left its attempts running. It now cancels those that are out, where the site allows it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -140,7 +140,7 @@
                 }
                 self.offer(now, at, out);
             }
-            Event::Lapsed(request) => self.close(request),
+            Event::Lapsed(request) => self.on_lapsed(request, out),
             Event::Peer { from, body } => self.on_peer(now, from, &body, out),
         }
     }
@@ -391,11 +391,10 @@
 
     fn estimate(&self, class: usize, hint: Option<f64>) -> f64 {
         let model = &self.know.classes[class];
-        let spec = &self.settings.classes[class];
         let size = match hint {
             Some(hint) if hint.is_finite() && hint > 0.0 => hint * model.ln_ratio.exp(),
             _ if model.mean_size > 0.0 => model.mean_size,
-            _ => spec.aim as f64,
+            _ => self.settings.classes[class].aim as f64,
         };
         size.clamp(1.0, 3600.0 * SECOND as f64)
     }
@@ -407,8 +406,7 @@
 
     /// How long a job of this size would run there.
     fn run_time(&self, at: usize, size: f64, now: Micros) -> Micros {
-        let warm = self.warmth(at, now);
-        (size / (self.speed(at) * warm)).min(3600.0 * SECOND as f64) as Micros
+        (size / (self.speed(at) * self.warmth(at, now))).min(3600.0 * SECOND as f64) as Micros
     }
 
     /// Learns from a job's measured time: its class's ratio to the hint, and the worker's and kind's speed.
@@ -1014,29 +1012,22 @@
             return false;
         }
         let mut risky = request.attempts.iter().filter(|attempt| attempt.state != State::NeverRan);
-        match self.settings.classes[request.class].effect {
-            Effect::Safe => {}
-            Effect::Unsafe => {
-                if risky.next().is_some() {
-                    return false;
-                }
-            }
-            Effect::Keyed { group, span } => {
-                // The group's memory runs from the first send; half of it is kept as margin for the
-                // journey.
-                let fits = |attempt: &Attempt| {
-                    let there = &self.workers[attempt.worker];
-                    let near = match group {
-                        Group::All => true,
-                        Group::Zone => there.zone == worker.zone,
-                        Group::Cell => there.cell == worker.cell,
-                    };
-                    near && now < attempt.sent + span / 2
+        let harmless = match self.settings.classes[request.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => risky.next().is_none(),
+            // The group's memory runs from the first send; half of it is kept as margin for the journey.
+            Effect::Keyed { group, span } => risky.all(|attempt| {
+                let there = &self.workers[attempt.worker];
+                let near = match group {
+                    Group::All => true,
+                    Group::Zone => there.zone == worker.zone,
+                    Group::Cell => there.cell == worker.cell,
                 };
-                if !risky.all(fits) {
-                    return false;
-                }
-            }
+                near && now < attempt.sent + span / 2
+            }),
+        };
+        if !harmless {
+            return false;
         }
         // Rule 3: nothing at all after being told, so the grace is never needed.
         if worker.standing != Standing::On {
@@ -1119,6 +1110,14 @@
         self.forget(id);
     }
 
+    /// The client has left: what still runs for it is called off, it would be work for nobody.
+    fn on_lapsed(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let attempts = self.requests.get(&id).into_iter().flat_map(|request| (0..).zip(&request.attempts));
+        let running = attempts.filter(|(_, at)| at.state == State::Out && self.settings.limits.cancel);
+        out.extend(running.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
+        self.close(id);
+    }
+
     /// The request is over without an answer of ours.
     fn close(&mut self, id: RequestId) {
         self.unhold(id);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -174,10 +174,12 @@
     script += r#"
         send cx POST /look Request-Id:a1 Request-Timeout:900
         expect h1 POST /look Request-Id:a1
-        close cx
         send h1 202
-        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
         expect n1 200
+        close cx
+        expect h1 DELETE /jobs/a1
+        send h1 200
         send cy POST /look Request-Id:a2 Request-Timeout:900
         expect h1 POST /look Request-Id:a2
         wait c0
