Let trust in a worker that answers with errors come back by degrees

A log of every ending showed two workers that answered two jobs of three with an error within milliseconds, and one job of three well; each good one wiped out their strikes, so they were back after half a second, looked idle, and drew the next. Ruled out: the upgrades, no failed job was open at a handover; SIGKILL, all failed by an error told. rules.rs, on_outcome: a good ending takes back one strike, an error gives two, and jobs that must not run twice stay away from a worker on trial.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 const COLD_SHARE: f64 = 0.4;
 /// A worker that failed is left alone this long at first, and twice as long each further time.
 const SUSPECT_FIRST: Micros = 500 * MILLI;
+/// With so many strikes a worker is on trial: only jobs that may run twice go there.
+const TRIAL: u32 = 3;
 /// Timers of the list and of the hold queue.
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
@@ -136,7 +138,7 @@
                 let Some(&at) = self.index.get(&worker) else { return };
                 self.on_report(now, at, report);
                 if ending == Ending::Unreachable {
-                    self.strike(now, at);
+                    self.strike(now, at, 1);
                 }
                 self.offer(now, at, out);
             }
@@ -214,13 +216,11 @@
     }
 
     fn on_member(&mut self, member: Member) {
-        let kind = member.kind.0.min(self.know.kinds.len() - 1);
         let at = match self.index.get(&member.worker) {
             Some(&at) => at,
             None => {
                 self.index.insert(member.worker, self.workers.len());
-                let started = member.started;
-                self.workers.push(Worker { id: member.worker, started, ..Worker::default() });
+                self.workers.push(Worker { id: member.worker, started: member.started, ..Worker::default() });
                 self.workers.len() - 1
             }
         };
@@ -236,7 +236,7 @@
         worker.standing = member.standing;
         worker.started = member.started.or(worker.started);
         worker.zone = ZoneIx(member.zone.0.min(self.know.mean_foreign.len() - 1));
-        worker.kind = kind;
+        worker.kind = member.kind.0.min(self.know.kinds.len() - 1);
         worker.cell = member.cell;
         worker.weight = if member.weight.is_finite() && member.weight > 0.0 { member.weight } else { 1.0 };
     }
@@ -555,9 +555,9 @@
     }
 
     /// Leaves a failing worker alone for a while, longer each time; the next job after that is a trial.
-    fn strike(&mut self, now: Micros, at: usize) {
+    fn strike(&mut self, now: Micros, at: usize, by: u32) {
         let worker = &mut self.workers[at];
-        worker.strikes = (worker.strikes + 1).min(6);
+        worker.strikes = (worker.strikes + by).min(6);
         worker.suspect_until = now + (SUSPECT_FIRST << worker.strikes) / 2;
     }
 
@@ -691,10 +691,7 @@
             (start, end)
         };
         let mut mine = None;
-        for &(order, other) in &self.workers[at].planned {
-            if other == id {
-                continue;
-            }
+        for &(order, other) in self.workers[at].planned.iter().filter(|plan| plan.1 != id) {
             if mine.is_none() && (order, other) > (request.order, id) {
                 mine = Some(place(request));
             }
@@ -727,7 +724,10 @@
     }
 
     fn usable(&self, at: usize, now: Micros, request: &Request) -> bool {
-        !self.avoids(now, at) && self.may_send(now, request, at)
+        // A job that must not run twice is lost if a trial goes wrong.
+        let once = self.settings.classes[request.class].effect == Effect::Unsafe;
+        let barred = once && self.workers[at].strikes >= TRIAL;
+        !barred && !self.avoids(now, at) && self.may_send(now, request, at)
     }
 
     /// Tries the workers of the job's range, its cohort's first, then the neighbouring ranges' and a few
@@ -932,9 +932,7 @@
             }
             self.finish(now, id, out);
         }
-        let mut wake = Micros::MAX;
-        let mut misses = 0;
-        let mut from = (0, RequestId(0));
+        let (mut wake, mut misses, mut from) = (Micros::MAX, 0, (0, RequestId(0)));
         while misses < LOOK {
             let Some(&(order, id)) = self.held.range(from..).next() else { break };
             from = (order, RequestId(id.0.wrapping_add(1)));
@@ -1161,7 +1159,7 @@
                 // The way there is dead, or the worker: nothing of a queue there shows in this. A job that may
                 // run twice is tried elsewhere, any other can only be waited for.
                 self.workers[at].own[nr].awaits_start = false;
-                self.strike(now, at);
+                self.strike(now, at, 1);
                 let effect = self.settings.classes[self.requests[&id].class].effect;
                 if effect == Effect::Safe && self.settings.limits.cancel {
                     out.push(Action::Cancel { request: id, attempt });
@@ -1194,8 +1192,8 @@
         let (class, hint) = (request.class, request.hint);
         match ending {
             Ending::Ok => {
-                self.workers[at].strikes = 0;
-                self.workers[at].suspect_until = 0;
+                // Trust comes back by degrees: most jobs end well even where every other one fails.
+                self.workers[at].strikes = self.workers[at].strikes.saturating_sub(1);
                 self.on_connection(now, at, true);
                 self.step_lanes(at, own.slots, true);
                 if own.clean {
@@ -1213,10 +1211,12 @@
                 self.on_zone_load(at, lanes);
             }
             Ending::Unreachable => {
-                self.strike(now, at);
+                self.strike(now, at, 1);
                 self.on_connection(now, at, false);
             }
-            Ending::Error | Ending::Broken => self.strike(now, at),
+            // One that answers with errors is soon free again, and would draw more jobs than the others.
+            Ending::Error => self.strike(now, at, 2),
+            Ending::Broken => self.strike(now, at, 1),
             Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unusable => {}
         }
         self.after_attempt(now, id, ending, out);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -571,3 +571,35 @@
     let mut stranger = start(Some(serde_json::json!([[], [], {}])));
     assert_eq!(end(&stranger.arrive(1, 0, 300 * MS)), 4);
 }
+
+#[test]
+fn a_worker_that_mostly_answers_with_errors_regains_trust_by_degrees() {
+    // Now and then a job ends well there: that must not wipe out what the errors tell.
+    let mut bench = Bench::with_workers(settings(), &[11]);
+    for (nr, ending) in [Ending::Error, Ending::Ok, Ending::Error, Ending::Error].into_iter().enumerate() {
+        bench.now += 20 * SECOND;
+        assert_eq!(sends(&bench.arrive(nr as u32, 0, 10 * MS)).len(), 1, "job {nr}");
+        bench.outcome(nr as u32, 0, WorkerId(11), ending);
+    }
+    // Long enough after the first error, not after the last.
+    bench.now += 2 * SECOND;
+    assert!(sends(&bench.arrive(10, 0, 10 * MS)).is_empty());
+    // After that a trial, with a job that may run twice; only when some have gone well, with any other.
+    bench.now += 20 * SECOND;
+    assert!(sends(&bench.arrive(11, 1, 10 * MS)).is_empty());
+    for nr in 12..16 {
+        assert_eq!(sends(&bench.arrive(nr, 0, 10 * MS)).len(), 1, "job {nr}");
+        bench.outcome(nr, 0, WorkerId(11), Ending::Ok);
+    }
+    assert_eq!(sends(&bench.arrive(20, 1, 10 * MS)).len(), 1);
+}
+
+#[test]
+fn what_runs_for_a_client_that_has_left_is_called_off() {
+    let mut bench = Bench::with_workers(settings(), &[11, 12]);
+    assert_eq!(sends(&bench.arrive(1, 1, 100 * MS)).len(), 1);
+    let actions = bench.tell(Event::Lapsed(RequestId(1)));
+    assert_eq!(actions, [Action::Cancel { request: RequestId(1), attempt: 0 }]);
+    bench.outcome(1, 0, WorkerId(11), Ending::Cancelled);
+    assert!(bench.tell(Event::Lapsed(RequestId(1))).is_empty());
+}
