Let long jobs go on at the next process with their clients' connections

Ruled out: jobs lost at the handover itself (0 ended at the door), held jobs (none left). turn.rs ended the old process with them. It now leaves each that a next hop has taken to the heir, with the connection (SCM_RIGHTS by rustix), 0.6 s before SIGKILL may come; the module takes it on as out already (rules.rs, adopt).

--- a/src/api.rs
+++ b/src/api.rs
@@ -11,7 +11,7 @@
 pub type Micros = u64;
 
 /// A request, as numbered by the host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u32);
 
 /// A worker; the number tells nothing of zone, kind or age, but is the same for every dispatcher.
@@ -282,6 +282,8 @@
     pub key: Option<u64>,
     /// The client has tried before.
     pub retry: bool,
+    /// Another process of this dispatcher sent it to this worker, at this time, and hands it on: attempt 0.
+    pub out: Option<(WorkerId, Micros)>,
 }
 
 /// A worker's load report; aged and noisy.
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -6,11 +6,11 @@
 use crate::net::deadlines::Due;
 use crate::net::desk::{Answer, Job, News, Unfit};
 use crate::net::http::{self, Reject, Request};
-use crate::net::kin::Word;
+use crate::net::kin::{Bequest, Word};
 use crate::net::log::note;
 use crate::net::next_hop::{Payload, report_of};
 use crate::net::route_set::hop_id;
-use calicolb::api::{Ending, Micros, Note};
+use calicolb::api::{Ending, Micros, Note, WorkerId};
 use calicolb::wire;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
@@ -137,9 +137,13 @@
         ctx.deadlines.set(Due::Accept, ctx.now + 1);
     }
 
-    fn open(&mut self, ctx: &mut Ctx<'_>, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    fn open(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream) {
         let token = ctx.next_token();
+        self.open_as(ctx, stream, token);
+    }
+
+    fn open_as(&mut self, ctx: &mut Ctx<'_>, mut stream: TcpStream, token: usize) {
+        let _ = stream.set_nodelay(true);
         if let Err(error) =
             ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)
         {
@@ -277,11 +281,8 @@
                 }
                 self.reply(ctx, token, 200, &[], b"");
             }
-            path => {
-                let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
-                let class = ctx.names.class(first).map_err(|_| Reject(404))?;
-                wanted("POST")?;
-                let job = job(ctx, class, first, request)?;
+            _ => {
+                let job = job_of(ctx, request)?;
                 match ctx.desk.arrive(ctx.now, token, job) {
                     Ok(()) => {
                         if let Some(leg) = self.legs.get_mut(&token) {
@@ -297,6 +298,34 @@
         Ok(())
     }
 
+    /// Lets go of the leg of a request that another process will answer.
+    pub fn release(&mut self, ctx: &mut Ctx<'_>, token: usize) -> Option<TcpStream> {
+        ctx.deadlines.clear(Due::Leg(token));
+        ctx.deadlines.clear(Due::LegMore(token));
+        let mut leg = self.legs.remove(&token)?;
+        let _ = ctx.registry.deregister(&mut leg.stream);
+        Some(leg.stream)
+    }
+
+    /// Takes on a leg with a request that the other process had sent out.
+    pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, bequest: Bequest) {
+        let token = ctx.next_token();
+        self.open_as(ctx, stream, token);
+        let Some(leg) = self.legs.get_mut(&token) else { return };
+        leg.fresh = false;
+        leg.last = !bequest.request.keep_alive;
+        match job_of(ctx, bequest.request) {
+            Ok(mut job) => {
+                job.patience = bequest.expires.saturating_sub(ctx.now);
+                let out = (WorkerId(bequest.hop), bequest.sent);
+                leg.state = State::Waiting;
+                ctx.deadlines.clear(Due::Leg(token));
+                ctx.desk.adopt(ctx.now, token, job, out, ctx.deadlines);
+            }
+            Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
+        }
+    }
+
     /// Gives the final answer to the request of a leg.
     pub fn answer(&mut self, ctx: &mut Ctx<'_>, token: usize, answer: Answer) {
         let Some(leg) = self.legs.get_mut(&token) else { return };
@@ -407,7 +436,14 @@
     }
 }
 
-/// A client's request as the desk takes it.
+/// A client's request as the desk takes it, if it is one.
+fn job_of(ctx: &Ctx<'_>, request: Request) -> Result<Job<Payload>, Reject> {
+    let path = request.path().to_owned();
+    let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
+    let class = ctx.names.class(first).map_err(|_| Reject(404))?;
+    if request.method == "POST" { job(ctx, class, first, request) } else { Err(Reject(405)) }
+}
+
 fn job(
     ctx: &Ctx<'_>,
     class: calicolb::api::ClassIx,
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -35,6 +35,8 @@
     Elder,
     /// The address for datagrams was taken, and is tried again.
     PeersAgain,
+    /// What this process will not live to answer is left to the one that took over.
+    Bequeath,
     /// In a drain: callers have been told elsewhere to go by now.
     Farewell,
 }
--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -169,6 +169,52 @@
             self.figures.of(job.class).refused += 1;
             return Err(Unfit::TooMany);
         }
+        self.enter(now, caller, job, None);
+        Ok(())
+    }
+
+    /// A request that the other process of this scheduler has out at a next hop goes on here, and its caller
+    /// with it.
+    pub fn adopt(
+        &mut self,
+        now: Micros,
+        caller: CallerId,
+        job: Job<P>,
+        (hop, sent): (WorkerId, Micros),
+        deadlines: &mut Deadlines,
+    ) {
+        self.elsewhere.remove(&job.name);
+        let number = self.enter(now, caller, job, Some((hop, sent)));
+        if let Some(entry) = self.entries.get_mut(&number) {
+            deadlines.set(Due::Branch(number, 0), entry.expires);
+            let (written, taken) = (true, true);
+            entry.branches.push(Branch { hop, sent, written, taken, over: false, ended_by: None });
+        }
+    }
+
+    /// The requests that another process could answer in the place of this one: those of which nothing is open
+    /// but the call-backs of the one next hop that took them. They are forgotten here. Gives for each its
+    /// caller, its hop, when it was sent there, when its caller leaves, and what it is.
+    pub fn bequeath(&mut self) -> Vec<(CallerId, WorkerId, Micros, Micros, P)> {
+        let fit = |entry: &Entry<P>| match entry.branches[..] {
+            [Branch { taken: true, over: false, .. }] => !entry.concluded,
+            _ => false,
+        };
+        let numbers: Vec<u32> =
+            self.entries.iter().filter(|(_, entry)| fit(entry)).map(|(&number, _)| number).collect();
+        let mut left = Vec::new();
+        for number in numbers {
+            let Some(mut entry) = self.entries.remove(&number) else { continue };
+            self.names.remove(&entry.name);
+            self.callers.remove(&entry.caller);
+            if let Some(branch) = entry.branches.pop() {
+                left.push((entry.caller, branch.hop, branch.sent, entry.expires, entry.payload));
+            }
+        }
+        left
+    }
+
+    fn enter(&mut self, now: Micros, caller: CallerId, job: Job<P>, out: Option<(WorkerId, Micros)>) -> u32 {
         while self.entries.contains_key(&self.next_request) {
             self.next_request = self.next_request.wrapping_add(1);
         }
@@ -200,8 +246,9 @@
             memory: job.memory,
             key: job.key,
             retry: job.retry,
+            out,
         }));
-        Ok(())
+        number
     }
 
     /// The program ends at this time: for what comes in from now on there is no longer to wait, so that the
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,5 +1,6 @@
 //! Framing of HTTP/1.1: whole messages out of bytes and back. What they mean is the business of others.
 
+use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 
 /// The largest body that is taken.
@@ -17,7 +18,7 @@
 const MALFORMED: Reject = Reject(400);
 
 /// Header lines in their order.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Headers(Vec<(String, String)>);
 
 impl Headers {
@@ -50,7 +51,7 @@
 }
 
 /// A whole request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Request {
     /// The method.
     pub method: String,
--- a/src/net/kin.rs
+++ b/src/net/kin.rs
@@ -6,16 +6,24 @@
 
 use crate::net::Ctx;
 use crate::net::buffer::{Buffer, Filled};
+use crate::net::http;
 use crate::net::log::note;
 use crate::net::route_set::Update;
 use calicolb::api::Micros;
-use mio::net::{UnixListener, UnixStream};
+use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::VecDeque;
 use std::fs;
-use std::io;
+use std::io::{self, IoSlice, IoSliceMut, Read};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 
 /// The elder has this long to hand over. One that is dead or silent must not keep the heir from serving.
@@ -39,6 +47,8 @@
     News(String),
     /// What the module tells itself on the other side.
     Load(Vec<u8>),
+    /// A request that goes on at the heir. Its caller's connection comes along with this word.
+    Bequest(Box<Bequest>),
     /// An operator wants clients sent away (`true`), or welcomed again.
     Drain(bool),
 }
@@ -56,6 +66,17 @@
     pub drained: bool,
 }
 
+/// A request that an elder sent out and will not live to answer.
+#[derive(Serialize, Deserialize)]
+pub struct Bequest {
+    pub request: http::Request,
+    /// The next hop that took it, and when it was sent there.
+    pub hop: u32,
+    pub sent: Micros,
+    /// When its caller leaves.
+    pub expires: Micros,
+}
+
 /// Which of the two others is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -74,6 +95,26 @@
     token: usize,
     stream: UnixStream,
     buffer: Buffer,
+    /// Connections that have come along, in the order of their words.
+    passed: VecDeque<OwnedFd>,
+}
+
+/// Reads what comes on a link, and the descriptors that come along: a plain read would drop them.
+struct Mail<'a>(&'a UnixStream, &'a mut VecDeque<OwnedFd>);
+
+impl Read for Mail<'_> {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut along = RecvAncillaryBuffer::new(&mut space);
+        let mut into = [IoSliceMut::new(into)];
+        let got = recvmsg(self.0, &mut into, &mut along, RecvFlags::CMSG_CLOEXEC)?;
+        for message in along.drain() {
+            if let RecvAncillaryMessage::ScmRights(descriptors) = message {
+                self.1.extend(descriptors);
+            }
+        }
+        Ok(got.bytes)
+    }
 }
 
 /// See the head of this file.
@@ -153,7 +194,7 @@
         let mut words = Vec::new();
         let Some(link) = self.link(side) else { return (side, words, false) };
         let mut sound = link.buffer.flush(&mut link.stream).is_ok();
-        let filled = link.buffer.fill(&mut link.stream, LIMIT);
+        let filled = link.buffer.fill(&mut Mail(&link.stream, &mut link.passed), LIMIT);
         while let Some(end) = link.buffer.input().iter().position(|&byte| byte == b'\n') {
             match serde_json::from_slice(&link.buffer.input()[..end]) {
                 Ok(word) => words.push(word),
@@ -188,6 +229,37 @@
         }
     }
 
+    /// The next connection that came along with a word of this side.
+    pub fn passed(&mut self, side: Side) -> Option<TcpStream> {
+        let descriptor = self.link(side)?.passed.pop_front()?;
+        Some(TcpStream::from_std(descriptor.into()))
+    }
+
+    /// Leaves a request to the heir, with its caller's connection; tells whether that could be done.
+    pub fn bequeath(&mut self, stream: &TcpStream, bequest: Bequest) -> bool {
+        let Some(link) = &mut self.heir else { return false };
+        let Ok(mut line) = serde_json::to_vec(&Word::Bequest(Box::new(bequest))) else { return false };
+        line.push(b'\n');
+        // What waits goes first, or the connection would come along with another word.
+        if !matches!(link.buffer.flush(&mut link.stream), Ok(true)) {
+            return false;
+        }
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut along = SendAncillaryBuffer::new(&mut space);
+        let descriptors = [stream.as_fd()];
+        if !along.push(SendAncillaryMessage::ScmRights(&descriptors)) {
+            return false;
+        }
+        match sendmsg(&link.stream, &[IoSlice::new(&line)], &mut along, SendFlags::NOSIGNAL) {
+            Ok(sent) => {
+                link.buffer.put(&line[sent..]);
+                let _ = link.buffer.flush(&mut link.stream);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     fn link(&mut self, side: Side) -> Option<&mut Link> {
         match side {
             Side::Elder => self.elder.as_mut(),
@@ -209,7 +281,7 @@
 fn link(ctx: &mut Ctx<'_>, mut stream: UnixStream) -> Option<Link> {
     let token = ctx.next_token();
     match ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE) {
-        Ok(()) => Some(Link { token, stream, buffer: Buffer::default() }),
+        Ok(()) => Some(Link { token, stream, buffer: Buffer::default(), passed: VecDeque::new() }),
         Err(error) => {
             note!("watching the link to another process: {error}");
             None
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -10,7 +10,7 @@
 use crate::net::drain::{Drain, PARTING, Why};
 use crate::net::figures::Present;
 use crate::net::inherit;
-use crate::net::kin::{Handover, Kin, PATIENCE, Side, Word};
+use crate::net::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
 use crate::net::log::note;
 use crate::net::next_hop::{NextHops, Payload};
 use crate::net::peers::Peers;
@@ -39,6 +39,8 @@
 const KILL_PATIENCE: Micros = 3_000_000;
 /// What is taken after SIGTERM is answered this long before SIGKILL may come.
 const LAST_ANSWER: Micros = 200_000;
+/// What is still out this long before SIGKILL may come is left to the process that took over.
+const BEQUEATH: Micros = 600_000;
 /// The address for datagrams is tried again after this time, where another process may still have it.
 const PEERS_AGAIN: Micros = 100_000;
 /// Descriptors for the log, the poll, the listener, the signals, discovery and the like.
@@ -277,6 +279,21 @@
         }
     }
 
+    /// Leaves to the heir what would still be out when SIGKILL comes: long jobs that a next hop has taken. Their
+    /// call-backs come to the address that both share, so all that answering takes is the caller's connection.
+    fn bequeath(&mut self, now: Micros) {
+        let (mut ctx, parts) = self.split(now);
+        let left = ctx.desk.bequeath();
+        note!("{} requests are left to the next process", left.len());
+        for (caller, hop, sent, expires, request) in left {
+            let Some(stream) = parts.callers.release(&mut ctx, caller) else { continue };
+            let request = (*request).clone();
+            if !parts.kin.bequeath(&stream, Bequest { request, hop: hop.0, sent, expires }) {
+                note!("a request could not be left to the next process");
+            }
+        }
+    }
+
     /// Begins to serve, if that has not happened yet.
     fn begin(&mut self, now: Micros, handover: Option<Handover>) {
         if let Err(error) = self.start(now, handover) {
@@ -313,10 +330,18 @@
                 }
             }
             (Word::Load(body), Side::Elder) => self.desk.peer(self.rank, body),
+            (Word::Bequest(bequest), Side::Elder) => {
+                if let Some(stream) = self.kin.passed(Side::Elder) {
+                    let (mut ctx, parts) = self.split(now);
+                    parts.callers.adopt(&mut ctx, stream, *bequest);
+                }
+            }
             (Word::Drain(drained), Side::Heir) => self.heir_open = !drained,
             (Word::Drain(true), Side::Elder) => self.begin_drain(now, Why::Asked),
             (Word::Drain(false), Side::Elder) => drop(self.rejoin()),
-            (Word::Heir | Word::Handover(_) | Word::Load(_), _) => note!("the {side:?} said what it may not"),
+            (Word::Heir | Word::Handover(_) | Word::Load(_) | Word::Bequest(_), _) => {
+                note!("the {side:?} said what it may not")
+            }
         }
     }
 
@@ -497,6 +522,7 @@
                 note!("the elder says nothing");
                 self.begin(now, None);
             }
+            Due::Bequeath => self.bequeath(now),
             Due::PeersAgain => {
                 if let Err(error) = self.open_peers(now) {
                     note!("hearing schedulers: {error}");
@@ -571,6 +597,7 @@
         if why == Why::Ending && self.retired {
             // Callers were parted with when the heir took over.
             self.drain.part();
+            self.deadlines.set(Due::Bequeath, now + self.grace.saturating_sub(BEQUEATH));
         }
         self.kin.say(Side::Elder, &Word::Drain(true));
         if self.drain.begin(why) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -169,6 +169,22 @@
         self.ask_list(out); // at once: whatever the list has to tell will soon count as told
     }
 
+    /// Takes on a request that the other process has out at this worker, for good or ill.
+    fn adopt(&mut self, now: Micros, id: RequestId, worker: WorkerId, sent: Micros, out: &mut Vec<Action>) {
+        let (Some(&at), Some(request)) = (self.index.get(&worker), self.requests.get_mut(&id)) else {
+            self.close(id);
+            return out.push(Action::Fail(id));
+        };
+        request.attempts.push(Attempt { worker: at, sent, state: State::Out });
+        let (size, slots) = (request.size, request.slots);
+        let end = sent + self.run_time(at, size, now);
+        // When it started is not known, so its time tells nothing of its size.
+        self.workers[at].own.push(Own { request: id, slots, sent, start: sent, end, ..Own::default() });
+        // Told of as the other process's so far.
+        self.workers[at].peers.retain(|peer| peer.from != self.settings.rank);
+        self.tell_peers(now, at, out);
+    }
+
     // ---- Membership ------------------------------------------------------------------------------
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, out: &mut Vec<Action>) {
@@ -742,10 +758,7 @@
         let neighbours = (1..count).flat_map(|by| [range + by, range.wrapping_sub(by)]);
         let homes = std::iter::once(range).chain(neighbours.filter(|&nr| nr < count));
         let homes = homes.flat_map(|nr| map.ranges[nr].home.iter());
-        for &at in homes {
-            if !self.usable(at, now, request) {
-                continue;
-            }
+        for &at in homes.filter(|&&at| self.usable(at, now, request)) {
             if let Some((start, end)) = self.demand(at, now, id, &mut scratch) {
                 if start <= now {
                     return Some((at, start, end));
@@ -841,28 +854,24 @@
             map.sizes.pop_front();
         }
         map.fresh += 1;
-        if map.fresh * 2 >= map.sizes.len().max(RANGE_SIZES * 2) {
-            self.maps_stale = true;
-        }
-        self.requests.insert(
-            arrival.request,
-            Request {
-                class,
-                slots,
-                hint: arrival.hint,
-                size,
-                expires: arrival.expires,
-                deadline,
-                order,
-                late: false,
-                yields: over,
-                doubt,
-                attempts: Vec::new(),
-                done: false,
-                held: false,
-                planned: None,
-            },
-        );
+        self.maps_stale |= map.fresh * 2 >= map.sizes.len().max(RANGE_SIZES * 2);
+        let (hint, expires, yields) = (arrival.hint, arrival.expires, over);
+        let request = Request {
+            class,
+            slots,
+            hint,
+            size,
+            expires,
+            deadline,
+            order,
+            yields,
+            doubt,
+            ..Request::default()
+        };
+        self.requests.insert(arrival.request, request);
+        if let Some((worker, sent)) = arrival.out {
+            return self.adopt(now, arrival.request, worker, sent, out);
+        }
         self.spill_from = self.spill_from.wrapping_add(SPILL);
         self.hold(arrival.request);
         let mut wake = Micros::MAX;
@@ -888,22 +897,19 @@
     }
 
     fn hold(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.held && !request.done {
-            request.held = true;
-            self.held.insert((request.order, id));
-            self.expiries.insert((request.expires, id));
-        }
+        let free = |request: &&mut Request| !request.held && !request.done;
+        let Some(request) = self.requests.get_mut(&id).filter(free) else { return };
+        request.held = true;
+        self.held.insert((request.order, id));
+        self.expiries.insert((request.expires, id));
     }
 
     fn unhold(&mut self, id: RequestId) {
         self.plan(id, None);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.held {
-            request.held = false;
-            self.held.remove(&(request.order, id));
-            self.expiries.remove(&(request.expires, id));
-        }
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.held) else { return };
+        request.held = false;
+        self.held.remove(&(request.order, id));
+        self.expiries.remove(&(request.expires, id));
     }
 
     fn plan(&mut self, id: RequestId, at: Option<usize>) {
@@ -1089,10 +1095,7 @@
     /// failure.
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         self.unhold(id);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.done {
-            return;
-        }
+        let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
         request.done = true;
         let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
         let effect = self.settings.classes[request.class].effect;
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,7 @@
 }
 
 /// An attempt of this dispatcher that occupies lanes of a worker.
+#[derive(Default)]
 pub(crate) struct Own {
     pub(crate) request: RequestId,
     pub(crate) attempt: u32,
@@ -187,6 +188,7 @@
     pub(crate) state: State,
 }
 
+#[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
     pub(crate) slots: usize,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -295,7 +295,18 @@
     let (Some(request), Some(class), Some(expires)) = (request, class, expires) else {
         return bad("ARRIVAL: 'txn', 'qos' or 'expires_us' is missing");
     };
-    Ok(Arrival { request, class, tenant, hint, expires, slots: slots.ceil() as u32, memory, key, retry })
+    Ok(Arrival {
+        request,
+        class,
+        tenant,
+        hint,
+        expires,
+        slots: slots.ceil() as u32,
+        memory,
+        key,
+        retry,
+        out: None,
+    })
 }
 
 /// FNV-1a: the same number for the same text in every process.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,7 @@
         memory: 0.0,
         key: None,
         retry: false,
+        out: None,
     }
 }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -571,3 +571,27 @@
         "#,
     );
 }
+
+#[test]
+fn what_the_elder_will_not_live_to_answer_is_answered_by_the_heir() {
+    // A job that runs for longer than the elder has: its caller and its call-backs go on with the heir.
+    play_passed(
+        1,
+        r#"
+        send c1 POST /book Request-Id:a1 Request-Timeout:20
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        start heir
+        send elder TERM
+        wait elder
+        expect program the Elder has gone
+        send c2 POST /look Request-Id:a1 Request-Timeout:20
+        expect c2 409
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send c1 POST /look Request-Id:a2 Request-Timeout:20
+        expect h1.2 POST /look Request-Id:a2
+        "#,
+    );
+}
