Let more schedulers of a crowd share what a cold worker may be sent

A log of endings by worker shows 25 to 34 jobs of 1.6 to 3.7 s each on four old workers in 4 s, and 0 to 4 on the seven that had just started. Ruled out: the list (48 watches open again within 5 s of the restart, changes come), discovery (one call lost for each restart). rules.rs, cold_budget: of 48 schedulers with a job a second each, one alone might send to a cold worker. The total stays bounded as it was, each keeps to its part.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1057,8 +1057,8 @@
         let power = self.lanes(at) as f64 * self.speed(at);
         let window = rules.fall_window as f64;
         let budget = COLD_SHARE * rules.fall_multiple * self.warmth(at, now) * power * window;
-        let usual = (self.know.work_rate / SECOND as f64 * window).max(self.know.mean_time * 2.0);
-        let wardens = (budget / (2.0 * usual)).floor().clamp(1.0, f64::from(self.settings.instances));
+        let usual = (self.know.work_rate / SECOND as f64 * window).max(self.know.mean_time);
+        let wardens = (budget / usual).floor().clamp(1.0, f64::from(self.settings.instances));
         let draw =
             mix(u64::from(worker.id.0), worker.started.unwrap_or(0)) % u64::from(self.settings.instances);
         let place = (draw + u64::from(self.settings.rank)) % u64::from(self.settings.instances);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -603,3 +603,28 @@
     bench.outcome(1, 0, WorkerId(11), Ending::Cancelled);
     assert!(bench.tell(Event::Lapsed(RequestId(1))).is_empty());
 }
+
+#[test]
+fn many_dispatchers_share_what_a_cold_worker_may_be_sent_and_keep_to_it_together() {
+    // Each of them has little to send: were it one alone that may, the worker would stay idle while it is cold.
+    let mut settings = settings();
+    (settings.instances, settings.rules.start_capacity, settings.rules.fall_multiple) = (48, 0.9, 6.0);
+    let (mut senders, mut work) = (0, 0);
+    for rank in 0..48 {
+        settings.rank = rank;
+        let mut bench = Bench::new(settings.clone());
+        let started = Some(bench.now);
+        bench.members(ListKind::Saved, vec![Member { started, ..member(11) }]);
+        let mut sent = 0;
+        for nr in 0..40 {
+            sent += sends(&bench.arrive(nr, 0, 100 * MS)).len();
+            bench.outcome(nr, 0, WorkerId(11), Ending::Full);
+            bench.report(nr, 0, WorkerId(11), Ending::Full, false, Some(1.0));
+        }
+        senders += usize::from(sent > 0);
+        work += sent * 100;
+    }
+    assert!(senders >= 2, "{senders} send");
+    // What it can do in the window, in milliseconds, with the multiple that it bears.
+    assert!(work <= 5400, "{work} ms in a second");
+}
