--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -216,12 +216,8 @@
     fn share_out(&mut self, now: Micros) {
         let sockets = self.sockets / if self.kin.any() { 2 } else { 1 };
         let own = OWN_SOCKETS + if self.door.is_some() { CALLS } else { 0 };
-        // A third of the descriptors is kept for next hops: however many callers come, work can be placed.
-        let usable = sockets.saturating_sub(own).max(8);
-        let to_hops = usable / 3;
-        let to_callers = usable - to_hops;
-        // Requests in work hold a leg each. Some are left for call-backs: without these no work would end.
-        let most_open = self.most_open.min(to_callers * 9 / 10);
+        let (to_callers, to_hops, most_open) = shares(sockets, own);
+        let most_open = most_open.min(self.most_open);
         let (mut ctx, parts) = self.split(now);
         ctx.desk.limit(most_open);
         parts.callers.limit(&mut ctx, to_callers);
@@ -621,6 +617,18 @@
     }
 }
 
+/// How many descriptors of these may go to callers and to next hops, beside the program's own, and how many
+/// requests may be open.
+fn shares(sockets: usize, own: usize) -> (usize, usize, usize) {
+    // A third is kept for next hops: however many callers come, work can be placed.
+    let usable = sockets.saturating_sub(own).max(8);
+    let to_hops = usable / 3;
+    let to_callers = usable - to_hops;
+    // Requests in work hold a leg each, a third of all descriptors at most: the rest of the legs is for
+    // call-backs, without which no work would end, and for callers at rest.
+    (to_callers, to_hops, (sockets / 3).min(to_callers * 9 / 10))
+}
+
 struct Parts<'a> {
     callers: &'a mut Callers,
     hops: &'a mut NextHops,
@@ -630,3 +638,19 @@
     drain: &'a mut Drain,
     kin: &'a mut Kin,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_descriptors_suffice_and_requests_hold_a_third_at_most() {
+        for sockets in [64, 128, 192, 256, 384, 1024] {
+            let own = OWN_SOCKETS + CALLS;
+            let (to_callers, to_hops, most_open) = shares(sockets, own);
+            assert!(own + to_callers + to_hops <= sockets, "{sockets}");
+            assert!(most_open <= sockets / 3 && most_open < to_callers, "{sockets}");
+            assert!(most_open > 0 && to_hops > 0, "{sockets}");
+        }
+    }
+}
