--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -38,7 +38,8 @@
 
 pub struct World {
     program: Child,
-    elder: Option<Child>,
+    /// Those started before it, the last one last.
+    elders: Vec<Child>,
     log: Receiver<String>,
     heard: Vec<String>,
     at: SocketAddr,
@@ -131,7 +132,7 @@
         let conns = HashMap::new();
         let mut world = World {
             program,
-            elder: None,
+            elders: Vec::new(),
             log,
             heard: Vec::new(),
             at: nowhere,
@@ -175,7 +176,7 @@
         if who == "program" {
             Ok(&mut self.program)
         } else {
-            self.elder.as_mut().ok_or("no elder".to_owned())
+            self.elders.last_mut().ok_or("no elder".to_owned())
         }
     }
 
@@ -216,7 +217,7 @@
             }
             ("start", "heir") => {
                 let (program, log) = run(&self.file, 1024, self.passed.as_ref());
-                self.elder = Some(std::mem::replace(&mut self.program, program));
+                self.elders.push(std::mem::replace(&mut self.program, program));
                 // The old one goes on logging to nobody: it must not stop for that.
                 let old = std::mem::replace(&mut self.log, log);
                 thread::spawn(move || old.iter().for_each(drop));
@@ -275,7 +276,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        for process in [Some(&mut self.program), self.elder.as_mut()].into_iter().flatten() {
+        for process in self.elders.iter_mut().chain([&mut self.program]) {
             let _ = process.kill();
             let _ = process.wait();
         }
