Lose nothing when both processes of an upgrade are told to end

With that mended one was left: a bequest whose word came in the same read as the elder's end lost its connection, for kin.rs kept that with the link, which was cut first. Ruled out: the parting with connections at rest; SIGKILL, which was due later. turn.rs (done, bereave): the heir waits for what the elder has out, an elder whose heir has gone listens again also near its own end, and a second SIGTERM moves nothing.

--- a/src/net/desk.rs
+++ b/src/net/desk.rs
@@ -425,6 +425,11 @@
         }
     }
 
+    /// Requests are open at the other process.
+    pub fn any_elsewhere(&self) -> bool {
+        !self.elsewhere.is_empty()
+    }
+
     /// There is no other process any more.
     pub fn alone(&mut self) {
         self.elsewhere.clear();
--- a/src/net/kin.rs
+++ b/src/net/kin.rs
@@ -95,8 +95,6 @@
     token: usize,
     stream: UnixStream,
     buffer: Buffer,
-    /// Connections that have come along, in the order of their words.
-    passed: VecDeque<OwnedFd>,
 }
 
 /// Reads what comes on a link, and the descriptors that come along: a plain read would drop them.
@@ -124,6 +122,9 @@
     listener: Option<UnixListener>,
     elder: Option<Link>,
     heir: Option<Link>,
+    /// Connections that have come along, in the order of their words. Kept apart from the link: its last words may
+    /// come together with its end.
+    passed: VecDeque<OwnedFd>,
 }
 
 impl Kin {
@@ -192,9 +193,10 @@
             Side::Heir
         };
         let mut words = Vec::new();
-        let Some(link) = self.link(side) else { return (side, words, false) };
+        let link = if side == Side::Elder { &mut self.elder } else { &mut self.heir };
+        let Some(link) = link else { return (side, words, false) };
         let mut sound = link.buffer.flush(&mut link.stream).is_ok();
-        let filled = link.buffer.fill(&mut Mail(&link.stream, &mut link.passed), LIMIT);
+        let filled = link.buffer.fill(&mut Mail(&link.stream, &mut self.passed), LIMIT);
         while let Some(end) = link.buffer.input().iter().position(|&byte| byte == b'\n') {
             match serde_json::from_slice(&link.buffer.input()[..end]) {
                 Ok(word) => words.push(word),
@@ -229,9 +231,9 @@
         }
     }
 
-    /// The next connection that came along with a word of this side.
-    pub fn passed(&mut self, side: Side) -> Option<TcpStream> {
-        let descriptor = self.link(side)?.passed.pop_front()?;
+    /// The next connection that came along with a word.
+    pub fn passed(&mut self) -> Option<TcpStream> {
+        let descriptor = self.passed.pop_front()?;
         Some(TcpStream::from_std(descriptor.into()))
     }
 
@@ -281,7 +283,7 @@
 fn link(ctx: &mut Ctx<'_>, mut stream: UnixStream) -> Option<Link> {
     let token = ctx.next_token();
     match ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE) {
-        Ok(()) => Some(Link { token, stream, buffer: Buffer::default(), passed: VecDeque::new() }),
+        Ok(()) => Some(Link { token, stream, buffer: Buffer::default() }),
         Err(error) => {
             note!("watching the link to another process: {error}");
             None
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -257,7 +257,8 @@
         self.share_out(now);
         match side {
             Side::Elder => self.begin(now, None),
-            Side::Heir if self.retired && !self.drain.ending() => {
+            // Also near its own end: call-backs for what is still out would reach nobody.
+            Side::Heir if self.retired => {
                 self.retired = false;
                 let opened = self.open_peers(now);
                 let (mut ctx, parts) = self.split(now);
@@ -327,7 +328,7 @@
             }
             (Word::Load(body), Side::Elder) => self.desk.peer(self.rank, body),
             (Word::Bequest(bequest), Side::Elder) => {
-                if let Some(stream) = self.kin.passed(Side::Elder) {
+                if let Some(stream) = self.kin.passed() {
                     let (mut ctx, parts) = self.split(now);
                     parts.callers.adopt(&mut ctx, stream, *bequest);
                 }
@@ -389,7 +390,11 @@
     }
 
     fn done(&self) -> bool {
-        self.drain.last() && self.desk.owed() == 0 && self.callers.at_rest()
+        // What the elder still has out needs its call-backs, and they come to whoever listens: here.
+        self.drain.last()
+            && self.desk.owed() == 0
+            && self.callers.at_rest()
+            && (self.retired || !self.desk.any_elsewhere())
     }
 
     fn split(&mut self, now: Micros) -> (Ctx<'_>, Parts<'_>) {
@@ -590,7 +595,7 @@
             note!("SIGTERM: {} requests are open", self.desk.owed());
             self.desk.stop(now + self.grace.saturating_sub(LAST_ANSWER));
         }
-        if why == Why::Ending && self.retired {
+        if why == Why::Ending && self.retired && !self.drain.ending() {
             // Callers were parted with when the heir took over.
             self.drain.part();
             self.deadlines.set(Due::Bequeath, now + self.grace.saturating_sub(BEQUEATH));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -595,3 +595,29 @@
         "#,
     );
 }
+
+#[test]
+fn an_heir_that_ends_too_waits_for_what_the_elder_still_has_out() {
+    // Both get SIGTERM: the elder's call-backs come to the heir, which has nothing left to do itself.
+    play_passed(
+        1,
+        r#"
+        send c1 POST /book Request-Id:a1 Request-Timeout:20
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        start heir
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
+        expect n1 200
+        send c2 GET /up
+        expect c2 200
+        send elder TERM
+        send program TERM
+        wait c2
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        wait elder
+        wait program
+        "#,
+    );
+}
