--- a/src/api.rs
+++ b/src/api.rs
@@ -19,13 +19,16 @@
 pub struct WorkerId(pub u32);
 
 /// Index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct ClassIx(pub usize);
 
 /// Index into [`Settings::tenants`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TenantIx(pub usize);
 
+/// How many skills there can be: each is a bit of [`Member::refuses`].
+pub const SKILLS: usize = u64::BITS as usize;
+
 /// A zone, numbered from 0 by the host.
 #[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct ZoneIx(pub usize);
@@ -84,6 +87,8 @@
     pub kind: Option<KindIx>,
     /// Priority in the workers' own queues, where they have one.
     pub priority: i64,
+    /// Slots that a job takes where it does not say.
+    pub slots: u32,
 }
 
 /// One tenant's agreed share.
@@ -230,7 +235,7 @@
 }
 
 /// One line of the worker list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Member {
     /// The worker.
     pub worker: WorkerId,
@@ -246,6 +251,10 @@
     pub weight: f64,
     /// When its process started, if lately.
     pub started: Option<Micros>,
+    /// How many jobs it runs at once, where that is known exactly and nobody else sends to it.
+    pub lanes: Option<u32>,
+    /// What it cannot do or does not take: a bit for each skill (see [`Arrival::skill`]).
+    pub refuses: u64,
 }
 
 /// What a list event brings.
@@ -262,7 +271,7 @@
 }
 
 /// A request as it arrives.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Arrival {
     /// The request.
     pub request: RequestId,
@@ -282,6 +291,8 @@
     pub key: Option<u64>,
     /// The client has tried before.
     pub retry: bool,
+    /// What a worker must be able to do for it, below [`SKILLS`].
+    pub skill: u32,
     /// Another process of this dispatcher sent it to this worker, at this time, and hands it on: attempt 0.
     pub out: Option<(WorkerId, Micros)>,
 }
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,121 @@
+//! The configuration: the one place where anything is read, checked and given defaults, from the platform's JSON and
+//! variables or from an operator file. Every message names the key at fault.
+
+pub mod operator;
+mod platform;
+mod sheet;
+
+use crate::net::platform::route_set::Update;
+use calicolb::api::{ClassIx, KindIx, Member, Micros, Settings, ZoneIx};
+use calicolb::wire::Names;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Descriptors that the program needs at least.
+pub const LEAST_SOCKETS: u64 = 64;
+/// The name under which two processes on one socket meet, in `$TMPDIR`.
+const MEETING: &str = "calicolb.sock";
+const DEFAULT_SOCKETS: u64 = 1_024;
+const DEFAULT_CONN_IDLE: Micros = 5_000_000;
+const DEFAULT_MOST_OPEN: u64 = 20_000;
+
+/// What the schedulers' messages to each other need.
+pub struct PeerConfig {
+    /// Where they arrive.
+    pub listen: SocketAddr,
+    /// One address for each scheduler, by rank.
+    pub each: Vec<SocketAddr>,
+    /// The address that reaches all of them.
+    pub all: Option<SocketAddr>,
+}
+
+/// A next hop that speaks HTTP and is at a fixed address.
+pub struct Fixed {
+    /// What the module is told of it.
+    pub member: Member,
+    /// Its address.
+    pub dial: SocketAddr,
+}
+
+/// A class as a submission of some priority gets it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grade {
+    /// The class.
+    pub class: ClassIx,
+    /// How long a caller waits over all tries.
+    pub patience: Micros,
+}
+
+/// A Gearman function.
+#[derive(Clone, Debug)]
+pub struct Function {
+    /// Its name.
+    pub name: String,
+    /// What a worker must be able to do for it.
+    pub skill: u32,
+    /// What its jobs are by priority: low, normal, high.
+    pub grades: [Grade; 3],
+    /// How long a background job may take over all tries.
+    pub background: Micros,
+    /// Its workers take the HTTP jobs of its class as well.
+    pub takes_http: bool,
+}
+
+/// What the Gearman side is told.
+#[derive(Clone, Debug)]
+pub struct GearmanConfig {
+    /// Where clients and workers connect.
+    pub listen: SocketAddr,
+    /// The functions, in the order of their skills.
+    pub functions: Vec<Function>,
+    /// The names of the classes: what an HTTP next hop knows a job by.
+    pub classes: Vec<String>,
+    /// The zone of workers that connect here.
+    pub zone: ZoneIx,
+    /// Their kind of machine.
+    pub kind: KindIx,
+    /// Admin commands that change something are carried out.
+    pub admin: bool,
+    /// How many ends of background jobs are remembered.
+    pub ends: usize,
+    /// The largest workload, in bytes.
+    pub workload: usize,
+    /// What handles begin with.
+    pub name: String,
+}
+
+/// All that the program is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect, and next hops with their call-backs.
+    pub listen: SocketAddr,
+    /// Where discovery is, if there is any.
+    pub discovery: Option<SocketAddr>,
+    /// Where operators call, if they may.
+    pub mgmt: Option<SocketAddr>,
+    /// The descriptor under which the platform passed the clients' socket, if it did.
+    pub passed: Option<i32>,
+    /// Where two processes that share that socket meet.
+    pub meeting: Option<PathBuf>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where other schedulers are, if there may be messages between them.
+    pub peers: Option<PeerConfig>,
+    /// The list of next hops as last known.
+    pub known: Option<Update>,
+    /// Next hops at fixed addresses.
+    pub fixed: Vec<Fixed>,
+    /// The Gearman side, if there is one.
+    pub gearman: Option<GearmanConfig>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' indices.
+    pub names: Names,
+    /// When a next hop closes an idle connection.
+    pub conn_idle: Micros,
+    /// Requests that may be open at once.
+    pub most_open: usize,
+}
--- a/src/config.rs
+++ b/src/config/platform.rs
@@ -1,54 +1,9 @@
-//! The configuration: the one place where the environment and the JSON file are read, checked and given
-//! defaults. Every message names the key at fault.
+//! The platform's form: a JSON file and variables that may stand in for some of its keys.
 
-use crate::net::Update;
-use calicolb::api::{Micros, Settings};
-use calicolb::wire::{self, Names};
+use super::*;
+use calicolb::wire;
 use serde_json::{Map, Value};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-
-/// What the schedulers' messages to each other need.
-pub struct PeerConfig {
-    /// Where they arrive.
-    pub listen: SocketAddr,
-    /// One address for each scheduler, by rank.
-    pub each: Vec<SocketAddr>,
-    /// The address that reaches all of them.
-    pub all: Option<SocketAddr>,
-}
-
-/// All that the program is told.
-pub struct Config {
-    /// Its name.
-    pub name: String,
-    /// Where clients connect, and next hops with their call-backs.
-    pub listen: SocketAddr,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
-    /// Where operators call, if they may.
-    pub mgmt: Option<SocketAddr>,
-    /// The descriptor under which the platform passed the clients' socket, if it did.
-    pub passed: Option<i32>,
-    /// Where two processes that share that socket meet.
-    pub meeting: Option<PathBuf>,
-    /// For random numbers.
-    pub seed: u64,
-    /// Descriptors that the process may hold.
-    pub sockets: usize,
-    /// Where other schedulers are, if there may be messages between them.
-    pub peers: Option<PeerConfig>,
-    /// The list of next hops as last known.
-    pub known: Option<Update>,
-    /// The module's settings.
-    pub settings: Settings,
-    /// The names behind the settings' indices.
-    pub names: Names,
-    /// When a next hop closes an idle connection.
-    pub conn_idle: Micros,
-    /// Requests that may be open at once.
-    pub most_open: usize,
-}
+use std::path::Path;
 
 /// Which of a key and the variable in its place counts where both are there.
 #[derive(Clone, Copy, PartialEq)]
@@ -57,12 +12,6 @@
     File,
 }
 
-/// The name under which they meet, in `$TMPDIR`.
-const MEETING: &str = "calicolb.sock";
-const DEFAULT_SOCKETS: u64 = 1_024;
-const DEFAULT_CONN_IDLE: Micros = 5_000_000;
-const DEFAULT_MOST_OPEN: u64 = 20_000;
-
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names, and the variables that may stand in for its keys.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
@@ -130,13 +79,13 @@
             Some(limits) => limits.whole("sockets")?.unwrap_or(DEFAULT_SOCKETS),
             None => DEFAULT_SOCKETS,
         };
-        if sockets < 64 {
-            return Err(format!("'limits.sockets' is {sockets}: the program needs 64 at least"));
+        if sockets < LEAST_SOCKETS {
+            return Err(format!("'limits.sockets' is {sockets}: the program needs {LEAST_SOCKETS} at least"));
         }
         Ok(Config {
             name: told("name", "RELAY_NAME")?.map_or_else(|| "calicolb".to_owned(), |found| found.1),
             listen: place("listen", "RELAY_LISTEN")?,
-            discovery: place("discovery", "RELAY_DISCOVERY")?,
+            discovery: Some(place("discovery", "RELAY_DISCOVERY")?),
             mgmt,
             // A process that cannot share the clients' socket has nobody to meet.
             meeting: env("TMPDIR").filter(|_| passed.is_some()).map(|dir| Path::new(&dir).join(MEETING)),
@@ -145,6 +94,8 @@
             sockets: sockets as usize,
             peers: peers(&root, &module)?,
             known,
+            fixed: Vec::new(),
+            gearman: None,
             conn_idle: ceiling("conn_idle_us", DEFAULT_CONN_IDLE)?,
             most_open: ceiling("max_open", DEFAULT_MOST_OPEN)? as usize,
             settings: module,
@@ -229,6 +180,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::path::PathBuf;
 
     const SOUND: &str = r#"{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500",
         "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":900},
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,19 +1,62 @@
 //! The scheduler: starts, and wires the parts together.
 
+mod cli;
 mod config;
+mod log;
 mod net;
 
+use clap::Parser;
+use cli::{Cli, Command, Serve};
+use config::Config;
+use config::operator::Addresses;
 use std::process::ExitCode;
+use tracing::Level;
+
+/// The exit code for a configuration or a command line that cannot be used.
+const UNUSABLE: u8 = 2;
 
 fn main() -> ExitCode {
-    let config = match config::Config::load(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
-        Err(message) => {
-            eprintln!("calicolb: configuration: {message}");
-            return ExitCode::from(2);
-        }
+    match Cli::parse().command {
+        None => serve(&Serve::default()),
+        Some(Command::Serve(how)) => serve(&how),
+        Some(Command::Check { operator }) => match Config::operator(&operator, Addresses::default()) {
+            Ok(config) => {
+                println!(
+                    "{} is sound: {} classes, {} functions, {} HTTP workers",
+                    operator.display(),
+                    config.names.classes().count(),
+                    config.gearman.map_or(0, |gearman| gearman.functions.len()),
+                    config.fixed.len()
+                );
+                ExitCode::SUCCESS
+            }
+            Err(report) => unusable(&report),
+        },
+    }
+}
+
+fn unusable(report: &miette::Report) -> ExitCode {
+    eprintln!("{report:?}");
+    ExitCode::from(UNUSABLE)
+}
+
+fn serve(how: &Serve) -> ExitCode {
+    let config = match &how.operator {
+        Some(path) => match Config::operator(path, how.addresses()) {
+            Ok(config) => config,
+            Err(report) => return unusable(&report),
+        },
+        None => match Config::load(|name| std::env::var(name).ok()) {
+            Ok(config) => config,
+            Err(message) => {
+                eprintln!("calicolb: configuration: {message}");
+                eprintln!("calicolb: without RELAY_CONFIG, start it with: serve --operator FILE");
+                return ExitCode::from(UNUSABLE);
+            }
+        },
     };
-    net::inherit::announce(config.passed, |name| std::env::var_os(name));
+    log::start(how.log_format, how.log_level.unwrap_or(Level::INFO));
+    net::platform::inherit::announce(config.passed, |name| std::env::var_os(name));
     let (name, listen) = (config.name.clone(), config.listen);
     match net::turn::Turn::new(config).and_then(net::turn::Turn::run) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -11,16 +11,8 @@
     Timer(u64, u64),
     /// The time of a branch is up: request and attempt.
     Branch(u32, u32),
-    /// A connection to a next hop has not come up, or its answer has not come.
-    Link(usize),
-    /// An idle connection to a next hop is to be closed.
-    LinkIdle(usize),
-    /// A caller leg has been idle, or in the middle of a request, for too long.
-    Leg(usize),
-    /// A caller leg has more to read than was one turn's share.
-    LegMore(usize),
-    /// Accepting goes on, after a turn's share of it, or after descriptors ran out.
-    Accept,
+    /// A time that a protocol set for one of its connections or listeners.
+    Conn(usize, Alarm),
     /// Datagrams are left from the last turn.
     Peers,
     /// The one-off call to discovery has waited too long.
@@ -41,6 +33,19 @@
     Farewell,
 }
 
+/// What a protocol set a time for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Alarm {
+    /// Something is owed on the connection, and has not come.
+    Late,
+    /// The connection has rested long enough.
+    Rested,
+    /// There is more to read than was one turn's share.
+    More,
+    /// Accepting goes on, after a turn's share of it, or after descriptors ran out.
+    Accept,
+}
+
 /// Deadlines by time. One that is set again moves; one that is cleared is gone, so the set stays as small as
 /// what it speaks of.
 #[derive(Default)]
@@ -89,15 +94,15 @@
     #[test]
     fn deadlines_come_in_order_move_and_go() {
         let mut deadlines = Deadlines::default();
-        deadlines.set(Due::Link(1), 50);
-        deadlines.set(Due::Accept, 20);
-        deadlines.set(Due::Link(1), 10);
+        deadlines.set(Due::Conn(1, Alarm::Late), 50);
+        deadlines.set(Due::Conn(2, Alarm::Accept), 20);
+        deadlines.set(Due::Conn(1, Alarm::Late), 10);
         deadlines.set(Due::Fetch, 5);
         deadlines.clear(Due::Fetch);
         assert_eq!(deadlines.timeout(4), Some(Duration::from_micros(6)));
         assert_eq!(deadlines.next_due(9), None);
-        assert_eq!(deadlines.next_due(60), Some(Due::Link(1)));
-        assert_eq!(deadlines.next_due(60), Some(Due::Accept));
+        assert_eq!(deadlines.next_due(60), Some(Due::Conn(1, Alarm::Late)));
+        assert_eq!(deadlines.next_due(60), Some(Due::Conn(2, Alarm::Accept)));
         assert_eq!(deadlines.next_due(60), None);
         assert_eq!(deadlines.timeout(60), None);
     }
--- a/src/net/desk.rs
+++ b/src/net/core/desk.rs
@@ -1,10 +1,11 @@
 //! The desk: the table of requests and their branches. It turns facts into the module's events and the
-//! module's actions into work. It knows no HTTP and no sockets, so that another protocol can be put before
-//! the same decisions; and it decides nothing itself.
+//! module's actions into work. It knows no protocol and no sockets, so that all stand before the same decisions;
+//! and it decides nothing itself.
 
-use crate::net::deadlines::{Deadlines, Due};
-use crate::net::figures::Figures;
-use crate::net::log::note;
+use crate::log::note;
+use crate::net::core::deadlines::{Deadlines, Due};
+use crate::net::core::figures::Figures;
+use crate::net::core::roster::{Roster, Source};
 use calicolb::api::*;
 use calicolb::rules::Dispatcher;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -30,13 +31,43 @@
     pub tenant: Option<TenantIx>,
     pub hint: Option<f64>,
     pub patience: Micros,
-    pub slots: u32,
+    /// Slots that it takes; `None`: as many as its class says.
+    pub slots: Option<u32>,
     pub memory: f64,
     pub key: Option<u64>,
     pub retry: bool,
+    /// What a next hop must be able to do for it.
+    pub skill: u32,
+    /// What its caller is told before the end.
+    pub hears: Hears,
     pub payload: P,
 }
 
+/// What a caller is told of a request before the end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Hears {
+    /// Nothing: its protocol has no words for it.
+    #[default]
+    Nothing,
+    /// How far it is.
+    Progress,
+    /// All, parts of the result too. Once it has one, the request cannot be sent again.
+    All,
+}
+
+/// What a next hop tells of a branch on the way to its end.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// A part of the result.
+    Data(Vec<u8>),
+    /// The same, of a kind that worries.
+    Warning(Vec<u8>),
+    /// So much is done, of so much.
+    Progress(u64, u64),
+    /// Why it is about to fail. Told with the end, if that is a failure.
+    Exception(Vec<u8>),
+}
+
 /// Why a request is not taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unfit {
@@ -54,6 +85,16 @@
     Failed,
 }
 
+impl Answer {
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Busy { .. } => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// What is told of a branch, apart from the connection that it went out on.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
@@ -65,6 +106,10 @@
 /// What is to be done.
 #[derive(Debug, PartialEq)]
 pub enum Work<P> {
+    Relay {
+        caller: CallerId,
+        part: Part,
+    },
     Answer {
         caller: CallerId,
         answer: Answer,
@@ -111,12 +156,17 @@
     payload: P,
     /// The final answer is given, or nobody waits for it any more.
     concluded: bool,
+    hears: Hears,
+    /// Its caller has a part of the result: it is not sent again, and the module has done with it.
+    streaming: bool,
     branches: Vec<Branch>,
 }
 
 /// See the head of this file.
 pub struct Desk<P> {
     dispatcher: Dispatcher,
+    /// Slots that a job takes by its class.
+    slots: Vec<u32>,
     most_open: usize,
     most_tries: u32,
     entries: HashMap<u32, Entry<P>>,
@@ -131,6 +181,7 @@
     /// Requests whose records may go, once the module has answered the batch that says so.
     closing: Vec<u32>,
     figures: Figures,
+    roster: Roster,
     /// Names that are open at the other process of this scheduler.
     elsewhere: HashSet<String>,
     /// Names that were opened (`true`) and closed here, while there is somebody to be told.
@@ -141,8 +192,10 @@
     pub fn new(settings: Settings, seed: u64, now: Micros, most_open: usize) -> Self {
         Desk {
             most_tries: settings.limits.tries,
+            slots: settings.classes.iter().map(|class| class.slots).collect(),
             figures: Figures::new(settings.classes.len()),
             dispatcher: Dispatcher::new(settings, seed, now),
+            roster: Roster::default(),
             most_open,
             entries: HashMap::new(),
             names: HashMap::new(),
@@ -160,8 +213,8 @@
 
     // ---- Facts -----------------------------------------------------------------------------------
 
-    /// A request has come in whole.
-    pub fn arrive(&mut self, now: Micros, caller: CallerId, job: Job<P>) -> Result<(), Unfit> {
+    /// A request has come in whole. Gives its number.
+    pub fn arrive(&mut self, now: Micros, caller: CallerId, job: Job<P>) -> Result<u32, Unfit> {
         if self.names.contains_key(&job.name) || self.elsewhere.contains(&job.name) {
             return Err(Unfit::Repeated);
         }
@@ -169,8 +222,7 @@
             self.figures.of(job.class).refused += 1;
             return Err(Unfit::TooMany);
         }
-        self.enter(now, caller, job, None);
-        Ok(())
+        Ok(self.enter(now, caller, job, None))
     }
 
     /// A request that the other process of this scheduler has out at a next hop goes on here, and its caller
@@ -233,6 +285,8 @@
             expires,
             payload: job.payload,
             concluded: false,
+            hears: job.hears,
+            streaming: false,
             branches: Vec::new(),
         };
         self.entries.insert(number, entry);
@@ -242,10 +296,11 @@
             tenant: job.tenant,
             hint: job.hint,
             expires,
-            slots: job.slots,
+            slots: job.slots.unwrap_or(self.slots[job.class.0]),
             memory: job.memory,
             key: job.key,
             retry: job.retry,
+            skill: job.skill,
             out,
         }));
         number
@@ -267,6 +322,13 @@
         self.closing.push(number);
     }
 
+    /// A caller is told more of its request from now on.
+    pub fn hear(&mut self, caller: CallerId, hears: Hears) {
+        if let Some(entry) = self.callers.get(&caller).and_then(|number| self.entries.get_mut(number)) {
+            entry.hears = hears;
+        }
+    }
+
     /// The last byte of a branch has been written.
     pub fn written(&mut self, id: BranchId) {
         let Some(branch) = self.branch(id) else { return };
@@ -291,6 +353,45 @@
         }
     }
 
+    /// The job has started, or gone on.
+    pub fn note(&mut self, id: BranchId, note: Note) {
+        if self.branch(id).is_some() {
+            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.attempt, note });
+        }
+    }
+
+    /// A next hop has told a part of what comes. Gives back a part of the result that the caller cannot be told yet:
+    /// whoever drives the next hop keeps it for the end.
+    pub fn part(&mut self, id: BranchId, part: Part) -> Option<Part> {
+        self.branch(id)?;
+        let entry = self.entries.get_mut(&id.request)?;
+        let (request, attempt) = (RequestId(id.request), id.attempt);
+        let result = matches!(part, Part::Data(_) | Part::Warning(_));
+        if let Part::Progress(done, of) = part {
+            let note = Note::Progress(if of > 0 { done as f64 / of as f64 } else { 0.0 });
+            self.events.push_back(Event::Note { request, attempt, note });
+        }
+        if entry.concluded {
+            return None;
+        }
+        if entry.hears == Hears::Nothing || (result && entry.hears != Hears::All) {
+            return result.then_some(part);
+        }
+        if result && !entry.streaming {
+            entry.streaming = true;
+            self.events.push_back(Event::Streaming { request, attempt });
+        }
+        self.work.push(Work::Relay { caller: entry.caller, part });
+        None
+    }
+
+    /// A branch has ended with its result.
+    pub fn served(&mut self, now: Micros, id: BranchId, result: Vec<u8>, report: Option<Report>) {
+        if self.branch(id).is_some() {
+            self.serve(now, id, result, report);
+        }
+    }
+
     /// A branch has ended without a result, as its connection shows. Once the job is taken, what becomes of
     /// the connection says nothing of it any more.
     pub fn broke(&mut self, now: Micros, id: BranchId) {
@@ -334,9 +435,10 @@
             |ending| entry.branches[..nr].iter().any(|old| old.hop == hop && old.ended_by == Some(ending));
         let id = BranchId { request: number, attempt: nr as u32 };
         match news {
-            News::Note(note) => {
-                self.events.push_back(Event::Note { request: RequestId(number), attempt: id.attempt, note });
+            News::Note(Note::Progress(share)) if entry.hears != Hears::Nothing => {
+                self.part(id, Part::Progress((share.clamp(0.0, 1.0) * 100.0) as u64, 100));
             }
+            News::Note(note) => self.note(id, note),
             News::Served(result) => self.serve(now, id, result, report),
             News::Over(ending) if !branch.taken && repeats(ending) => return false,
             News::Over(ending) => {
@@ -354,11 +456,22 @@
         self.events.push_back(Event::Probed { worker: hop, ending, elapsed, report });
     }
 
-    /// News of the route set.
-    pub fn members(&mut self, kind: ListKind, members: Vec<Member>) {
+    /// News of the next hops, from one of those who name them.
+    pub fn members(&mut self, source: Source, kind: ListKind, members: Vec<Member>) {
+        let members = self.roster.merge(source, kind, members);
         self.events.push_back(Event::Members(kind, members));
     }
 
+    /// How many next hops are known.
+    pub fn known(&self) -> usize {
+        self.roster.known()
+    }
+
+    /// A next hop of this number was named by somebody else.
+    pub fn foreign(&self, hop: WorkerId, source: Source) -> bool {
+        self.roster.foreign(hop, source)
+    }
+
     /// The route set is to be had elsewhere.
     pub fn list_moved(&mut self) {
         self.events.push_back(Event::ListMoved);
@@ -529,6 +642,7 @@
             return self.end(now, id, Ending::Moot, None);
         }
         deadlines.set(Due::Branch(id.request, id.attempt), ends);
+        note!(debug: request = id.request, attempt = id.attempt, hop = hop.0, "a branch is sent");
         self.work.push(Work::Send { branch: id, hop, payload: entry.payload.clone(), wait: ends - now });
     }
 
@@ -554,7 +668,12 @@
         let Some(branch) = self.branch(id) else { return };
         branch.over = true;
         let (worker, elapsed) = (branch.hop, now.saturating_sub(branch.sent));
+        // What a caller has a part of ends with the branch that it came from: the module has done with it.
+        if self.entries.get(&id.request).is_some_and(|entry| entry.streaming) {
+            self.conclude(id.request, Answer::Failed);
+        }
         let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
+        note!(debug: request = id.request, attempt = id.attempt, hop = worker.0, ?ending, "a branch has ended");
         self.events.push_back(Event::Outcome(Outcome {
             request: RequestId(id.request),
             attempt: id.attempt,
@@ -575,6 +694,7 @@
         }
         entry.concluded = true;
         let tally = self.figures.of(entry.class);
+        note!(debug: request = number, class = entry.class.0, answer = answer.word(), "a request is answered");
         match answer {
             Answer::Served(_) => tally.served += 1,
             Answer::Busy { .. } => tally.refused += 1,
@@ -631,9 +751,9 @@
                 cell: 0,
                 standing: Standing::On,
                 weight: 1.0,
-                started: None,
+                ..Member::default()
             };
-            table.desk.members(ListKind::Saved, vec![member]);
+            table.desk.members(Source::Listed, ListKind::Saved, vec![member]);
             table.turn();
             table
         }
@@ -670,10 +790,12 @@
                 tenant: None,
                 hint: None,
                 patience: 9 * SECOND,
-                slots: 1,
+                slots: Some(1),
                 memory: 0.0,
                 key: None,
                 retry: false,
+                skill: 0,
+                hears: Hears::Nothing,
                 payload: "job",
             }
         }
--- /dev/null
+++ b/src/net/core/roster.rs
@@ -0,0 +1,96 @@
+//! Who the next hops are, from all sources: discovery's list, the operator file, and workers that came by themselves.
+//! The module knows one list only, in which a whole list from one source must not remove what another brought.
+
+use calicolb::api::{ListKind, Member, Standing, WorkerId};
+use calicolb::wire::hash_text;
+use std::collections::HashMap;
+
+/// Who names a next hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Discovery, or the list that the configuration holds of it.
+    Listed,
+    /// The operator file.
+    Fixed,
+    /// A protocol whose workers connect by themselves, by its name.
+    Arrived(&'static str),
+}
+
+/// The number of a next hop: the same at every scheduler, since they speak of hops to each other by it.
+pub fn hop_id(name: &str) -> WorkerId {
+    let hash = hash_text(name);
+    WorkerId((hash ^ (hash >> 32)) as u32)
+}
+
+/// See the head of this file.
+#[derive(Default)]
+pub struct Roster(HashMap<WorkerId, (Source, Member)>);
+
+impl Roster {
+    /// How many next hops are known, those that end their work included.
+    pub fn known(&self) -> usize {
+        self.0.len()
+    }
+
+    /// A hop of this number was named by somebody else.
+    pub fn foreign(&self, id: WorkerId, source: Source) -> bool {
+        self.0.get(&id).is_some_and(|(whose, _)| *whose != source)
+    }
+
+    /// Takes in news from one source; gives what the module is to be told. A number that another source has named
+    /// already stays with that one.
+    pub fn merge(&mut self, source: Source, kind: ListKind, mut members: Vec<Member>) -> Vec<Member> {
+        members.retain(|member| !self.foreign(member.worker, source));
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            self.0.retain(|_, (whose, _)| *whose != source);
+        }
+        for member in &members {
+            if member.standing == Standing::Gone {
+                self.0.remove(&member.worker);
+            } else {
+                self.0.insert(member.worker, (source, member.clone()));
+            }
+        }
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            let others = self.0.values().filter(|(whose, _)| *whose != source);
+            members.extend(others.map(|(_, member)| member.clone()));
+        }
+        members
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(id: u32, standing: Standing) -> Member {
+        Member { worker: WorkerId(id), standing, ..Member::default() }
+    }
+
+    fn ids(members: &[Member]) -> Vec<u32> {
+        let mut ids: Vec<u32> = members.iter().map(|member| member.worker.0).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    #[test]
+    fn a_whole_list_of_one_source_keeps_what_others_named() {
+        let mut roster = Roster::default();
+        let on = |id| member(id, Standing::On);
+        assert_eq!(ids(&roster.merge(Source::Fixed, ListKind::Saved, vec![on(1)])), [1]);
+        assert_eq!(ids(&roster.merge(Source::Arrived("g"), ListKind::Changes, vec![on(2)])), [2]);
+        assert_eq!(ids(&roster.merge(Source::Listed, ListKind::Full, vec![on(3), on(4)])), [1, 2, 3, 4]);
+        assert_eq!(ids(&roster.merge(Source::Listed, ListKind::Full, vec![on(4)])), [1, 2, 4]);
+        assert_eq!(roster.known(), 3);
+    }
+
+    #[test]
+    fn a_number_stays_with_who_named_it_first() {
+        let mut roster = Roster::default();
+        roster.merge(Source::Fixed, ListKind::Saved, vec![member(1, Standing::On)]);
+        assert!(roster.foreign(WorkerId(1), Source::Listed));
+        assert!(roster.merge(Source::Listed, ListKind::Changes, vec![member(1, Standing::Gone)]).is_empty());
+        roster.merge(Source::Fixed, ListKind::Changes, vec![member(1, Standing::Gone)]);
+        assert_eq!(roster.known(), 0);
+    }
+}
--- /dev/null
+++ b/src/net/gearman/mod.rs
@@ -0,0 +1,1 @@
+//! Gearman: see `docs/gearman.md`.
--- a/src/net/caller.rs
+++ b/src/net/http/caller.rs
@@ -1,21 +1,19 @@
 //! Caller legs: the connections that clients open, and those on which next hops bring their call-backs. One
 //! listener serves both.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::buffer::{Buffer, Filled};
-use crate::net::deadlines::Due;
-use crate::net::desk::{Answer, Job, News, Unfit};
-use crate::net::http::{self, Reject, Request};
-use crate::net::kin::{Bequest, Word};
-use crate::net::log::note;
-use crate::net::next_hop::{Payload, report_of};
-use crate::net::route_set::hop_id;
-use calicolb::api::{Ending, Micros, Note, WorkerId};
+use crate::net::core::buffer::{Buffer, Filled};
+use crate::net::core::deadlines::{Alarm, Due};
+use crate::net::core::desk::{Answer, Hears, Job, Unfit};
+use crate::net::core::envelope::{Envelope, Payload};
+use crate::net::http::call_back::call_back;
+use crate::net::http::framing::{self, Reject, Request};
+use crate::net::protocol::Spare;
+use calicolb::api::{ClassIx, Micros, WorkerId};
 use calicolb::wire;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
-use serde::Deserialize;
-use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::Shutdown;
@@ -65,9 +63,23 @@
     begun: Option<Micros>,
 }
 
+/// A request that another process had sent out.
+pub struct Taken {
+    pub envelope: Envelope,
+    /// Another request may follow on its connection.
+    pub keep_alive: bool,
+    /// The next hop that took it, and when it was sent there.
+    pub hop: u32,
+    pub sent: Micros,
+    /// When its caller leaves.
+    pub expires: Micros,
+}
+
 /// See the head of this file.
 pub struct Callers {
     listener: TcpListener,
+    /// The number of the listener.
+    token: usize,
     legs: HashMap<usize, Leg>,
     most: usize,
     /// Answers tell callers to go elsewhere.
@@ -79,20 +91,21 @@
 }
 
 impl Callers {
-    /// `most`: connections at most; beyond that, the longest at rest are closed.
-    pub fn new(listener: TcpListener, most: usize) -> Self {
-        Callers { listener, legs: HashMap::new(), most, parting: false, open: false, listening: false }
+    /// `token`: the number of the listener. How many connections there may be is told later (see [`Callers::limit`]).
+    pub fn new(listener: TcpListener, token: usize) -> Self {
+        let legs = HashMap::new();
+        Callers { listener, token, legs, most: 0, parting: false, open: false, listening: false }
     }
 
     /// The connection is one of these.
     pub fn has(&self, token: usize) -> bool {
-        self.legs.contains_key(&token)
+        token == self.token || self.legs.contains_key(&token)
     }
 
     /// Begins to take connections.
-    pub fn listen(&mut self, ctx: &mut Ctx<'_>, token: Token) -> io::Result<()> {
+    pub fn listen(&mut self, ctx: &mut Ctx<'_>) -> io::Result<()> {
         if !self.listening {
-            ctx.registry.register(&mut self.listener, token, Interest::READABLE)?;
+            ctx.registry.register(&mut self.listener, Token(self.token), Interest::READABLE)?;
         }
         self.listening = true;
         Ok(())
@@ -102,7 +115,7 @@
     pub fn stop_listening(&mut self, ctx: &mut Ctx<'_>) {
         self.listening = false;
         let _ = ctx.registry.deregister(&mut self.listener);
-        ctx.deadlines.clear(Due::Accept);
+        ctx.deadlines.clear(Due::Conn(self.token, Alarm::Accept));
     }
 
     /// So many connections may be open from now on.
@@ -112,14 +125,14 @@
     }
 
     /// Takes new connections.
-    pub fn accept(&mut self, ctx: &mut Ctx<'_>) {
+    fn accept(&mut self, ctx: &mut Ctx<'_>) {
         if !self.listening {
             return;
         }
         for _ in 0..ACCEPTS {
             if self.legs.len() >= self.most && !self.shed(ctx) {
                 // They wait in the listener's queue until a leg ends.
-                return ctx.deadlines.set(Due::Accept, ctx.now + ACCEPT_AGAIN);
+                return ctx.deadlines.set(Due::Conn(self.token, Alarm::Accept), ctx.now + ACCEPT_AGAIN);
             }
             match self.listener.accept() {
                 Ok((stream, _)) => self.open(ctx, stream),
@@ -130,11 +143,11 @@
                     // Out of descriptors or memory: a leg at rest makes room, else time may.
                     note!("accepting: {error}");
                     self.shed(ctx);
-                    return ctx.deadlines.set(Due::Accept, ctx.now + ACCEPT_AGAIN);
+                    return ctx.deadlines.set(Due::Conn(self.token, Alarm::Accept), ctx.now + ACCEPT_AGAIN);
                 }
             }
         }
-        ctx.deadlines.set(Due::Accept, ctx.now + 1);
+        ctx.deadlines.set(Due::Conn(self.token, Alarm::Accept), ctx.now + 1);
     }
 
     fn open(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream) {
@@ -149,7 +162,7 @@
         {
             return note!("watching a caller leg: {error}");
         }
-        ctx.deadlines.set(Due::Leg(token), ctx.now + self.first());
+        ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + self.first());
         let leg = Leg {
             stream,
             buffer: Buffer::default(),
@@ -168,23 +181,11 @@
         if self.parting { FIRST_PARTING } else { FIRST }
     }
 
-    /// Closes the leg that has been at rest for longest, of clients first; if none is, the one that has been in
-    /// the middle of sending a request, which is not taken before its last byte. Tells whether there was one.
-    pub fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
-        let order = |leg: &Leg| match leg.state {
-            State::Ending => Some((0, leg.since)),
-            State::Reading if leg.at_rest() => Some((1 + u8::from(leg.back), leg.since)),
-            State::Reading if !leg.buffer.has_output() => Some((3, leg.begun.unwrap_or(leg.since))),
-            _ => None,
-        };
-        let first = self.legs.iter().filter_map(|(&token, leg)| Some((order(leg)?, token))).min();
-        let Some((_, token)) = first else { return false };
-        self.drop_leg(ctx, token);
-        true
-    }
-
     /// Something can be read or written on one of these connections.
     pub fn ready(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        if token == self.token {
+            return self.accept(ctx);
+        }
         let Some(leg) = self.legs.get_mut(&token) else { return };
         if leg.buffer.has_output() && !self.flush(ctx, token) {
             return;
@@ -192,15 +193,24 @@
         self.read(ctx, token);
     }
 
+    /// A time that was set for a connection, or for the listener, has come.
+    pub fn due(&mut self, ctx: &mut Ctx<'_>, token: usize, alarm: Alarm) {
+        match alarm {
+            Alarm::Accept => self.accept(ctx),
+            Alarm::More => self.ready(ctx, token),
+            Alarm::Late | Alarm::Rested => self.late(ctx, token),
+        }
+    }
+
     fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         loop {
             let Some(leg) = self.legs.get_mut(&token) else { return };
-            let filled = leg.buffer.fill(&mut leg.stream, http::MESSAGE_LIMIT);
+            let filled = leg.buffer.fill(&mut leg.stream, framing::MESSAGE_LIMIT);
             if leg.state == State::Ending && !leg.buffer.has_output() {
                 leg.buffer.consume(usize::MAX / 2);
                 if filled == Filled::Brimful {
                     // Who sends without end gets its share of a turn, not the whole of it.
-                    return ctx.deadlines.set(Due::LegMore(token), ctx.now + 1);
+                    return ctx.deadlines.set(Due::Conn(token, Alarm::More), ctx.now + 1);
                 }
             }
             while self
@@ -218,7 +228,7 @@
             // The buffer was full of requests, and room has come.
             if filled == Filled::Dry
                 || leg.buffer.has_output()
-                || leg.buffer.input().len() >= http::MESSAGE_LIMIT
+                || leg.buffer.input().len() >= framing::MESSAGE_LIMIT
             {
                 return;
             }
@@ -229,7 +239,7 @@
     fn step(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
         let first = self.first();
         let Some(leg) = self.legs.get_mut(&token) else { return false };
-        match http::request(leg.buffer.input()) {
+        match framing::request(leg.buffer.input()) {
             Ok(None) => {
                 // Counted from its first byte: who sends a byte now and then does not hold a leg for ever.
                 let ends = if leg.fresh {
@@ -239,7 +249,7 @@
                 } else {
                     *leg.begun.get_or_insert(ctx.now) + STALLED
                 };
-                ctx.deadlines.set(Due::Leg(token), ends);
+                ctx.deadlines.set(Due::Conn(token, Alarm::Late), ends);
                 false
             }
             Ok(Some((request, length))) => {
@@ -248,7 +258,7 @@
                 leg.fresh = false;
                 leg.begun = None;
                 leg.last |= !request.keep_alive;
-                ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+                ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + IDLE);
                 match self.route(ctx, token, request) {
                     Ok(()) => {}
                     Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
@@ -284,11 +294,11 @@
             _ => {
                 let job = job_of(ctx, request)?;
                 match ctx.desk.arrive(ctx.now, token, job) {
-                    Ok(()) => {
+                    Ok(_) => {
                         if let Some(leg) = self.legs.get_mut(&token) {
                             leg.state = State::Waiting;
                         }
-                        ctx.deadlines.clear(Due::Leg(token));
+                        ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                     }
                     Err(Unfit::Repeated) => return Err(Reject(409)),
                     Err(Unfit::TooMany) => return Err(Reject(503)),
@@ -298,28 +308,30 @@
         Ok(())
     }
 
-    /// Lets go of the leg of a request that another process will answer.
-    pub fn release(&mut self, ctx: &mut Ctx<'_>, token: usize) -> Option<TcpStream> {
-        ctx.deadlines.clear(Due::Leg(token));
-        ctx.deadlines.clear(Due::LegMore(token));
+    /// Lets go of the leg of a request that another process will answer; tells whether another request may follow on it.
+    pub fn release(&mut self, ctx: &mut Ctx<'_>, token: usize) -> Option<(TcpStream, bool)> {
+        ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
+        ctx.deadlines.clear(Due::Conn(token, Alarm::More));
         let mut leg = self.legs.remove(&token)?;
         let _ = ctx.registry.deregister(&mut leg.stream);
-        Some(leg.stream)
+        Some((leg.stream, !leg.last))
     }
 
     /// Takes on a leg with a request that the other process had sent out.
-    pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, bequest: Bequest) {
+    pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, taken: Taken) {
         let token = ctx.next_token();
         self.open_as(ctx, stream, token);
         let Some(leg) = self.legs.get_mut(&token) else { return };
         leg.fresh = false;
-        leg.last = !bequest.request.keep_alive;
-        match job_of(ctx, bequest.request) {
+        leg.last = !taken.keep_alive;
+        let Envelope { target, headers, body, .. } = taken.envelope;
+        let keep_alive = taken.keep_alive;
+        match job_of(ctx, Request { method: "POST".to_owned(), target, headers, body, keep_alive }) {
             Ok(mut job) => {
-                job.patience = bequest.expires.saturating_sub(ctx.now);
-                let out = (WorkerId(bequest.hop), bequest.sent);
+                job.patience = taken.expires.saturating_sub(ctx.now);
+                let out = (WorkerId(taken.hop), taken.sent);
                 leg.state = State::Waiting;
-                ctx.deadlines.clear(Due::Leg(token));
+                ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                 ctx.desk.adopt(ctx.now, token, job, out, ctx.deadlines);
             }
             Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
@@ -347,8 +359,8 @@
         let Some(leg) = self.legs.get_mut(&token) else { return };
         leg.last |= self.parting && !leg.back;
         leg.since = ctx.now;
-        leg.buffer.put(&http::write_response(status, extra, body, !leg.last));
-        ctx.deadlines.set(Due::Leg(token), ctx.now + STALLED);
+        leg.buffer.put(&framing::write_response(status, extra, body, !leg.last));
+        ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + STALLED);
         self.flush(ctx, token);
     }
 
@@ -366,12 +378,12 @@
                 let _ = leg.stream.shutdown(Shutdown::Write);
                 leg.state = State::Ending;
                 leg.buffer.consume(usize::MAX / 2);
-                ctx.deadlines.set(Due::Leg(token), ctx.now + LINGER);
+                ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + LINGER);
                 true
             }
             Ok(true) => {
                 if leg.state == State::Reading {
-                    ctx.deadlines.set(Due::Leg(token), ctx.now + IDLE);
+                    ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + IDLE);
                 }
                 true
             }
@@ -397,8 +409,8 @@
     fn drop_leg(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         let Some(mut leg) = self.legs.remove(&token) else { return };
         let _ = ctx.registry.deregister(&mut leg.stream);
-        ctx.deadlines.clear(Due::Leg(token));
-        ctx.deadlines.clear(Due::LegMore(token));
+        ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
+        ctx.deadlines.clear(Due::Conn(token, Alarm::More));
     }
 
     /// Answers are no longer the last of their legs.
@@ -418,7 +430,7 @@
             if let Some(leg) = self.legs.get_mut(&token).filter(|leg| leg.at_rest()) {
                 let _ = leg.stream.shutdown(Shutdown::Write);
                 leg.state = State::Ending;
-                ctx.deadlines.set(Due::Leg(token), ctx.now + LINGER);
+                ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + LINGER);
             }
         }
     }
@@ -429,6 +441,23 @@
     }
 }
 
+impl Spare for Callers {
+    /// Closes the leg that has been at rest for longest, of clients first; if none is, the one that has been in
+    /// the middle of sending a request, which is not taken before its last byte.
+    fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
+        let order = |leg: &Leg| match leg.state {
+            State::Ending => Some((0, leg.since)),
+            State::Reading if leg.at_rest() => Some((1 + u8::from(leg.back), leg.since)),
+            State::Reading if !leg.buffer.has_output() => Some((3, leg.begun.unwrap_or(leg.since))),
+            _ => None,
+        };
+        let first = self.legs.iter().filter_map(|(&token, leg)| Some((order(leg)?, token))).min();
+        let Some((_, token)) = first else { return false };
+        self.drop_leg(ctx, token);
+        true
+    }
+}
+
 impl Leg {
     /// Between two requests.
     fn at_rest(&self) -> bool {
@@ -444,12 +473,7 @@
     if request.method == "POST" { job(ctx, class, first, request) } else { Err(Reject(405)) }
 }
 
-fn job(
-    ctx: &Ctx<'_>,
-    class: calicolb::api::ClassIx,
-    name: &str,
-    request: Request,
-) -> Result<Job<Payload>, Reject> {
+fn job(ctx: &Ctx<'_>, class: ClassIx, name: &str, request: Request) -> Result<Job<Payload>, Reject> {
     let bad = Reject(400);
     let header = |name: &str| request.headers.get(name);
     if header("request-class").is_some_and(|told| told != name) {
@@ -465,26 +489,34 @@
         None => None,
     };
     let hint = header("work-hint").map(|text| figure(text).ok_or(bad)).transpose()?;
-    let (mut slots, mut memory) = (1.0, 0.0);
+    let retry = header("client-retry") == Some("1");
+    let (mut slots, mut memory) = (None, 0.0);
     for pair in header("request-info").unwrap_or("").split(',').filter(|pair| !pair.trim().is_empty()) {
         let (key, value) = pair.split_once('=').ok_or(bad)?;
         match key.trim() {
-            "slots" | "needs" => slots = figure(value).ok_or(bad)?,
+            "slots" | "needs" => slots = Some(figure(value).ok_or(bad)?.ceil() as u32),
             "memory" => memory = figure(value).ok_or(bad)?,
             _ => {}
         }
     }
+    let Request { target, headers, body, .. } = request;
+    let key = framing::query(&target, "obj").map(wire::hash_text);
+    // Its class says what a next hop must be able to do for it.
+    let skill = class.0 as u32;
+    let envelope = Envelope { name: id.clone(), skill, target, headers, body };
     Ok(Job {
         name: id,
         class,
         tenant,
         hint,
         patience: (patience * SECOND as f64) as Micros,
-        slots: slots.ceil() as u32,
+        slots,
         memory,
-        key: request.query("obj").map(wire::hash_text),
-        retry: header("client-retry") == Some("1"),
-        payload: Rc::new(request),
+        key,
+        retry,
+        skill,
+        hears: Hears::Nothing,
+        payload: Rc::new(envelope),
     })
 }
 
@@ -493,41 +525,3 @@
     (1..=128).contains(&id.len())
         && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte))
 }
-
-/// A call-back, as far as it is read.
-#[derive(Deserialize)]
-struct CallBack {
-    id: String,
-    from: String,
-    state: String,
-    share: Option<f64>,
-    result: Option<Value>,
-    load: Option<Value>,
-}
-
-/// Takes a call-back. One that fits nothing is taken all the same, or it would come again and again.
-pub fn call_back(ctx: &mut Ctx<'_>, body: &[u8]) -> Result<(), Reject> {
-    let call: CallBack = serde_json::from_slice(body).map_err(|_| Reject(400))?;
-    // Next hops call whoever takes the connection: it may be for the other process on this socket.
-    if !ctx.desk.knows(&call.id) {
-        ctx.strays.push(Word::News(String::from_utf8_lossy(body).into_owned()));
-        return Ok(());
-    }
-    let news = match (call.state.as_str(), call.result) {
-        ("started", _) => News::Note(Note::Started),
-        ("running", _) => News::Note(Note::Progress(call.share.unwrap_or(0.0))),
-        ("done", Some(Value::String(text))) => News::Served(text.into_bytes()),
-        ("done", Some(other)) => News::Served(other.to_string().into_bytes()),
-        // It ran, but there is no result to serve.
-        ("done", None) | ("failed", _) => News::Over(Ending::Error),
-        ("returned", _) => News::Over(Ending::Full),
-        ("lost", _) => News::Over(Ending::Broken),
-        (other, _) => {
-            note!("a call-back of unknown state '{}'", other.escape_debug());
-            return Ok(());
-        }
-    };
-    let report = call.load.and_then(|value| report_of(ctx.names, &value));
-    ctx.desk.news(ctx.now, &call.id, hop_id(&call.from), news, report);
-    Ok(())
-}
--- a/src/net/http.rs
+++ b/src/net/http/framing.rs
@@ -1,6 +1,6 @@
 //! Framing of HTTP/1.1: whole messages out of bytes and back. What they mean is the business of others.
 
-use serde::{Deserialize, Serialize};
+use crate::net::core::envelope::Headers;
 use std::fmt::Write;
 
 /// The largest body that is taken.
@@ -17,41 +17,29 @@
 
 const MALFORMED: Reject = Reject(400);
 
-/// Header lines in their order.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Headers(Vec<(String, String)>);
-
-impl Headers {
-    fn read(raw: &[httparse::Header<'_>]) -> Result<Headers, Reject> {
-        let line = |header: &httparse::Header<'_>| {
-            let value = std::str::from_utf8(header.value).map_err(|_| MALFORMED)?;
-            Ok((header.name.to_owned(), value.trim().to_owned()))
-        };
-        raw.iter().map(line).collect::<Result<_, _>>().map(Headers)
-    }
-
-    /// The value of the first header of this name.
-    pub fn get(&self, name: &str) -> Option<&str> {
-        self.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
-    }
-
-    /// All of them.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
-    }
+fn read_headers(raw: &[httparse::Header<'_>]) -> Result<Headers, Reject> {
+    let line = |header: &httparse::Header<'_>| {
+        let value = std::str::from_utf8(header.value).map_err(|_| MALFORMED)?;
+        Ok((header.name.to_owned(), value.trim().to_owned()))
+    };
+    raw.iter().map(line).collect()
+}
 
-    fn lists(&self, name: &str, word: &str) -> bool {
-        let mut values = self.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
-        values.any(|(_, value)| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(word)))
-    }
+fn lists(headers: &Headers, name: &str, word: &str) -> bool {
+    let mut values = headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    values.any(|(_, value)| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(word)))
+}
 
-    fn keep_alive(&self, version: u8) -> bool {
-        if version == 0 { self.lists("connection", "keep-alive") } else { !self.lists("connection", "close") }
+fn keep_alive(headers: &Headers, version: u8) -> bool {
+    if version == 0 {
+        lists(headers, "connection", "keep-alive")
+    } else {
+        !lists(headers, "connection", "close")
     }
 }
 
 /// A whole request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Request {
     /// The method.
     pub method: String,
@@ -70,15 +58,12 @@
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
+}
 
-    /// The value of a query parameter.
-    pub fn query(&self, name: &str) -> Option<&str> {
-        let (_, query) = self.target.split_once('?')?;
-        query
-            .split('&')
-            .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
-            .map(|pair| pair.1)
-    }
+/// The value of a query parameter of a target.
+pub fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = target.split_once('?')?;
+    query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name)).map(|pair| pair.1)
 }
 
 /// A response: its head, and its body if the framing told where that ends.
@@ -104,12 +89,12 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Reject(431)),
         Err(_) => return Err(MALFORMED),
     };
-    let headers = Headers::read(parsed.headers)?;
+    let headers = read_headers(parsed.headers)?;
     let Some((body, length)) = body(&bytes[head..], &headers)? else { return Ok(None) };
     let request = Request {
         method: parsed.method.unwrap_or("").to_owned(),
         target: parsed.path.unwrap_or("").to_owned(),
-        keep_alive: headers.keep_alive(parsed.version.unwrap_or(0)),
+        keep_alive: keep_alive(&headers, parsed.version.unwrap_or(0)),
         headers,
         body,
     };
@@ -125,8 +110,8 @@
         Ok(httparse::Status::Partial) if bytes.len() <= HEAD_LIMIT => return Ok(None),
         Ok(_) | Err(_) => return Err(MALFORMED),
     };
-    let headers = Headers::read(parsed.headers)?;
-    let keep_alive = headers.keep_alive(parsed.version.unwrap_or(0));
+    let headers = read_headers(parsed.headers)?;
+    let keep_alive = keep_alive(&headers, parsed.version.unwrap_or(0));
     Ok(Some((Response { status: parsed.code.unwrap_or(0), headers, body: Vec::new(), keep_alive }, head)))
 }
 
@@ -158,7 +143,7 @@
         headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length")).map(|h| h.1).collect();
     if chunked(headers) {
         // Two framings in one message are how requests are smuggled past a front.
-        if !lengths.is_empty() || !headers.lists("transfer-encoding", "chunked") {
+        if !lengths.is_empty() || !lists(headers, "transfer-encoding", "chunked") {
             return Err(MALFORMED);
         }
         let mut body = Vec::new();
@@ -278,7 +263,7 @@
         }
         let (whole, length) = request(text).expect("well formed").expect("whole");
         assert_eq!(
-            (whole.path(), whole.query("obj"), whole.body.as_slice()),
+            (whole.path(), query(&whole.target, "obj"), whole.body.as_slice()),
             ("/render", Some("7f"), &b"body"[..])
         );
         assert_eq!(length, text.len() - 3);
--- a/src/net/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -3,22 +3,21 @@
 //! Nothing is ever sent twice from here: a request that meets a stale connection ends as what its last
 //! written byte says, and whether it goes out again is the module's to say.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::buffer::{Buffer, Filled};
-use crate::net::caller::Callers;
-use crate::net::deadlines::Due;
-use crate::net::desk::BranchId;
-use crate::net::http;
-use crate::net::log::note;
-use calicolb::api::{Ending, Micros, Report, WorkerId};
-use calicolb::wire::Names;
+use crate::net::core::buffer::{Buffer, Filled};
+use crate::net::core::deadlines::{Alarm, Due};
+use crate::net::core::desk::BranchId;
+use crate::net::core::envelope::Payload;
+use crate::net::http::call_back::report_of;
+use crate::net::http::framing;
+use crate::net::protocol::Spare;
+use calicolb::api::{Ending, Micros, WorkerId};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
-use serde_json::Value;
 use std::collections::HashMap;
 use std::io::Read;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 const MILLI: Micros = 1_000;
 /// An idle connection is closed this long before its next hop may: the answer that began its rest, and a
@@ -37,9 +36,6 @@
 /// A probe or a give-up that is not answered by then is dropped.
 const SIDE_CALL: Micros = 1_000 * MILLI;
 
-/// A request as it came, to be passed on.
-pub type Payload = Rc<http::Request>;
-
 /// What a connection is busy with.
 #[derive(Debug, PartialEq)]
 enum Task {
@@ -144,6 +140,16 @@
         }
     }
 
+    /// The connection is one of these.
+    pub fn has(&self, token: usize) -> bool {
+        self.links.contains_key(&token)
+    }
+
+    /// This next hop is one of these.
+    pub fn drives(&self, hop: WorkerId) -> bool {
+        self.hops.contains_key(&hop)
+    }
+
     /// Learns where a next hop listens. One that has moved or started anew has no connections left.
     pub fn learn(&mut self, ctx: &mut Ctx<'_>, id: WorkerId, dial: SocketAddr, born: u64) {
         let changed = self.hops.get(&id).is_some_and(|hop| hop.dial != dial || hop.born != born);
@@ -172,7 +178,7 @@
     pub fn send(
         &mut self,
         ctx: &mut Ctx<'_>,
-        callers: &mut Callers,
+        spare: &mut dyn Spare,
         branch: BranchId,
         hop: WorkerId,
         payload: &Payload,
@@ -182,8 +188,8 @@
         let kept = |name: &str| !DROPPED.iter().any(|dropped| name.eq_ignore_ascii_case(dropped));
         let mut headers: Vec<(&str, &str)> = payload.headers.iter().filter(|(name, _)| kept(name)).collect();
         headers.push(("Request-Timeout", &timeout));
-        let bytes = http::write_request(&payload.method, &payload.target, &headers, &payload.body);
-        if !self.put(ctx, callers, hop, Task::Branch(branch), &bytes) {
+        let bytes = framing::write_request("POST", &payload.target, &headers, &payload.body);
+        if !self.put(ctx, spare, hop, Task::Branch(branch), &bytes) {
             ctx.desk.broke(ctx.now, branch);
         }
     }
@@ -193,7 +199,7 @@
     pub fn give_up(
         &mut self,
         ctx: &mut Ctx<'_>,
-        callers: &mut Callers,
+        spare: &mut dyn Spare,
         branch: BranchId,
         hop: WorkerId,
         name: &str,
@@ -201,9 +207,13 @@
         match self.out.get(&branch).copied() {
             Some(token) => self.drop_link(ctx, token),
             None => {
-                let bytes =
-                    http::write_request("DELETE", &format!("/jobs/{name}"), &[("Host", "origin.svc")], b"");
-                self.put(ctx, callers, hop, Task::GiveUp, &bytes);
+                let bytes = framing::write_request(
+                    "DELETE",
+                    &format!("/jobs/{name}"),
+                    &[("Host", "origin.svc")],
+                    b"",
+                );
+                self.put(ctx, spare, hop, Task::GiveUp, &bytes);
             }
         }
     }
@@ -217,9 +227,9 @@
     }
 
     /// Asks a next hop for its load.
-    pub fn probe(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers, hop: WorkerId) {
-        let bytes = http::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
-        if !self.put(ctx, callers, hop, Task::Probe(ctx.now), &bytes) {
+    pub fn probe(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, hop: WorkerId) {
+        let bytes = framing::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
+        if !self.put(ctx, spare, hop, Task::Probe(ctx.now), &bytes) {
             ctx.desk.probed(hop, Ending::Unreachable, 0, None);
         }
     }
@@ -228,14 +238,14 @@
     fn put(
         &mut self,
         ctx: &mut Ctx<'_>,
-        callers: &mut Callers,
+        spare: &mut dyn Spare,
         hop: WorkerId,
         task: Task,
         bytes: &[u8],
     ) -> bool {
         let token = match self.take_idle(ctx, hop) {
             Some(token) => token,
-            None => match self.open(ctx, callers, hop) {
+            None => match self.open(ctx, spare, hop) {
                 Some(token) => token,
                 None => return false,
             },
@@ -243,7 +253,7 @@
         let Some(link) = self.links.get_mut(&token) else { return false };
         link.buffer.put(bytes);
         if link.up && !matches!(task, Task::Branch(_)) {
-            ctx.deadlines.set(Due::Link(token), ctx.now + SIDE_CALL);
+            ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SIDE_CALL);
         }
         if let Task::Branch(branch) = task {
             self.out.insert(branch, token);
@@ -257,7 +267,7 @@
 
     fn take_idle(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) -> Option<usize> {
         while let Some(token) = self.hops.get_mut(&hop)?.idle.pop() {
-            ctx.deadlines.clear(Due::LinkIdle(token));
+            ctx.deadlines.clear(Due::Conn(token, Alarm::Rested));
             let Some(link) = self.links.get_mut(&token) else { continue };
             link.rest = link.rested.map(|since| ctx.now.saturating_sub(since));
             if link.rest.is_some_and(|rest| rest > self.rest.bound(ctx.now)) {
@@ -274,7 +284,7 @@
         None
     }
 
-    fn open(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers, hop: WorkerId) -> Option<usize> {
+    fn open(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, hop: WorkerId) -> Option<usize> {
         if self.links.len() >= self.most {
             let idle = self.hops.values().find_map(|hop| hop.idle.first().copied());
             let Some(token) = idle else {
@@ -286,7 +296,7 @@
         let dial = self.hops.get(&hop)?.dial;
         let mut made = TcpStream::connect(dial);
         // Out of descriptors, say: work in hand comes before callers at rest. Nothing has been sent yet.
-        if made.is_err() && callers.shed(ctx) {
+        if made.is_err() && spare.shed(ctx) {
             made = TcpStream::connect(dial);
         }
         let mut stream = match made {
@@ -302,7 +312,7 @@
             note!("watching a connection to {dial}: {error}");
             return None;
         }
-        ctx.deadlines.set(Due::Link(token), ctx.now + self.connect_timeout);
+        ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + self.connect_timeout);
         let link = Link {
             stream,
             buffer: Buffer::default(),
@@ -330,8 +340,8 @@
             link.up = true;
             let _ = link.stream.set_nodelay(true);
             match link.task {
-                Task::Branch(_) => ctx.deadlines.clear(Due::Link(token)),
-                _ => ctx.deadlines.set(Due::Link(token), ctx.now + SIDE_CALL),
+                Task::Branch(_) => ctx.deadlines.clear(Due::Conn(token, Alarm::Late)),
+                _ => ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SIDE_CALL),
             }
         }
         if self.flush(ctx, token) {
@@ -349,7 +359,7 @@
             Ok(true) => {
                 if let Task::Branch(branch) = link.task {
                     ctx.desk.written(branch);
-                    ctx.deadlines.set(Due::Link(token), ctx.now + SILENCE);
+                    ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SILENCE);
                 }
                 true
             }
@@ -363,7 +373,7 @@
 
     fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         let Some(link) = self.links.get_mut(&token) else { return };
-        let filled = link.buffer.fill(&mut link.stream, http::MESSAGE_LIMIT);
+        let filled = link.buffer.fill(&mut link.stream, framing::MESSAGE_LIMIT);
         if link.task == Task::Idle {
             // A next hop has nothing to say unasked; it ends the connection, or is out of step.
             if filled != Filled::Dry || !link.buffer.input().is_empty() {
@@ -371,12 +381,12 @@
             }
             return;
         }
-        match http::response(link.buffer.input()) {
+        match framing::response(link.buffer.input()) {
             Ok(Some((response, length))) => {
                 link.buffer.consume(length);
                 let task = std::mem::replace(&mut link.task, Task::Idle);
                 let (hop, clean) = (link.hop, link.buffer.input().is_empty());
-                ctx.deadlines.clear(Due::Link(token));
+                ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                 if let Some(rest) = link.rest.take() {
                     self.rest.held(rest);
                 }
@@ -402,7 +412,8 @@
                 match known {
                     Some(hop) if response.keep_alive && clean && filled == Filled::Dry => {
                         hop.idle.push(token);
-                        ctx.deadlines.set(Due::LinkIdle(token), ctx.now + self.rest.bound(ctx.now));
+                        ctx.deadlines
+                            .set(Due::Conn(token, Alarm::Rested), ctx.now + self.rest.bound(ctx.now));
                     }
                     _ => self.drop_link(ctx, token),
                 }
@@ -441,8 +452,8 @@
     fn drop_link(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         let Some(mut link) = self.links.remove(&token) else { return };
         let _ = ctx.registry.deregister(&mut link.stream);
-        ctx.deadlines.clear(Due::Link(token));
-        ctx.deadlines.clear(Due::LinkIdle(token));
+        ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
+        ctx.deadlines.clear(Due::Conn(token, Alarm::Rested));
         if let Task::Branch(branch) = link.task {
             self.out.remove(&branch);
         }
@@ -452,7 +463,7 @@
     }
 
     /// The connect, a side call or the answer to a branch has taken too long.
-    pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+    fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         match self.links.get(&token) {
             // It may be with the next hop, and news of it may yet come: what to do is the module's to say.
             Some(Link { up: true, task: Task::Branch(branch), .. }) => ctx.desk.silent(*branch),
@@ -460,8 +471,13 @@
         }
     }
 
+    /// A time that was set for a connection has come.
+    pub fn due(&mut self, ctx: &mut Ctx<'_>, token: usize, alarm: Alarm) {
+        if alarm == Alarm::Rested { self.rested(ctx, token) } else { self.late(ctx, token) }
+    }
+
     /// An idle connection has rested long enough.
-    pub fn rested(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+    fn rested(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         if self.links.get(&token).is_some_and(|link| link.task == Task::Idle) {
             self.drop_link(ctx, token);
         }
@@ -481,7 +497,7 @@
 ];
 
 /// What the answer on its own connection says of a branch.
-fn answered(ctx: &mut Ctx<'_>, branch: BranchId, response: &http::Response) {
+fn answered(ctx: &mut Ctx<'_>, branch: BranchId, response: &framing::Response) {
     let load = response.headers.get("server-load").and_then(|text| serde_json::from_str(text).ok());
     let report = load.and_then(|value| report_of(ctx.names, &value));
     let unstarted = response.headers.get("not-started") == Some("1");
@@ -499,12 +515,6 @@
     }
 }
 
-/// A load report as a next hop writes it.
-pub fn report_of(names: &Names, value: &Value) -> Option<Report> {
-    let fields = value.as_object()?;
-    Some(names.report(fields.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?)))))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,30 +1,22 @@
 //! The network side: sockets, framing, and the desk where they meet the decisions.
+//!
+//! `core` knows no protocol; `http` and `gearman` are protocols, each behind the same trait; `platform` is what the
+//! platform brings (discovery, other schedulers, upgrades); `operators` is their door; `turn` is the loop.
 
-mod buffer;
-mod caller;
-mod deadlines;
-mod desk;
-mod door;
-mod drain;
-mod figures;
+pub mod core;
+mod gearman;
 mod http;
-pub mod inherit;
-mod kin;
-pub(crate) mod log;
-mod next_hop;
-mod peers;
-mod route_set;
+mod operators;
+pub mod platform;
+mod protocol;
 pub mod turn;
 
-pub use route_set::Update;
-
+use self::core::deadlines::Deadlines;
+use self::core::desk::Desk;
+use self::core::envelope::Payload;
 use calicolb::api::Micros;
 use calicolb::wire::Names;
-use deadlines::Deadlines;
-use desk::Desk;
-use kin::Word;
 use mio::Registry;
-use next_hop::Payload;
 
 /// What every part of the network side works with in a turn of the loop.
 pub struct Ctx<'a> {
@@ -33,8 +25,10 @@
     deadlines: &'a mut Deadlines,
     desk: &'a mut Desk<Payload>,
     tokens: &'a mut usize,
-    /// What the other process of this scheduler, if there is one, is to be told.
-    strays: &'a mut Vec<Word>,
+    /// Call-backs that fit nothing here: the other process of this scheduler, if there is one, is to be told.
+    strays: &'a mut Vec<String>,
+    /// What a protocol wants of the whole program.
+    wishes: &'a mut Vec<protocol::Wish>,
     now: Micros,
 }
 
--- a/src/net/door.rs
+++ b/src/net/operators/door.rs
@@ -1,10 +1,10 @@
 //! The operators' door: a second listener, where a connection carries one line and gets one answer.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::buffer::{Buffer, Filled};
-use crate::net::caller::Callers;
-use crate::net::deadlines::Due;
-use crate::net::log::note;
+use crate::net::core::buffer::{Buffer, Filled};
+use crate::net::core::deadlines::Due;
+use crate::net::protocol::Spare;
 use calicolb::api::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
@@ -58,7 +58,7 @@
     }
 
     /// Takes new calls; those that bring their line along are given back at once.
-    pub fn accept(&mut self, ctx: &mut Ctx<'_>, callers: &mut Callers) -> Vec<(usize, Option<Order>)> {
+    pub fn accept(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare) -> Vec<(usize, Option<Order>)> {
         let mut orders = Vec::new();
         // As many in a turn as may be open; the rest come in the next.
         for _ in 0..CALLS {
@@ -76,7 +76,7 @@
                 Err(error) => {
                     // Out of descriptors, say: operators come before callers at rest.
                     note!("accepting an operator's call: {error}");
-                    callers.shed(ctx);
+                    spare.shed(ctx);
                     ctx.deadlines.set(Due::Door, ctx.now + AGAIN);
                     return orders;
                 }
--- a/src/net/inherit.rs
+++ b/src/net/platform/inherit.rs
@@ -1,6 +1,6 @@
 //! The clients' socket as the platform may hold it: a descriptor that this process was started with.
 
-use crate::net::log::note;
+use crate::log::note;
 use listenfd::ListenFd;
 use mio::net::TcpListener;
 use std::ffi::OsString;
--- a/src/net/kin.rs
+++ b/src/net/platform/kin.rs
@@ -4,11 +4,11 @@
 //!
 //! Nothing here decides anything: what a message means is the turn's business.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::buffer::{Buffer, Filled};
-use crate::net::http;
-use crate::net::log::note;
-use crate::net::route_set::Update;
+use crate::net::core::buffer::{Buffer, Filled};
+use crate::net::core::envelope::Envelope;
+use crate::net::platform::route_set::Update;
 use calicolb::api::Micros;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
@@ -69,7 +69,9 @@
 /// A request that an elder sent out and will not live to answer.
 #[derive(Serialize, Deserialize)]
 pub struct Bequest {
-    pub request: http::Request,
+    pub envelope: Envelope,
+    /// Another request may follow on its connection.
+    pub keep_alive: bool,
     /// The next hop that took it, and when it was sent there.
     pub hop: u32,
     pub sent: Micros,
--- a/src/net/peers.rs
+++ b/src/net/platform/peers.rs
@@ -1,8 +1,8 @@
 //! Messages between schedulers: datagrams to and from the addresses that the configuration names, no others.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::deadlines::Due;
-use crate::net::log::note;
+use crate::net::core::deadlines::Due;
 use mio::net::UdpSocket;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/src/net/route_set.rs
+++ b/src/net/platform/route_set.rs
@@ -1,14 +1,15 @@
 //! The route set: discovery's list of next hops, fetched and watched. When to ask is the module's decision;
 //! what comes back, and that nothing did, is told to it.
 
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::buffer::{Buffer, Filled};
-use crate::net::deadlines::Due;
-use crate::net::http;
-use crate::net::log::note;
-use crate::net::next_hop::NextHops;
+use crate::net::core::buffer::{Buffer, Filled};
+use crate::net::core::deadlines::Due;
+use crate::net::core::roster::{Source, hop_id};
+use crate::net::http::framing;
+use crate::net::http::next_hop::NextHops;
 use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
-use calicolb::wire::{Names, WireError, hash_text};
+use calicolb::wire::{Names, WireError};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use serde::{Deserialize, Serialize};
@@ -55,12 +56,6 @@
     1.0
 }
 
-/// The number of a next hop: the same at every scheduler, since they speak of hops to each other by it.
-pub fn hop_id(name: &str) -> WorkerId {
-    let hash = hash_text(name);
-    WorkerId((hash ^ (hash >> 32)) as u32)
-}
-
 struct Call {
     token: usize,
     stream: TcpStream,
@@ -73,7 +68,8 @@
 
 /// See the head of this file.
 pub struct RouteSet {
-    discovery: SocketAddr,
+    /// Where discovery is, if there is any.
+    discovery: Option<SocketAddr>,
     seq: u64,
     listed: HashMap<WorkerId, Line>,
     fetch: Option<Call>,
@@ -83,15 +79,10 @@
 }
 
 impl RouteSet {
-    pub fn new(discovery: SocketAddr) -> Self {
+    pub fn new(discovery: Option<SocketAddr>) -> Self {
         RouteSet { discovery, seq: 0, listed: HashMap::new(), fetch: None, watch: None, before: None }
     }
 
-    /// How many next hops are on the list.
-    pub fn known(&self) -> usize {
-        self.listed.len()
-    }
-
     /// Takes in the copy of the list that came with the configuration.
     pub fn warm(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, known: Option<Update>) {
         let update = known.unwrap_or(Update { seq: 0, whole: true, hosts: Vec::new() });
@@ -138,7 +129,7 @@
     }
 
     /// Discovery is at this address from now on; what to ask of it, and when, is the module's to say.
-    pub fn move_to(&mut self, ctx: &mut Ctx<'_>, discovery: SocketAddr) {
+    pub fn move_to(&mut self, ctx: &mut Ctx<'_>, discovery: Option<SocketAddr>) {
         if self.discovery != discovery {
             self.discovery = discovery;
             ctx.desk.list_moved();
@@ -146,7 +137,7 @@
     }
 
     fn call(&mut self, ctx: &mut Ctx<'_>, target: &str, due: Due) -> Option<Call> {
-        let mut made = TcpStream::connect(self.discovery);
+        let mut made = TcpStream::connect(self.discovery?);
         let token = ctx.next_token();
         if let Ok(stream) = &mut made
             && let Err(error) =
@@ -157,13 +148,13 @@
         match made {
             Ok(stream) => {
                 let mut buffer = Buffer::default();
-                buffer.put(&http::write_request("GET", target, &[("Host", "discovery")], b""));
+                buffer.put(&framing::write_request("GET", target, &[("Host", "discovery")], b""));
                 ctx.deadlines.set(due, ctx.now + SILENCE);
                 Some(Call { token, stream, buffer, open: false, line: Vec::new() })
             }
             Err(error) => {
                 note!("calling discovery: {error}");
-                ctx.desk.members(ListKind::Lost, Vec::new());
+                ctx.desk.members(Source::Listed, ListKind::Lost, Vec::new());
                 None
             }
         }
@@ -234,7 +225,7 @@
     fn lose(&mut self, ctx: &mut Ctx<'_>, call: Call, due: Due, why: &str) {
         note!("discovery: {why}");
         end(ctx, call, due);
-        ctx.desk.members(ListKind::Lost, Vec::new());
+        ctx.desk.members(Source::Listed, ListKind::Lost, Vec::new());
     }
 
     fn update(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update) {
@@ -267,7 +258,7 @@
             self.listed.remove(&member.worker);
             hops.forget(ctx, member.worker);
         }
-        ctx.desk.members(kind, members);
+        ctx.desk.members(Source::Listed, kind, members);
     }
 
     fn read_line(
@@ -280,6 +271,9 @@
         let dial: SocketAddr =
             line.dial.parse().map_err(|_| WireError(format!("'{}' is no address", line.dial)))?;
         let member = read_member(ctx.names, &line)?;
+        if ctx.desk.foreign(member.worker, Source::Listed) {
+            return Err(WireError(format!("'{}' has the number of a hop that is no host", line.host)));
+        }
         match self.listed.get(&member.worker) {
             Some(known) if known.host != line.host => {
                 return Err(WireError(format!("'{}' and '{}' have the same number", line.host, known.host)));
@@ -309,6 +303,8 @@
         weight: line.share,
         // The module's clock is Unix time, in its unit; 0 stands for long ago.
         started: line.born_ms.checked_mul(1_000).filter(|&at| at > 0),
+        lanes: None,
+        refuses: 0,
     })
 }
 
@@ -338,7 +334,7 @@
 
 fn fetched(call: &mut Call) -> Result<Option<Update>, &'static str> {
     let Some(filled) = pump(call)? else { return Ok(None) };
-    match http::response(call.buffer.input()) {
+    match framing::response(call.buffer.input()) {
         Ok(Some((response, _))) if response.status == 200 => {
             serde_json::from_slice(&response.body).map(Some).map_err(|_| "the list is malformed")
         }
@@ -355,7 +351,7 @@
     let mut heard = false;
     loop {
         if !call.open {
-            match http::response_head(call.buffer.input()) {
+            match framing::response_head(call.buffer.input()) {
                 Ok(Some((response, _))) if response.status != 200 => return Err("the watch was refused"),
                 Ok(Some((_, length))) => {
                     call.open = true;
@@ -366,7 +362,7 @@
             }
         }
         while call.open {
-            let Ok(found) = http::chunk(call.buffer.input()) else { return Err("the watch is malformed") };
+            let Ok(found) = framing::chunk(call.buffer.input()) else { return Err("the watch is malformed") };
             let Some((part, length)) = found else { break };
             heard = true;
             let last = part.is_empty();
--- /dev/null
+++ b/src/net/protocol.rs
@@ -0,0 +1,94 @@
+//! What the loop asks of a protocol. It goes through the protocols and asks whose a connection, a caller or a next hop
+//! is, so that another protocol adds a folder and nothing here or there.
+
+use crate::net::Ctx;
+use crate::net::core::deadlines::Alarm;
+use crate::net::core::desk::{Answer, BranchId, CallerId, Part};
+use crate::net::core::envelope::Payload;
+use calicolb::api::{Micros, WorkerId};
+use std::io;
+
+/// What a protocol wants of the whole program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// Send clients away, answer what was taken, and exit.
+    End {
+        /// However long the answers take; else as after SIGTERM.
+        patient: bool,
+    },
+}
+
+/// How many descriptors a protocol may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// For connections that come in.
+    pub callers: usize,
+    /// For connections that go out to next hops.
+    pub hops: usize,
+}
+
+/// Something that holds descriptors which others may need more.
+pub trait Spare {
+    /// Lets go of the descriptor that is needed least; tells whether there was one.
+    fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool;
+}
+
+/// One protocol: its connections, callers and next hops.
+pub trait Protocol: Spare {
+    /// This is one of its connections or listeners.
+    fn has(&self, token: usize) -> bool;
+
+    /// Something can be read, written or accepted there.
+    fn ready(&mut self, ctx: &mut Ctx<'_>, token: usize);
+
+    /// A time that was set for it has come.
+    fn due(&mut self, ctx: &mut Ctx<'_>, token: usize, alarm: Alarm);
+
+    /// This is one of its callers.
+    fn serves(&self, caller: CallerId) -> bool;
+
+    /// Gives a caller its final answer.
+    fn answer(&mut self, ctx: &mut Ctx<'_>, caller: CallerId, answer: Answer);
+
+    /// Passes on to a caller what its next hop told on the way to the end.
+    fn relay(&mut self, _ctx: &mut Ctx<'_>, _caller: CallerId, _part: Part) {}
+
+    /// This is one of its next hops.
+    fn drives(&self, hop: WorkerId) -> bool;
+
+    /// Sends a branch. What becomes of it is told to the desk.
+    fn send(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, payload: &Payload, wait: Micros);
+
+    /// A branch was given up, and may be with its next hop, which knows it by this name.
+    fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, name: &str);
+
+    /// All the time of a branch has passed, which was over before: nothing need be kept for it.
+    fn release(&mut self, ctx: &mut Ctx<'_>, branch: BranchId);
+
+    /// Asks a next hop for its load.
+    fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId);
+
+    /// Closes connections to a next hop that are at rest.
+    fn close_idle(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId);
+
+    /// All facts of a turn are in; the module is asked next.
+    fn gathered(&mut self, _ctx: &mut Ctx<'_>) {}
+
+    /// All that the module wanted in this turn is carried out.
+    fn settled(&mut self, _ctx: &mut Ctx<'_>) {}
+
+    /// Begins to take connections.
+    fn listen(&mut self, ctx: &mut Ctx<'_>) -> io::Result<()>;
+
+    /// So many descriptors may be used from now on.
+    fn limit(&mut self, ctx: &mut Ctx<'_>, shares: Shares);
+
+    /// Callers are parted with: those at rest now, the others after their answers.
+    fn farewell(&mut self, ctx: &mut Ctx<'_>);
+
+    /// Callers are welcome to stay again.
+    fn stay(&mut self);
+
+    /// No caller is in the middle of a request or an answer.
+    fn at_rest(&self) -> bool;
+}
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -1,21 +1,27 @@
 //! The loop. Each turn gathers what is ready and what is due, hands it to the module in one go, and carries
 //! out what came back.
 
-use crate::config::{Config, PeerConfig};
+use crate::config::{Config, Fixed, PeerConfig};
+use crate::log::note;
 use crate::net::Ctx;
-use crate::net::caller::{Callers, call_back};
-use crate::net::deadlines::{Deadlines, Due};
-use crate::net::desk::{BranchId, Desk, Work};
-use crate::net::door::{CALLS, Door, Order};
-use crate::net::drain::{Drain, PARTING, Why};
-use crate::net::figures::Present;
-use crate::net::inherit;
-use crate::net::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
-use crate::net::log::note;
-use crate::net::next_hop::{NextHops, Payload};
-use crate::net::peers::Peers;
-use crate::net::route_set::{RouteSet, Update};
-use calicolb::api::Micros;
+use crate::net::core::deadlines::{Deadlines, Due};
+use crate::net::core::desk::{BranchId, Desk, Work};
+use crate::net::core::envelope::Payload;
+use crate::net::core::figures::Present;
+use crate::net::core::roster::Source;
+//GM use crate::net::gearman::Gearman;
+use crate::net::http::Http;
+use crate::net::http::call_back::call_back;
+use crate::net::http::caller::{Callers, Taken};
+use crate::net::http::next_hop::NextHops;
+use crate::net::operators::door::{CALLS, Door, Order};
+use crate::net::operators::drain::{Drain, PARTING, Why};
+use crate::net::platform::inherit;
+use crate::net::platform::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
+use crate::net::platform::peers::Peers;
+use crate::net::platform::route_set::{RouteSet, Update};
+use crate::net::protocol::{Protocol, Shares, Wish};
+use calicolb::api::{ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
@@ -26,7 +32,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-const LISTENER: Token = Token(0);
+const LISTENER: usize = 0;
 const SIGNALS: Token = Token(1);
 const PEERS: Token = Token(2);
 const DOOR: Token = Token(3);
@@ -73,15 +79,19 @@
     desk: Desk<Payload>,
     tokens: usize,
     signals: Signals,
-    callers: Callers,
-    hops: NextHops,
+    http: Http,
+    /// The other protocols.
+    others: Vec<Box<dyn Protocol>>,
+    wishes: Vec<Wish>,
     routes: RouteSet,
+    /// Next hops that the operator file names.
+    fixed: Vec<Fixed>,
     peers: Option<Peers>,
     door: Option<Door>,
     drain: Drain,
     kin: Kin,
     /// What the other process is to be told at the end of the turn.
-    strays: Vec<Word>,
+    strays: Vec<String>,
     /// The list of next hops to begin with, while the elder is asked for a better one.
     waiting: Option<Option<Update>>,
     /// An heir has taken over; and it takes clients.
@@ -99,6 +109,8 @@
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
     grace: Micros,
+    /// The program ends however long the answers take.
+    patient: bool,
 }
 
 impl Turn {
@@ -134,9 +146,11 @@
             deadlines: Deadlines::default(),
             tokens: FIRST,
             signals,
-            callers: Callers::new(listener, 0),
-            hops,
+            http: Http { callers: Callers::new(listener, LISTENER), hops },
+            others: Vec::new(),
+            wishes: Vec::new(),
             routes: RouteSet::new(config.discovery),
+            fixed: config.fixed,
             peers: None,
             door,
             drain: Drain::default(),
@@ -152,8 +166,10 @@
             sockets: config.sockets,
             most_open: config.most_open,
             begun: false,
+            patient: false,
         };
         let now = turn.clock.now();
+        //GM2
         let (mut ctx, parts) = turn.split(now);
         if parts.kin.call(&mut ctx) {
             ctx.deadlines.set(Due::Elder, now + PATIENCE);
@@ -184,8 +200,17 @@
             }
             None => (known, false),
         };
-        parts.routes.warm(&mut ctx, parts.hops, known);
-        parts.callers.listen(&mut ctx, LISTENER)?;
+        if !parts.fixed.is_empty() {
+            parts
+                .fixed
+                .iter()
+                .for_each(|hop| parts.http.hops.learn(&mut ctx, hop.member.worker, hop.dial, 0));
+            let members = parts.fixed.iter().map(|hop| hop.member.clone()).collect();
+            ctx.desk.members(Source::Fixed, ListKind::Changes, members);
+        }
+        parts.routes.warm(&mut ctx, &mut parts.http.hops, known);
+        parts.http.listen(&mut ctx)?;
+        parts.others.iter_mut().try_for_each(|other| other.listen(&mut ctx))?;
         parts.kin.listen(ctx.registry, MEETING);
         note!("{} serves on {}", self.name, self.at);
         if drained {
@@ -216,12 +241,14 @@
     fn share_out(&mut self, now: Micros) {
         let sockets = self.sockets / if self.kin.any() { 2 } else { 1 };
         let own = OWN_SOCKETS + if self.door.is_some() { CALLS } else { 0 };
-        let (to_callers, to_hops, most_open) = shares(sockets, own);
+        let (shares, most_open) = shares(sockets, own);
         let most_open = most_open.min(self.most_open);
-        let (mut ctx, parts) = self.split(now);
+        let (mut ctx, mut parts) = self.split(now);
         ctx.desk.limit(most_open);
-        parts.callers.limit(&mut ctx, to_callers);
-        parts.hops.limit(&mut ctx, to_hops);
+        // Alike for all protocols: which of them is in use is not known beforehand.
+        let count = 1 + parts.others.len();
+        let each = Shares { callers: shares.callers / count, hops: shares.hops / count };
+        parts.protocols().for_each(|protocol| protocol.limit(&mut ctx, each));
     }
 
     /// An heir has come: it takes what comes from now on, and what was taken here is answered here.
@@ -232,8 +259,8 @@
         // The heir needs the address.
         self.peers = None;
         let (mut ctx, parts) = self.split(now);
-        parts.callers.stop_listening(&mut ctx);
-        parts.callers.farewell(&mut ctx);
+        parts.http.callers.stop_listening(&mut ctx);
+        parts.http.farewell(&mut ctx);
         parts.kin.stop_listening();
         let handover = Handover {
             routes: parts.routes.list(),
@@ -264,9 +291,9 @@
                 let (mut ctx, parts) = self.split(now);
                 ctx.desk.resume();
                 if parts.drain.open() {
-                    parts.callers.stay();
+                    parts.http.stay();
                 }
-                let listening = opened.and_then(|()| parts.callers.listen(&mut ctx, LISTENER));
+                let listening = opened.and_then(|()| parts.http.listen(&mut ctx));
                 parts.kin.listen(ctx.registry, MEETING);
                 if let Err(error) = listening {
                     note!("taking clients again: {error}");
@@ -283,9 +310,9 @@
         let left = ctx.desk.bequeath();
         note!("{} requests are left to the next process", left.len());
         for (caller, hop, sent, expires, request) in left {
-            let Some(stream) = parts.callers.release(&mut ctx, caller) else { continue };
-            let request = (*request).clone();
-            if !parts.kin.bequeath(&stream, Bequest { request, hop: hop.0, sent, expires }) {
+            let Some((stream, keep_alive)) = parts.http.callers.release(&mut ctx, caller) else { continue };
+            let envelope = (*request).clone();
+            if !parts.kin.bequeath(&stream, Bequest { envelope, keep_alive, hop: hop.0, sent, expires }) {
                 note!("a request could not be left to the next process");
             }
         }
@@ -322,15 +349,17 @@
                 // Answered already, where it came in.
                 let _ = call_back(&mut ctx, body.as_bytes());
                 // Of three processes in a row the middle one passes on what is not its own, but never back.
-                for word in self.strays.split_off(before) {
-                    self.kin.say(side.other(), &word);
+                for body in self.strays.split_off(before) {
+                    self.kin.say(side.other(), &Word::News(body));
                 }
             }
             (Word::Load(body), Side::Elder) => self.desk.peer(self.rank, body),
             (Word::Bequest(bequest), Side::Elder) => {
                 if let Some(stream) = self.kin.passed() {
                     let (mut ctx, parts) = self.split(now);
-                    parts.callers.adopt(&mut ctx, stream, *bequest);
+                    let Bequest { envelope, keep_alive, hop, sent, expires } = *bequest;
+                    let taken = Taken { envelope, keep_alive, hop, sent, expires };
+                    parts.http.callers.adopt(&mut ctx, stream, taken);
                 }
             }
             (Word::Drain(drained), Side::Heir) => self.heir_open = !drained,
@@ -346,7 +375,8 @@
     fn tell_kin(&mut self) {
         let turnover = self.desk.turnover().into_iter();
         let names = turnover.map(|(name, open)| if open { Word::Opened(name) } else { Word::Closed(name) });
-        let words: Vec<Word> = names.chain(std::mem::take(&mut self.strays)).collect();
+        let words: Vec<Word> =
+            names.chain(std::mem::take(&mut self.strays).into_iter().map(Word::News)).collect();
         for word in words {
             self.kin.say(Side::Elder, &word);
             self.kin.say(Side::Heir, &word);
@@ -373,11 +403,18 @@
             while let Some(due) = self.deadlines.next_due(now) {
                 self.due(now, due);
             }
+            let (mut ctx, mut parts) = self.split(now);
+            parts.protocols().for_each(|protocol| protocol.gathered(&mut ctx));
             for work in self.desk.settle(now, &mut self.deadlines) {
                 self.carry_out(now, work);
             }
-            self.begun |= self.routes.known() > 0;
-            self.callers.open = self.routes.known() > 0 && self.welcome();
+            let (mut ctx, mut parts) = self.split(now);
+            parts.protocols().for_each(|protocol| protocol.settled(&mut ctx));
+            for wish in std::mem::take(&mut self.wishes) {
+                self.grant(now, wish);
+            }
+            self.begun |= self.desk.known() > 0;
+            self.http.callers.open = self.desk.known() > 0 && self.welcome();
             self.tell_kin();
             done = if self.done() { done + 1 } else { 0 };
         }
@@ -393,7 +430,8 @@
         // What the elder still has out needs its call-backs, and they come to whoever listens: here.
         self.drain.last()
             && self.desk.owed() == 0
-            && self.callers.at_rest()
+            && self.http.at_rest()
+            && self.others.iter().all(|other| other.at_rest())
             && (self.retired || !self.desk.any_elsewhere())
     }
 
@@ -405,11 +443,13 @@
             desk: &mut self.desk,
             tokens: &mut self.tokens,
             strays: &mut self.strays,
+            wishes: &mut self.wishes,
             now,
         };
         let parts = Parts {
-            callers: &mut self.callers,
-            hops: &mut self.hops,
+            http: &mut self.http,
+            others: &mut self.others,
+            fixed: &self.fixed,
             routes: &mut self.routes,
             peers: &mut self.peers,
             door: &mut self.door,
@@ -423,9 +463,8 @@
         if token == SIGNALS {
             return self.signalled(now);
         }
-        let (mut ctx, parts) = self.split(now);
+        let (mut ctx, mut parts) = self.split(now);
         match token {
-            LISTENER => parts.callers.accept(&mut ctx),
             PEERS => {
                 if let Some(peers) = parts.peers {
                     peers.ready(&mut ctx);
@@ -434,15 +473,20 @@
             DOOR => self.door_opens(now),
             MEETING => parts.kin.accept(&mut ctx),
             Token(token) if parts.kin.has(token) => self.kin_ready(now, token),
-            Token(token) if parts.callers.has(token) => parts.callers.ready(&mut ctx, token),
-            Token(token) if parts.routes.has(token) => parts.routes.ready(&mut ctx, parts.hops, token),
+            Token(token) if parts.routes.has(token) => {
+                parts.routes.ready(&mut ctx, &mut parts.http.hops, token);
+            }
             Token(token) => match parts.door {
                 Some(door) if door.has(token) => {
                     if let Some(order) = door.ready(&mut ctx, token) {
                         self.order(now, token, order);
                     }
                 }
-                _ => parts.hops.ready(&mut ctx, token),
+                _ => {
+                    if let Some(protocol) = parts.protocols().find(|protocol| protocol.has(token)) {
+                        protocol.ready(&mut ctx, token);
+                    }
+                }
             },
         }
     }
@@ -451,7 +495,7 @@
     fn door_opens(&mut self, now: Micros) {
         let (mut ctx, parts) = self.split(now);
         let Some(door) = parts.door else { return };
-        for (token, order) in door.accept(&mut ctx, parts.callers) {
+        for (token, order) in door.accept(&mut ctx, parts.http) {
             self.order(now, token, order);
         }
     }
@@ -464,7 +508,7 @@
             Some(Order::Info) => {
                 let present = Present {
                     in_flight: self.desk.owed(),
-                    known: self.routes.known(),
+                    known: self.desk.known(),
                     avoided: self.desk.avoided(now),
                 };
                 self.desk.figures().write(self.names.classes(), present)
@@ -489,28 +533,28 @@
     }
 
     fn due(&mut self, now: Micros, due: Due) {
-        let (mut ctx, parts) = self.split(now);
+        let (mut ctx, mut parts) = self.split(now);
         match due {
             Due::Timer(timer, _) => ctx.desk.timer(timer),
             Due::Branch(request, attempt) => {
                 let branch = BranchId { request, attempt };
                 if !ctx.desk.time_up(now, branch) {
-                    parts.hops.release(&mut ctx, branch);
+                    parts.protocols().for_each(|protocol| protocol.release(&mut ctx, branch));
+                }
+            }
+            Due::Conn(token, alarm) => {
+                if let Some(protocol) = parts.protocols().find(|protocol| protocol.has(token)) {
+                    protocol.due(&mut ctx, token, alarm);
                 }
             }
-            Due::Link(token) => parts.hops.late(&mut ctx, token),
-            Due::LinkIdle(token) => parts.hops.rested(&mut ctx, token),
-            Due::Leg(token) => parts.callers.late(&mut ctx, token),
-            Due::LegMore(token) => parts.callers.ready(&mut ctx, token),
             Due::Peers => {
                 if let Some(peers) = parts.peers {
                     peers.ready(&mut ctx);
                 }
             }
-            Due::Accept => parts.callers.accept(&mut ctx),
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, due),
             Due::Farewell => {
-                parts.callers.farewell(&mut ctx);
+                parts.protocols().for_each(|protocol| protocol.farewell(&mut ctx));
                 self.drain.part();
             }
             Due::Call(token) => {
@@ -534,16 +578,23 @@
 
     fn carry_out(&mut self, now: Micros, work: Work<Payload>) {
         let rank = self.rank;
-        let (mut ctx, parts) = self.split(now);
+        let (mut ctx, mut parts) = self.split(now);
         match work {
-            Work::Answer { caller, answer } => parts.callers.answer(&mut ctx, caller, answer),
-            Work::Send { branch, hop, payload, wait } => {
-                parts.hops.send(&mut ctx, parts.callers, branch, hop, &payload, wait)
+            Work::Answer { caller, answer } => {
+                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(caller)) {
+                    protocol.answer(&mut ctx, caller, answer);
+                }
+            }
+            Work::Relay { caller, part } => {
+                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(caller)) {
+                    protocol.relay(&mut ctx, caller, part);
+                }
             }
-            Work::GiveUp { branch, hop, name } => {
-                parts.hops.give_up(&mut ctx, parts.callers, branch, hop, &name)
+            Work::Send { branch, hop, payload, wait } => {
+                parts.driver(hop).send(&mut ctx, branch, hop, &payload, wait);
             }
-            Work::Probe(hop) => parts.hops.probe(&mut ctx, parts.callers, hop),
+            Work::GiveUp { branch, hop, name } => parts.driver(hop).give_up(&mut ctx, branch, hop, &name),
+            Work::Probe(hop) => parts.driver(hop).probe(&mut ctx, hop),
             // To the own rank: the process that took over counts it with its own.
             Work::Tell { to, body } if to == Some(rank) => {
                 self.kin.say(Side::Heir, &Word::Load(body));
@@ -555,7 +606,7 @@
             }
             Work::FetchList => parts.routes.fetch(&mut ctx),
             Work::Watch(want) => parts.routes.watch(&mut ctx, want),
-            Work::CloseIdle(hop) => parts.hops.close_idle(&mut ctx, hop),
+            Work::CloseIdle(hop) => parts.driver(hop).close_idle(&mut ctx, hop),
         }
     }
 
@@ -577,7 +628,9 @@
             Ok(config) => config,
             Err(message) => return note!("SIGHUP: configuration: {message}; the old one stays in force"),
         };
-        note!("SIGHUP: discovery is at {}", config.discovery);
+        if let Some(discovery) = config.discovery {
+            note!("SIGHUP: discovery is at {discovery}");
+        }
         let (mut ctx, parts) = self.split(now);
         parts.routes.move_to(&mut ctx, config.discovery);
         if let (Some(peers), Some(told)) = (parts.peers, &config.peers) {
@@ -588,10 +641,28 @@
         }
     }
 
+    /// Does what a protocol wants of the whole program.
+    fn grant(&mut self, now: Micros, wish: Wish) {
+        match wish {
+            Wish::End { patient: false } => self.begin_drain(now, Why::Ending),
+            Wish::End { patient: true } => self.begin_patient_end(now),
+        }
+    }
+
+    /// The program ends once all that was taken is answered, however long that takes.
+    fn begin_patient_end(&mut self, now: Micros) {
+        note!("the program ends when {} requests are answered", self.desk.owed());
+        self.patient = !self.drain.ending();
+        if self.drain.begin(Why::Ending) {
+            self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
+        }
+    }
+
     /// Begins to send clients away. The work goes on, new work too; when callers have had the time to hear of
     /// it, their connections are parted with. After SIGTERM only what can be done before the end is taken.
     fn begin_drain(&mut self, now: Micros, why: Why) {
-        if why == Why::Ending && !self.drain.ending() {
+        if why == Why::Ending && (self.patient || !self.drain.ending()) {
+            self.patient = false;
             note!("SIGTERM: {} requests are open", self.desk.owed());
             self.desk.stop(now + self.grace.saturating_sub(LAST_ANSWER));
         }
@@ -605,7 +676,7 @@
             note!("clients are sent away: {} requests are open", self.desk.owed());
             self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
         }
-        self.callers.open = self.routes.known() > 0 && self.welcome();
+        self.http.callers.open = self.desk.known() > 0 && self.welcome();
     }
 
     /// Ends a drain; tells whether the scheduler is open.
@@ -615,8 +686,9 @@
             self.kin.say(Side::Elder, &Word::Drain(false));
             note!("clients are welcome");
             self.deadlines.clear(Due::Farewell);
-            self.callers.stay();
-            self.callers.open = self.routes.known() > 0;
+            self.http.stay();
+            self.others.iter_mut().for_each(|other| other.stay());
+            self.http.callers.open = self.desk.known() > 0;
         }
         open
     }
@@ -624,19 +696,20 @@
 
 /// How many descriptors of these may go to callers and to next hops, beside the program's own, and how many
 /// requests may be open.
-fn shares(sockets: usize, own: usize) -> (usize, usize, usize) {
+fn shares(sockets: usize, own: usize) -> (Shares, usize) {
     // A third is kept for next hops: however many callers come, work can be placed.
     let usable = sockets.saturating_sub(own).max(8);
     let to_hops = usable / 3;
     let to_callers = usable - to_hops;
     // Requests in work hold a leg each, a third of all descriptors at most: the rest of the legs is for
     // call-backs, without which no work would end, and for callers at rest.
-    (to_callers, to_hops, (sockets / 3).min(to_callers * 9 / 10))
+    (Shares { callers: to_callers, hops: to_hops }, (sockets / 3).min(to_callers * 9 / 10))
 }
 
 struct Parts<'a> {
-    callers: &'a mut Callers,
-    hops: &'a mut NextHops,
+    http: &'a mut Http,
+    others: &'a mut Vec<Box<dyn Protocol>>,
+    fixed: &'a [Fixed],
     routes: &'a mut RouteSet,
     peers: &'a mut Option<Peers>,
     door: &'a mut Option<Door>,
@@ -644,6 +717,21 @@
     kin: &'a mut Kin,
 }
 
+impl Parts<'_> {
+    fn protocols(&mut self) -> impl Iterator<Item = &mut dyn Protocol> {
+        let http: &mut dyn Protocol = self.http;
+        std::iter::once(http).chain(self.others.iter_mut().map(|other| &mut **other as &mut dyn Protocol))
+    }
+
+    /// Whoever drives a next hop. One that has gone was HTTP's, or is nobody's, and HTTP says what that means.
+    fn driver(&mut self, hop: WorkerId) -> &mut dyn Protocol {
+        match self.others.iter_mut().find(|other| other.drives(hop)) {
+            Some(other) => &mut **other,
+            None => self.http,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -652,10 +740,10 @@
     fn the_descriptors_suffice_and_requests_hold_a_third_at_most() {
         for sockets in [64, 128, 192, 256, 384, 1024] {
             let own = OWN_SOCKETS + CALLS;
-            let (to_callers, to_hops, most_open) = shares(sockets, own);
-            assert!(own + to_callers + to_hops <= sockets, "{sockets}");
-            assert!(most_open <= sockets / 3 && most_open < to_callers, "{sockets}");
-            assert!(most_open > 0 && to_hops > 0, "{sockets}");
+            let (Shares { callers, hops }, most_open) = shares(sockets, own);
+            assert!(own + callers + hops <= sockets, "{sockets}");
+            assert!(most_open <= sockets / 3 && most_open < callers, "{sockets}");
+            assert!(most_open > 0 && hops > 0, "{sockets}");
         }
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -232,14 +232,10 @@
     }
 
     fn on_member(&mut self, member: Member) {
-        let at = match self.index.get(&member.worker) {
-            Some(&at) => at,
-            None => {
-                self.index.insert(member.worker, self.workers.len());
-                self.workers.push(Worker { id: member.worker, started: member.started, ..Worker::default() });
-                self.workers.len() - 1
-            }
-        };
+        let at = *self.index.entry(member.worker).or_insert_with(|| {
+            self.workers.push(Worker { id: member.worker, started: member.started, ..Worker::default() });
+            self.workers.len() - 1
+        });
         let worker = &mut self.workers[at];
         if member.started != worker.started && member.started.is_some() {
             // A new process: nothing learned of the old one's health or load holds.
@@ -254,6 +250,7 @@
         worker.zone = ZoneIx(member.zone.0.min(self.know.mean_foreign.len() - 1));
         worker.kind = member.kind.0.min(self.know.kinds.len() - 1);
         worker.cell = member.cell;
+        (worker.told, worker.refuses) = (member.lanes.map(|lanes| lanes.max(1) as usize), member.refuses);
         worker.weight = if member.weight.is_finite() && member.weight > 0.0 { member.weight } else { 1.0 };
     }
 
@@ -466,7 +463,7 @@
     fn lanes(&self, at: usize) -> usize {
         let worker = &self.workers[at];
         let lanes = worker.lanes.or(self.know.kinds[worker.kind].lanes);
-        (lanes.map_or(0, |lanes| lanes.round() as usize)).max(self.know.most_slots)
+        worker.told.unwrap_or(lanes.map_or(0, |lanes| lanes.round() as usize).max(self.know.most_slots))
     }
 
     /// Lanes that others are taken to use there.
@@ -474,7 +471,7 @@
         let worker = &self.workers[at];
         let told: usize =
             worker.peers.iter().filter(|peer| peer.latest + 2 * SECOND > now).map(|p| p.lanes).sum();
-        let home = worker.home && self.settings.limits.peers;
+        let home = worker.told.is_some() || (worker.home && self.settings.limits.peers);
         let share = self.know.mean_foreign[worker.zone.0];
         let prior = if home { 0.0 } else { share * self.lanes(at) as f64 };
         let seen = match worker.foreign {
@@ -495,7 +492,8 @@
 
     fn on_report(&mut self, now: Micros, at: usize, report: Option<Report>) {
         let Some(report) = report else { return };
-        let Some(free) = report.free_slots.filter(|free| free.is_finite()) else { return };
+        let guessed = self.workers[at].told.is_none();
+        let Some(free) = report.free_slots.filter(|free| free.is_finite() && guessed) else { return };
         let free = free.clamp(0.0, 1024.0);
         let then = now.saturating_sub(REPORT_AGE);
         let worker = &mut self.workers[at];
@@ -855,16 +853,17 @@
         }
         map.fresh += 1;
         self.maps_stale |= map.fresh * 2 >= map.sizes.len().max(RANGE_SIZES * 2);
-        let (hint, expires, yields) = (arrival.hint, arrival.expires, over);
+        let Arrival { hint, expires, skill, .. } = arrival;
         let request = Request {
             class,
+            skill,
             slots,
             hint,
             size,
             expires,
             deadline,
             order,
-            yields,
+            yields: over,
             doubt,
             ..Request::default()
         };
@@ -1034,7 +1033,7 @@
             return false;
         }
         // Rule 3: nothing at all after being told, so the grace is never needed.
-        if worker.standing != Standing::On {
+        if worker.standing != Standing::On || worker.refuses(request.skill) {
             return false;
         }
         // Rule 4.
@@ -1122,9 +1121,7 @@
     /// The request is over without an answer of ours.
     fn close(&mut self, id: RequestId) {
         self.unhold(id);
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.done = true;
-        }
+        self.requests.entry(id).and_modify(|request| request.done = true);
         self.forget(id);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -127,6 +127,12 @@
     pub(crate) kind: usize,
     pub(crate) cell: u32,
     pub(crate) standing: Standing,
+    /// Its lanes, where the list tells them exactly.
+    #[serde(default)]
+    pub(crate) told: Option<usize>,
+    /// Skills that it has not, a bit each.
+    #[serde(default)]
+    pub(crate) refuses: u64,
     pub(crate) weight: f64,
     pub(crate) started: Option<Micros>,
     pub(crate) cold_sent: VecDeque<(Micros, f64)>,
@@ -157,6 +163,11 @@
     pub(crate) fn busy(&self) -> usize {
         self.own.iter().map(|own| own.slots).sum()
     }
+
+    /// It cannot do what a request with this skill needs.
+    pub(crate) fn refuses(&self, skill: u32) -> bool {
+        self.refuses >> skill.min(u64::BITS - 1) & 1 == 1
+    }
 }
 
 #[derive(Default, Serialize, Deserialize)]
@@ -191,6 +202,8 @@
 #[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
+    /// What its worker must be able to do.
+    pub(crate) skill: u32,
     pub(crate) slots: usize,
     pub(crate) hint: Option<f64>,
     /// Estimated time on a standard core.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -34,6 +34,12 @@
 }
 
 impl Names {
+    /// The names of these classes and tenants, zones and kinds of machine, each in their order. Reports have free slots
+    /// as `x0`.
+    pub fn new(classes: Vec<String>, tenants: Vec<String>, zones: Vec<String>, kinds: Vec<String>) -> Names {
+        Names { zones, kinds, classes, tenants, x0: Extra::FreeSlots, x1: Extra::Unknown }
+    }
+
     /// The zone of this name.
     pub fn zone(&self, name: &str) -> Result<ZoneIx, WireError> {
         index("zone", &self.zones, name).map(ZoneIx)
@@ -223,7 +229,7 @@
         cell: 0,
         standing: Standing::On,
         weight: 1.0,
-        started: None,
+        ..Member::default()
     };
     for pair in fields.pairs() {
         match pair? {
@@ -305,7 +311,7 @@
         memory,
         key,
         retry,
-        out: None,
+        ..Arrival::default()
     })
 }
 
@@ -629,6 +635,7 @@
             effect,
             kind: kind.filter(|&kind| kind < info.kinds.len()).map(KindIx),
             priority: info.extra.class_priority.get(at).copied().unwrap_or(0),
+            slots: 1,
         });
     }
     let x0 = Extra::meaning(&info.extra.report_x0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -19,6 +19,7 @@
         effect,
         kind: None,
         priority: 0,
+        slots: 1,
     }
 }
 
@@ -74,7 +75,7 @@
         cell: id % 2,
         standing: Standing::On,
         weight: 1.0,
-        started: None,
+        ..Member::default()
     }
 }
 
@@ -89,7 +90,7 @@
         memory: 0.0,
         key: None,
         retry: false,
-        out: None,
+        ..Arrival::default()
     }
 }
 
