Speak Gearman to clients and workers under the decisions of HTTP

Warehouse tools speak Gearman. Clients submit, ask and are told as published; a worker's connections under one client id are lanes of one next hop, told to the module exactly; the pull carries out what the module decided. A branch has not run until the last byte of JOB_ASSIGN is written, and what is given up keeps its lane busy until its worker speaks. HTTP jobs run on Gearman workers and the reverse where the operator file lets them.

--- a/crates/gearman/src/lib.rs
+++ b/crates/gearman/src/lib.rs
@@ -8,6 +8,8 @@
 //! Which worker runs a job, whether it is tried again and what is refused is decided elsewhere.
 
 pub mod admin;
+pub mod book;
+pub mod fleet;
 pub mod packet;
 
 /// A connection, as its host numbers it.
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -42,6 +42,8 @@
     Rested,
     /// There is more to read than was one turn's share.
     More,
+    /// What was offered on the connection has not been taken up.
+    Owed,
     /// Accepting goes on, after a turn's share of it, or after descriptors ran out.
     Accept,
 }
--- a/src/net/http/caller.rs
+++ b/src/net/http/caller.rs
@@ -198,7 +198,7 @@
         match alarm {
             Alarm::Accept => self.accept(ctx),
             Alarm::More => self.ready(ctx, token),
-            Alarm::Late | Alarm::Rested => self.late(ctx, token),
+            Alarm::Late | Alarm::Rested | Alarm::Owed => self.late(ctx, token),
         }
     }
 
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -9,7 +9,7 @@
 use crate::net::core::envelope::Payload;
 use crate::net::core::figures::Present;
 use crate::net::core::roster::Source;
-//GM use crate::net::gearman::Gearman;
+use crate::net::gearman::Gearman;
 use crate::net::http::Http;
 use crate::net::http::call_back::call_back;
 use crate::net::http::caller::{Callers, Taken};
@@ -169,7 +169,10 @@
             patient: false,
         };
         let now = turn.clock.now();
-        //GM2
+        if let Some(gearman) = config.gearman {
+            let (mut ctx, parts) = turn.split(now);
+            parts.others.push(Box::new(Gearman::new(&mut ctx, gearman)?));
+        }
         let (mut ctx, parts) = turn.split(now);
         if parts.kin.call(&mut ctx) {
             ctx.deadlines.set(Due::Elder, now + PATIENCE);
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -10,12 +10,18 @@
 //!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`).
 //! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
 //!
+//! Under an operator file `g…` and `w…` are connections to the Gearman port, of clients and workers. Their messages are
+//! `KIND FIELD … | LAST`; `~` is an empty field, `*` any, `$NAME` keeps what stands there and means it from then on.
+//! `text LINE` is a line of the admin protocol: `expect` passes over others before it. `got WHO KIND …` is `expect` that
+//! passes over other packets before it.
+//!
 //! A message is `METHOD TARGET` or `STATUS`, then `Header:value` words, then `| body`. In an expectation `*`
 //! stands for any value, and what is not named is not compared. `raw TEXT` and `chunk TEXT` are written as they
-//! are, the latter as one chunk; `\r`, `\n` in them are those bytes. `#N` is N bytes of padding. `TERM` or
+//! are, the latter as one chunk; `\r`, `\n`, `\0`, `\t` and `\xHH` in them are those bytes. `#N` is N bytes of padding. `TERM` or
 //! `HUP` to `program` is the signal; `send file d2` rewrites the configuration with discovery at the listener `d2`,
 //! `send file raw TEXT` puts that text in its place. Every wait is for a condition, with one generous limit.
 
+use calicolb_gearman::packet::{From, Kind, Read as Found, read, write};
 use std::collections::HashMap;
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -45,6 +51,11 @@
     at: SocketAddr,
     door_at: SocketAddr,
     peers_at: SocketAddr,
+    gearman_at: SocketAddr,
+    /// What `$NAME` stands for.
+    kept: HashMap<String, Vec<u8>>,
+    /// It is run under an operator file.
+    appliance: bool,
     listeners: HashMap<String, TcpListener>,
     conns: HashMap<String, Conn>,
     peer: UdpSocket,
@@ -79,19 +90,52 @@
     )
 }
 
+/// An operator file with these HTTP workers, and these lines of its own.
+fn operator_file(hops: &[(String, SocketAddr)], lines: &str) -> String {
+    let mut text = String::from(
+        r#"
+        http listen="127.0.0.1:0"
+        operators listen="127.0.0.1:0"
+        class "look" aim="900ms" stretch=2.0 give-up="20s" effect="safe"
+        class "book" aim="900ms" stretch=2.0 give-up="20s" effect="once" worth=2.0
+        "#,
+    );
+    if !lines.contains("workers ") {
+        text += "workers cold=\"0ms\"\n";
+    }
+    if !lines.contains("gearman ") {
+        text += "gearman listen=\"127.0.0.1:0\" admin=#true ends=2\n";
+    }
+    if !lines.contains("function ") {
+        text += r#"
+        function "look" class="look" takes-http=#true on-http=#true
+        function "book" class="book" takes-http=#true on-http=#true
+        "#;
+    }
+    for (name, dial) in hops {
+        text += &format!("http-worker \"{name}\" address=\"{dial}\" lanes=1\n");
+    }
+    text + lines
+}
+
+/// Starts the program under an operator file with so many HTTP workers and these lines, and plays the scenario.
+pub fn play_appliance(hops: usize, lines: &str, script: &str) {
+    World::start(hops, 1024, false, Some(lines)).play(script);
+}
+
 /// Starts the program with so many next hops, and plays the scenario.
 pub fn play(hops: usize, script: &str) {
-    World::start(hops, 1024, false).play(script);
+    World::start(hops, 1024, false, None).play(script);
 }
 
 /// The same, where the system gives the program no more than so many descriptors.
 pub fn play_cramped(hops: usize, descriptors: u32, script: &str) {
-    World::start(hops, descriptors, false).play(script);
+    World::start(hops, descriptors, false, None).play(script);
 }
 
 /// The same, where the clients' socket is passed to the program, and leftovers lie where two processes meet.
 pub fn play_passed(hops: usize, script: &str) {
-    World::start(hops, 1024, true).play(script);
+    World::start(hops, 1024, true, None).play(script);
 }
 
 impl World {
@@ -104,7 +148,7 @@
         }
     }
 
-    fn start(hops: usize, descriptors: u32, pass: bool) -> World {
+    fn start(hops: usize, descriptors: u32, pass: bool, operator: Option<&str>) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let mut listeners: HashMap<String, TcpListener> =
@@ -117,9 +161,14 @@
         listeners.insert("d2".to_owned(), bind());
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         peer.set_read_timeout(Some(LIMIT)).expect("a limit can be set");
-        let text = config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"));
+        let (text, form) = match operator {
+            Some(lines) => (operator_file(&listed, lines), "kdl"),
+            None => {
+                (config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound")), "json")
+            }
+        };
         let nr = NEXT.fetch_add(1, Ordering::Relaxed);
-        let file = std::env::temp_dir().join(format!("calicolb-{}-{nr}.json", std::process::id()));
+        let file = std::env::temp_dir().join(format!("calicolb-{}-{nr}.{form}", std::process::id()));
         fs::write(&file, text).expect("the configuration is written");
         let passed = pass.then(|| {
             let dir = file.with_extension("tmp");
@@ -138,6 +187,9 @@
             at: nowhere,
             door_at: nowhere,
             peers_at: nowhere,
+            gearman_at: nowhere,
+            kept: HashMap::new(),
+            appliance: operator.is_some(),
             listeners,
             conns,
             peer,
@@ -153,6 +205,11 @@
     fn find(&mut self) -> Result<(), String> {
         let address = |text: String| text.parse().map_err(|_| format!("'{text}' is no address"));
         self.door_at = address(self.hear("hears operators on ")?)?;
+        if self.appliance {
+            self.gearman_at = address(self.hear("speaks Gearman on ")?)?;
+            self.at = address(self.hear("serves on ")?)?;
+            return Ok(());
+        }
         self.peers_at = address(self.hear("hears schedulers on ")?)?;
         self.at = address(self.hear("serves on ")?)?;
         Ok(())
@@ -186,6 +243,9 @@
                 name if name.starts_with(['c', 'n']) => {
                     TcpStream::connect(self.at).map_err(|e| e.to_string())?
                 }
+                name if name.starts_with(['g', 'w']) => {
+                    TcpStream::connect(self.gearman_at).map_err(|e| e.to_string())?
+                }
                 name if name.starts_with('o') => {
                     TcpStream::connect(self.door_at).map_err(|e| e.to_string())?
                 }
@@ -251,6 +311,22 @@
                     }
                 }
             }
+            ("send", name) if name.starts_with(['g', 'w']) => {
+                let bytes = packet(rest, &self.kept)?;
+                self.conn(who)?.stream.write_all(&bytes).map_err(|error| error.to_string())
+            }
+            ("expect", name) if name.starts_with(['g', 'w']) && rest.starts_with("text ") => {
+                let line = plain(&substitute(&rest["text ".len()..], &self.kept));
+                self.conn(who)?.expect_line(&String::from_utf8_lossy(&line))
+            }
+            ("expect" | "got", name) if name.starts_with(['g', 'w']) => loop {
+                let (kind, data) = self.conn(who)?.next_packet()?;
+                match fits(rest, &kind, &data, &mut self.kept) {
+                    Ok(()) => return Ok(()),
+                    Err(why) if verb == "expect" => return Err(why),
+                    Err(_) => {}
+                }
+            },
             ("send", _) => {
                 let text = wire(rest);
                 self.conn(who)?.stream.write_all(&text).map_err(|error| error.to_string())
@@ -292,9 +368,14 @@
     let mut command = Command::new("/bin/sh");
     // A passed socket comes in as standard input, and goes on as descriptor 3.
     let dup = if passed.is_some() { "3<&0 0</dev/null" } else { "" };
+    let operator = file.extension().is_some_and(|form| form == "kdl");
+    let how = match operator {
+        true => format!("serve --log-level debug --gearman 127.0.0.1:0 --operator {}", file.display()),
+        false => String::new(),
+    };
     command.args([
         "-c",
-        &format!("ulimit -n {descriptors} && exec \"$0\" {dup}"),
+        &format!("ulimit -n {descriptors} && exec \"$0\" {how} {dup}"),
         env!("CARGO_BIN_EXE_calicolb"),
     ]);
     if let Some((socket, dir)) = passed {
@@ -337,15 +418,95 @@
         .map_or_else(|| word.to_owned(), |n| "x".repeat(n))
 }
 
+/// Text with its escapes as the bytes that they mean.
+fn plain(text: &str) -> Vec<u8> {
+    let (mut out, mut left) = (Vec::new(), text.as_bytes());
+    while let [first, rest @ ..] = left {
+        let (byte, used) = match (first, rest) {
+            (b'\\', [b'r', ..]) => (b'\r', 2),
+            (b'\\', [b'n', ..]) => (b'\n', 2),
+            (b'\\', [b't', ..]) => (b'\t', 2),
+            (b'\\', [b'0', ..]) => (0, 2),
+            (b'\\', [b'x', high, low, ..]) => {
+                let digits = [*high, *low];
+                let digits = std::str::from_utf8(&digits).expect("two digits");
+                (u8::from_str_radix(digits, 16).expect("two hexadecimal digits"), 4)
+            }
+            (&byte, _) => (byte, 1),
+        };
+        out.push(byte);
+        left = &left[used..];
+    }
+    out
+}
+
+/// Puts what was kept in the place of `$NAME` words.
+fn substitute(text: &str, kept: &HashMap<String, Vec<u8>>) -> String {
+    let mut text = text.to_owned();
+    for (name, value) in kept {
+        text = text.replace(&format!("${name}"), &String::from_utf8_lossy(value));
+    }
+    text
+}
+
+fn kind_of(name: &str) -> Result<Kind, String> {
+    Kind::ALL.iter().copied().find(|kind| kind.name() == name).ok_or_else(|| format!("no packet is a {name}"))
+}
+
+/// The fields of a packet: words, and what stands behind the bar.
+fn fields(text: &str) -> Vec<String> {
+    let (head, last) = text.split_once(" | ").map_or((text, None), |(head, last)| (head, Some(last)));
+    let mut fields: Vec<String> = head.split(' ').skip(1).map(str::to_owned).collect();
+    fields.extend(last.map(pad));
+    fields
+}
+
+/// The bytes of a Gearman packet, or of a line, to send.
+fn packet(text: &str, kept: &HashMap<String, Vec<u8>>) -> Result<Vec<u8>, String> {
+    let text = substitute(text, kept);
+    if let Some(text) = text.strip_prefix("raw ") {
+        return Ok(plain(text));
+    }
+    if let Some(line) = text.strip_prefix("text ") {
+        return Ok(format!("{line}\n").into_bytes());
+    }
+    let kind = kind_of(text.split(' ').next().unwrap_or(""))?;
+    let fields: Vec<Vec<u8>> =
+        fields(&text).iter().map(|field| if field == "~" { Vec::new() } else { plain(field) }).collect();
+    let fields: Vec<&[u8]> = fields.iter().map(Vec::as_slice).collect();
+    Ok(write(From::Peer, kind, &fields))
+}
+
+/// Compares a packet with what is wanted, and keeps what is named.
+fn fits(want: &str, kind: &Kind, data: &[u8], kept: &mut HashMap<String, Vec<u8>>) -> Result<(), String> {
+    let told = || format!("got {kind} {}", data.escape_ascii());
+    if kind_of(want.split(' ').next().unwrap_or(""))? != *kind {
+        return Err(told());
+    }
+    let want = fields(want);
+    let mut parts = data.splitn(kind.fields().max(1), |&byte| byte == 0);
+    for field in &want {
+        let part = parts.next().ok_or_else(told)?;
+        if let Some(name) = field.strip_prefix('$') {
+            let known = kept.entry(name.to_owned()).or_insert_with(|| part.to_vec());
+            if known != part {
+                return Err(told());
+            }
+        } else if field != "*" && plain(if field == "~" { "" } else { field }) != part {
+            return Err(told());
+        }
+    }
+    Ok(())
+}
+
 /// The bytes of a message to send.
 fn wire(text: &str) -> Vec<u8> {
-    let plain = |text: &str| text.replace("\\r", "\r").replace("\\n", "\n");
     if let Some(text) = text.strip_prefix("raw ") {
-        return plain(text).into_bytes();
+        return plain(text);
     }
     if let Some(text) = text.strip_prefix("chunk ") {
         let text = plain(text);
-        return format!("{:x}\r\n{text}\r\n", text.len()).into_bytes();
+        return [format!("{:x}\r\n", text.len()).as_bytes(), &text, b"\r\n"].concat();
     }
     let (head, body) = text.split_once(" | ").unwrap_or((text, ""));
     let body = pad(body);
@@ -375,6 +536,20 @@
         }
     }
 
+    fn next_packet(&mut self) -> Result<(Kind, Vec<u8>), String> {
+        loop {
+            match read(&self.held, From::Server, 1 << 20) {
+                Ok(Found::Whole(packet, length)) => {
+                    let found = (packet.kind, self.held[12..length].to_vec());
+                    self.held.drain(..length);
+                    return Ok(found);
+                }
+                Ok(Found::Partial) => self.more()?,
+                other => return Err(format!("no packet: {other:?}")),
+            }
+        }
+    }
+
     fn expect_line(&mut self, want: &str) -> Result<(), String> {
         loop {
             while let Some(end) = self.held.iter().position(|&byte| byte == b'\n') {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -1,5 +1,6 @@
 //! The program on real sockets: each test starts it and holds a conversation with it.
 
+#[allow(dead_code, reason = "each test program uses a part of the language")]
 mod scenario;
 
 use scenario::{play, play_cramped, play_passed};
