End at once when all is answered, not at the next deadline

Whether all is done is looked at twice in a row, and between the two the loop slept until the next deadline: on the platform a timer of the module, in the appliance the give-up time of a job that was answered long ago.

--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -393,8 +393,9 @@
         let mut done = 0;
         while done < 2 {
             let now = self.clock.now();
-            let timeout =
-                if self.desk.has_news() { Some(Duration::ZERO) } else { self.deadlines.timeout(now) };
+            // The second look at whether all is done must not wait for the next deadline, which may be far off.
+            let at_once = self.desk.has_news() || done > 0;
+            let timeout = if at_once { Some(Duration::ZERO) } else { self.deadlines.timeout(now) };
             match self.poll.poll(&mut events, timeout) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
