Bound what one turn takes from a Gearman peer, and what waits for all of them

256 packets of 64 KiB in one turn were 16 MiB of copies for one connection, and 512 KiB waiting for each of 330 peers more than the memory. A turn takes eight buffers full from one connection, and what waits for all together is 16 MiB beyond a large packet each; who does not read is let go, and its jobs with it.

A conversation sends 24 MB to a client that does not read.

--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -34,12 +34,18 @@
 const ACCEPTS: usize = 256;
 /// Packets taken from one connection in one turn at most.
 const PACKETS: usize = 256;
+/// Buffers full that are taken from one connection in one turn at most: what they hold is copied on its way.
+const FILLS: usize = 8;
 /// Bytes of a packet apart from its workload: names, ids and handles.
 const NAMES: usize = 2 * 1024;
 /// The longest function name, unique id and client id that are taken.
 pub(super) const NAME: usize = 256;
 /// Bytes that may wait to go out to one peer. Beyond that it does not read, and is let go.
 const OUTPUT: usize = 512 * 1024;
+/// Bytes that may wait to go out to all peers together; one that has less than a fair share waiting is let be.
+const ALL_OUTPUT: usize = 16 * 1024 * 1024;
+/// Such a share: a large packet.
+const FAIR: usize = 64 * 1024 + NAMES;
 
 pub(super) struct Conn {
     pub(super) stream: TcpStream,
@@ -168,11 +174,17 @@
                 }
                 true
             }
-            Ok(false) if conn.buffer.waiting() <= OUTPUT => {
+            Ok(false) => {
                 ctx.deadlines.set(late, ctx.now + STALLED);
+                let waiting = conn.buffer.waiting();
+                let all = || self.conns.values().map(|conn| conn.buffer.waiting()).sum::<usize>();
+                if waiting > OUTPUT || (waiting > FAIR && all() > ALL_OUTPUT) {
+                    note!(warn: "a Gearman peer does not take what it is sent: {waiting} bytes wait");
+                    self.drop_conn(ctx, token);
+                }
                 false
             }
-            Ok(false) | Err(_) => {
+            Err(_) => {
                 self.drop_conn(ctx, token);
                 false
             }
@@ -182,7 +194,7 @@
     pub(super) fn read(&mut self, ctx: &mut Ctx<'_>, token: ConnId) {
         let most = HEAD + NAMES + self.config.workload;
         let mut left = PACKETS;
-        loop {
+        for _ in 0..FILLS {
             let Some(conn) = self.conns.get_mut(&token) else { return };
             let filled = conn.buffer.fill(&mut conn.stream, most);
             while left > 0 && self.step(ctx, token) {
@@ -192,9 +204,8 @@
             if conn.ending {
                 conn.buffer.consume(usize::MAX / 2);
             }
-            if left == 0 || (conn.ending && filled == Filled::Brimful) {
-                // The rest in the next turn: who sends without end gets its share of this one.
-                return ctx.deadlines.set(Due::Conn(token, Alarm::More), ctx.now + 1);
+            if left == 0 {
+                break;
             }
             if filled == Filled::Ended {
                 // What it said before it left has been heard.
@@ -205,6 +216,8 @@
                 return;
             }
         }
+        // The rest in the next turn: who sends without end gets its share of this one.
+        ctx.deadlines.set(Due::Conn(token, Alarm::More), ctx.now + 1);
     }
 
     /// Deals with the next packet or line; tells whether there was one.
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -507,3 +507,22 @@
         "#,
     );
 }
+
+#[test]
+fn who_does_not_read_is_let_go_and_its_jobs_with_it() {
+    play_appliance(
+        0,
+        "",
+        r#"
+        ready w1 look
+        send g1 SUBMIT_JOB look ~ | body
+        expect g1 JOB_CREATED $job
+        pull w1 JOB_ASSIGN $job look | body
+        send w1 times 400 WORK_DATA $job | #60000
+        expect program a Gearman peer does not take what it is sent
+        send w1 WORK_COMPLETE $job | unheard
+        send w1 GRAB_JOB
+        expect w1 NO_JOB
+        "#,
+    );
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -1,7 +1,8 @@
 //! Faulty operator files, each told with its place, what is wrong and the mend; and the shipped one, which is sound.
 
 use std::fs;
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 const SOUND: &str = r#"http listen="127.0.0.1:0"
@@ -104,3 +105,44 @@
     let output = check("/nowhere/at/all.kdl");
     assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/at/all.kdl cannot be read"));
 }
+
+#[test]
+fn flags_move_the_addresses_and_the_log_is_json_where_it_is_wanted() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/appliance.kdl");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_calicolb"));
+    command.args(["serve", "--operator", file, "--log-format", "json", "--log-level", "debug"]);
+    command.args(["--listen", "127.0.0.1:0", "--gearman", "127.0.0.1:0", "--mgmt", "127.0.0.1:0"]);
+    let mut program = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+    let errors = BufReader::new(program.stderr.take().expect("its log is piped"));
+    let mut told = Vec::new();
+    for line in errors.lines().map_while(Result::ok) {
+        let line: serde_json::Value = serde_json::from_str(&line).expect("each line is an object");
+        assert_eq!(line["level"], "INFO");
+        told.push(line["message"].as_str().expect("it has a text").to_owned());
+        if told.len() == 3 {
+            // All that it says at the start is said: now it can be ended.
+            let killed = Command::new("kill").args(["-TERM", &program.id().to_string()]).status();
+            assert!(killed.is_ok_and(|status| status.success()));
+        }
+    }
+    assert!(program.wait().is_ok_and(|status| status.success()));
+    for (line, (what, shipped)) in told.iter().zip([
+        ("appliance hears operators on 127.0.0.1:", "7000"),
+        ("appliance speaks Gearman on 127.0.0.1:", "4730"),
+        ("appliance serves on 127.0.0.1:", "8080"),
+    ]) {
+        let port = line.strip_prefix(what).unwrap_or_else(|| panic!("'{line}' is not '{what}'"));
+        assert_ne!(port, shipped);
+    }
+}
+
+#[test]
+fn without_any_configuration_it_says_how_it_is_started() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_calicolb"));
+    let output = command.env_remove("RELAY_CONFIG").output().expect("the program starts");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said.contains("RELAY_CONFIG is not set") && said.contains("serve --operator FILE"), "{said}");
+    let help = Command::new(env!("CARGO_BIN_EXE_calicolb")).arg("--help").output().expect("it starts");
+    assert!(String::from_utf8_lossy(&help.stdout).contains("calicolb check --operator deploy/appliance.kdl"));
+}
