Read each setting once, and find a job by the handle that it has anyway

Reading the change again: descriptors, open-jobs and idle were each read at two places, so that one fault of theirs was told twice; a map from requests to jobs was kept beside the book's own from handles, and searched through at each answer; Book::handle had no caller.

One more check that three faults are told as three.

--- a/crates/gearman/src/book.rs
+++ b/crates/gearman/src/book.rs
@@ -183,11 +183,6 @@
         self.jobs.get(&job).map(|job| job.unique.as_slice())
     }
 
-    /// The handle of a job.
-    pub fn handle(&self, job: JobId) -> Option<&str> {
-        self.jobs.get(&job).map(|job| job.handle.as_str())
-    }
-
     /// The job with this handle.
     pub fn find(&self, handle: &str) -> Option<JobId> {
         self.handles.get(handle).copied()
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -133,11 +133,10 @@
                 "keep it to a third: a job of HTTP holds a descriptor until its end",
             );
         }
-        let conn_idle = self.workers_idle();
         let class_names = names.iter().map(|name| (*name).to_owned()).collect();
         let tenant_names = tenants.iter().map(|(name, _)| (*name).to_owned()).collect();
         let kind_names = kinds.iter().map(|kind| (*kind).to_owned()).collect();
-        let settings = self.settings(
+        let (settings, conn_idle) = self.settings(
             classes.into_iter().map(|class| class.class).collect(),
             tenants.into_iter().map(|(_, tenant)| tenant).collect(),
             kinds.len(),
@@ -399,25 +398,19 @@
         tenants
     }
 
-    fn workers_idle(&self) -> Micros {
-        let sheet = self.sheet("workers");
-        sheet.and_then(|sheet| sheet.time("idle", 100 * MILLI, DAY)).unwrap_or(DEFAULT_CONN_IDLE)
-    }
-
+    /// The module's settings, and when an HTTP worker closes a connection at rest.
     fn settings(
         &self,
         classes: Vec<Class>,
         tenants: Vec<Tenant>,
         kinds: usize,
         limits: Option<Sheet<'a>>,
-    ) -> Settings {
+    ) -> (Settings, Micros) {
         let limits = limits.as_ref();
         let tries = limits.and_then(|sheet| sheet.whole("tries", 1, 6)).unwrap_or(6) as u32;
         let connect_timeout = limits.and_then(|sheet| sheet.time("connect-timeout", MILLI, 10 * SECOND));
         let come_back = limits.and_then(|sheet| sheet.time("come-back", MILLI, 3600 * SECOND));
         if let Some(sheet) = limits {
-            sheet.whole("descriptors", LEAST_SOCKETS, 65_536);
-            sheet.whole("open-jobs", 1, MOST_OPEN);
             sheet.close();
         }
         let sheet = self.sheet("workers");
@@ -428,11 +421,11 @@
         let window = workers.and_then(|sheet| sheet.time("fall-window", 10 * MILLI, 60 * SECOND));
         let probes = workers.and_then(|sheet| sheet.flag("probes")).unwrap_or(false);
         let tells_start = workers.and_then(|sheet| sheet.flag("tells-start")).unwrap_or(true);
+        let idle = workers.and_then(|sheet| sheet.time("idle", 100 * MILLI, DAY));
         if let Some(sheet) = workers {
-            sheet.time("idle", 100 * MILLI, DAY);
             sheet.close();
         }
-        Settings {
+        let settings = Settings {
             rank: 0,
             instances: 1,
             zone: ZoneIx(0),
@@ -472,7 +465,8 @@
             },
             prices: Prices::default(),
             tick: MILLI,
-        }
+        };
+        (settings, idle.unwrap_or(DEFAULT_CONN_IDLE))
     }
 }
 
--- a/src/net/gearman/admin.rs
+++ b/src/net/gearman/admin.rs
@@ -64,7 +64,6 @@
                     return "ERR UNKNOWN_JOB no such job is open\n".to_owned();
                 };
                 self.mail(ctx, mail);
-                self.jobs.retain(|_, known| *known != job);
                 // What runs is called off as for a client that has left.
                 ctx.desk.leave(job);
                 "OK\n".to_owned()
--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -124,7 +124,6 @@
             ctx.desk.broke(ctx.now, branch);
         }
         for job in self.book.leave(token) {
-            self.jobs.retain(|_, known| *known != job);
             ctx.desk.leave(job);
         }
     }
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -19,7 +19,7 @@
 use crate::net::protocol::{Protocol, Shares, Spare};
 use calicolb::api::{Ending, ListKind, Member, Micros, Report, Standing, WorkerId};
 use calicolb_gearman::ConnId;
-use calicolb_gearman::book::{Book, End, JobId};
+use calicolb_gearman::book::{Book, End};
 use calicolb_gearman::fleet::{Fleet, HopNr, Offered};
 use calicolb_gearman::packet::{From, Kind, write};
 use conns::Conn;
@@ -50,8 +50,6 @@
     book: Book,
     /// What this process is told apart by from the one before: a handle must not mean another job after a restart.
     boot: String,
-    /// Jobs by the number of their request.
-    jobs: HashMap<u32, JobId>,
     /// What is offered to workers and not yet assigned.
     offers: HashMap<BranchId, Payload>,
     /// Connections that ask for work, in their order.
@@ -85,7 +83,6 @@
             fleet: Fleet::default(),
             book: Book::new(config.ends),
             boot: format!("{:08x}", hash[0].hash_one(ctx.now) as u32),
-            jobs: HashMap::new(),
             offers: HashMap::new(),
             asking: Vec::new(),
             blocked: HashSet::new(),
@@ -159,7 +156,6 @@
     }
 
     fn answer(&mut self, ctx: &mut Ctx<'_>, caller: CallerId, answer: Answer) {
-        self.jobs.retain(|_, job| *job != caller);
         let end = match answer {
             Answer::Served(result) => End::Served(result),
             Answer::Busy { come_back } => End::Refused(come_back),
--- a/src/net/gearman/packets.rs
+++ b/src/net/gearman/packets.rs
@@ -183,7 +183,6 @@
         };
         match ctx.desk.arrive(ctx.now, caller, job) {
             Ok(request) => {
-                self.jobs.insert(request, caller);
                 let handle = self.handle(BranchId { request, attempt: 0 });
                 self.book.open(caller, handle, submission);
             }
--- a/src/net/gearman/workers.rs
+++ b/src/net/gearman/workers.rs
@@ -3,6 +3,7 @@
 use super::Gearman;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
+use crate::net::core::desk::BranchId;
 use calicolb_gearman::ConnId;
 use calicolb_gearman::packet::{From, Kind, write};
 
@@ -22,7 +23,8 @@
             self.fleet.done(token);
             return ctx.desk.broke(ctx.now, given.branch);
         };
-        let job = self.jobs.get(&given.branch.request).copied();
+        // The first branch has its job's handle; a job of HTTP has none in the book.
+        let job = self.book.find(&self.handle(BranchId { attempt: 0, ..given.branch }));
         let unique = job.and_then(|job| self.book.unique(job)).unwrap_or(payload.name.as_bytes());
         let (handle, function) = (given.handle.as_bytes(), given.function.as_bytes());
         let bytes = match how {
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -102,6 +102,9 @@
     let (code, said) = told("http listen=\"x\"\nclass \"b\" aim=\"150\" give-up=\"1ms\" effect=\"none\"\n");
     assert_eq!(code, Some(2));
     assert!(said.contains("3 of its settings cannot be used"), "{said}");
+    // Each is told once, though two parts of the program go by it.
+    let (_, said) = told(&format!("{SOUND}limits descriptors=10\nworkers idle=5\nworkers\n"));
+    assert!(said.contains("3 of its settings cannot be used"), "{said}");
     let output = check("/nowhere/at/all.kdl");
     assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/at/all.kdl cannot be read"));
 }
