Give a cold worker's budget to the cohort that looks at it first

A line per refusal with the module's view showed 36 of 60 workers cold and 35 or 36 of them barred to the scheduler that refused, while old workers' lanes were taken to beyond the deadline. Ruled out: drains (no refusal named a draining worker), the list (all 60 listed at every scheduler), tenants' shares.

At fault: rules.rs, cold_budget. A cold worker's budget went to one or two wardens drawn by its id, independent of the cohorts. A warden seldom has the worker in its cohort's share, so it never looks at it first, and the cohort that does may send nothing: the cold capacity lay idle while the rest refused. Now the members of the cohort whose share holds the worker send to it too, and each sender, member or warden, keeps to budget / (members + wardens): the sum over the fleet stays what it was.

The desk logs each arrival with its request id at debug level, so that one request can be followed through every scheduler's log.

--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -291,6 +291,7 @@
             streaming: false,
             branches: Vec::new(),
         };
+        note!(debug: request = number, name = %entry.name, class = entry.class.0, expires = expires, "a request arrives");
         self.entries.insert(number, entry);
         self.events.push_back(Event::Arrival(Arrival {
             request: RequestId(number),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1048,9 +1048,9 @@
         true
     }
 
-    /// This dispatcher's part of what a cold worker can be sent in a window. Only a few dispatchers, drawn
-    /// by the worker's id and start, send to it at all: shared by hundreds, no part would hold a single
-    /// job.
+    /// This dispatcher's part of what a cold worker can be sent in a window. Its senders are the cohort whose
+    /// share holds it, which look at it first, and a few wardens drawn by its id and start, so that where
+    /// cohorts are small more than one has a part that holds a job; shared by hundreds, none would.
     fn cold_budget(&self, now: Micros, at: usize) -> Option<f64> {
         let (worker, rules) = (&self.workers[at], &self.settings.rules);
         let power = self.lanes(at) as f64 * self.speed(at);
@@ -1061,7 +1061,8 @@
         let draw =
             mix(u64::from(worker.id.0), worker.started.unwrap_or(0)) % u64::from(self.settings.instances);
         let place = (draw + u64::from(self.settings.rank)) % u64::from(self.settings.instances);
-        ((place as f64) < wardens).then_some(budget / wardens)
+        let members = self.cohorts.get(worker.cohort).map_or(0, |cohort| cohort.1.len()) as f64;
+        (worker.home || (place as f64) < wardens).then_some(budget / (members + wardens))
     }
 
     fn send(&mut self, now: Micros, id: RequestId, at: usize, out: &mut Vec<Action>) -> bool {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -628,3 +628,34 @@
     // What it can do in the window, in milliseconds, with the multiple that it bears.
     assert!(work <= 5400, "{work} ms in a second");
 }
+
+#[test]
+fn a_cold_worker_is_sent_work_by_the_dispatchers_that_look_at_it_first() {
+    // Most workers are replaced at once, and each of 64 dispatchers has a few jobs: the cold ones must take their part,
+    // from those whose share of the workers holds them, and together no more than they bear.
+    let mut settings = settings();
+    (settings.instances, settings.limits.peers, settings.rules.start_capacity) = (64, true, 0.3);
+    let cold: Vec<u32> = (20..32).collect();
+    let mut work = vec![0; 32];
+    for rank in 0..64 {
+        settings.rank = rank;
+        let mut bench = Bench::new(settings.clone());
+        let started = Some(bench.now);
+        let mut list: Vec<Member> = (10..14).map(member).collect();
+        list.extend(cold.iter().map(|&id| Member { started, ..member(id) }));
+        bench.members(ListKind::Saved, list);
+        for nr in 0..8 {
+            bench.at(Micros::from(nr) * 100 * MS);
+            for (request, worker) in sends(&bench.arrive(nr, 0, 20 * MS)) {
+                work[worker.0 as usize] += 20 * MS;
+                bench.outcome(request, 0, worker, Ending::Ok);
+            }
+        }
+    }
+    let used = cold.iter().filter(|&&id| work[id as usize] > 0).count();
+    assert!(used >= 10, "{used} of 12 cold workers were sent anything");
+    // A lane at three tenths of its speed, three times over, for the second that the jobs came in.
+    for &id in &cold {
+        assert!(work[id as usize] <= 900 * MS, "worker {id} was sent {} ms", work[id as usize] / MS);
+    }
+}
