Pool a cold worker's budget in the cohort as its members tell

A cohort of eight splits it evenly, while two or three members have the traffic. Ruled out: the list, drains, wardens.

At fault: rules.rs, cold_budget, which gave each sender budget / (members + wardens) whatever the others sent. Now a member may use what the others told they have not, up to twice its even part; the load message carries the work sent while cold. How many schedulers there are is raised by the ranks heard from, so a figure told too small spends no more.

--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,15 @@
+//! What one scheduler of many may spend of what they all share.
+//!
+//! Hundreds of schedulers send to the same stock workers and ask the same discovery service. What is harmless in one
+//! of them (a job to a worker that has just started, say) adds up over all. This crate computes, without
+//! I/O and without a clock of its own, what one scheduler may
+//! spend:
+//!
+//! * [`census`]: how many schedulers there are, from what the settings say and from whom it has heard;
+//! * [`cold`]: what it may send a worker that is still cold, as a member of the cohort that shares it or as a warden.
+//!
+//! Which worker a job goes to, whether it is tried again and what is turned away are decided elsewhere, by the
+//! decision module; it asks here what it may spend. See `docs/fleet.md`.
+
+pub mod census;
+pub mod cold;
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,101 @@
+//! The bytes of what dispatchers tell each other: a greeting, and what one has at a worker. What to tell and what to
+//! make of it is the decision module's; this only writes and reads, and reads anything without panicking.
+//!
+//! | message | bytes |
+//! | --- | --- |
+//! | greeting | version, zone, 1 if the sender has just started and asks to be greeted back |
+//! | load | version, lanes, worker (4, little-endian), soonest end, latest end (in units of 64 ms from now); and, where the worker is cold, the work sent it in the window (2, in milliseconds at speed 1) |
+//!
+//! A load of eight bytes is what dispatchers of before write: it is read as one without cold work.
+
+use crate::api::{Micros, WorkerId};
+
+/// The version of the messages; any other is dropped.
+const VERSION: u8 = 1;
+/// The unit of the spans in messages.
+const UNIT: Micros = 64_000;
+/// The unit of cold work in messages.
+const WORK_UNIT: f64 = 1_000.0;
+
+/// A message, as read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Said {
+    /// Where the sender stands; whether it wants to hear where this one does.
+    Greeting { zone: u8, asks: bool },
+    /// What the sender has at a worker.
+    Load(Load),
+}
+
+/// What a dispatcher has at a worker: spans from the time it is read or written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Load {
+    pub(crate) worker: WorkerId,
+    pub(crate) lanes: usize,
+    pub(crate) soonest: Micros,
+    pub(crate) latest: Micros,
+    /// Work sent to the worker in the window while it is cold, in microseconds at speed 1.
+    pub(crate) cold: f64,
+}
+
+/// Reads a message; `None` for one of another version or shape.
+pub(crate) fn read(body: &[u8]) -> Option<Said> {
+    let span = |units: u8| Micros::from(units) * UNIT;
+    match *body {
+        [VERSION, zone, asks] => Some(Said::Greeting { zone, asks: asks == 1 }),
+        [VERSION, lanes, a, b, c, d, soonest, latest, ref cold @ ..] if matches!(cold.len(), 0 | 2) => {
+            let cold = match *cold {
+                [low, high] => f64::from(u16::from_le_bytes([low, high])) * WORK_UNIT,
+                _ => 0.0,
+            };
+            let worker = WorkerId(u32::from_le_bytes([a, b, c, d]));
+            let (lanes, soonest, latest) = (usize::from(lanes), span(soonest), span(latest));
+            Some(Said::Load(Load { worker, lanes, soonest, latest, cold }))
+        }
+        _ => None,
+    }
+}
+
+/// Writes a greeting.
+pub(crate) fn greeting(zone: usize, asks: bool) -> Vec<u8> {
+    vec![VERSION, zone.min(255) as u8, u8::from(asks)]
+}
+
+/// Writes a load; spans and work beyond what fits are written as the most that does.
+pub(crate) fn load(load: &Load) -> Vec<u8> {
+    let span = |span: Micros| u8::try_from(span / UNIT).unwrap_or(u8::MAX);
+    let [a, b, c, d] = load.worker.0.to_le_bytes();
+    let mut body =
+        vec![VERSION, load.lanes.min(255) as u8, a, b, c, d, span(load.soonest), span(load.latest)];
+    if load.cold > 0.0 {
+        let cold = (load.cold / WORK_UNIT).ceil().min(f64::from(u16::MAX)) as u16;
+        body.extend_from_slice(&cold.to_le_bytes());
+    }
+    body
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_written_is_read_back_within_its_units() {
+        let sent =
+            Load { worker: WorkerId(0xdead_beef), lanes: 3, soonest: 64_000, latest: 640_000, cold: 2_500.0 };
+        let Some(Said::Load(back)) = read(&load(&sent)) else { panic!("a load is read as one") };
+        assert_eq!((back.worker, back.lanes, back.soonest, back.latest), (sent.worker, 3, 64_000, 640_000));
+        // Cold work is rounded up: a peer that hears it counts no less than was sent.
+        assert_eq!(back.cold, 3_000.0);
+        assert_eq!(read(&greeting(2, true)), Some(Said::Greeting { zone: 2, asks: true }));
+    }
+
+    #[test]
+    fn a_load_of_before_is_read_without_cold_work_and_any_other_bytes_are_dropped() {
+        let old = [VERSION, 2, 1, 0, 0, 0, 3, 4];
+        assert!(matches!(read(&old), Some(Said::Load(Load { cold: 0.0, lanes: 2, .. }))));
+        for body in
+            [&[][..], &[VERSION], &[2, 0, 0], &[VERSION, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10], &[VERSION; 9]]
+        {
+            assert_eq!(read(body), None, "{body:?}");
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,10 @@
 //! admits the job, and held jobs leave earliest deadline first as lanes free.
 
 use crate::api::*;
+use crate::peer::{self, Load, Said};
 use crate::state::*;
+use calicolb_fleet::census::{Census, MOST_RANKS};
+use calicolb_fleet::cold::{Allowance, ColdShare, Sender};
 use std::collections::BTreeSet;
 
 const MILLI: Micros = 1_000;
@@ -48,10 +51,6 @@
 /// Timers of the list and of the hold queue.
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
-/// Version of the peer messages; any other is dropped.
-const PEER_VERSION: u8 = 1;
-/// Unit of the spans in peer messages.
-const PEER_UNIT: Micros = 64 * MILLI;
 
 /// One dispatcher's decisions.
 pub struct Dispatcher {
@@ -75,16 +74,19 @@
     spill_from: usize,
     /// The zone, if it is known, and the ranks of each cohort.
     cohorts: Vec<(Option<u8>, Vec<u32>)>,
+    /// Who has been heard from, and how many dispatchers there are, by that and the settings.
+    census: Census,
 }
 
 impl Dispatcher {
     /// A dispatcher without any knowledge but its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let census = Census::new(settings.instances, settings.rank);
         Dispatcher {
             rng: fastrand::Rng::with_seed(seed),
             workers: Vec::new(),
             index: Table::default(),
-            know: Knowledge::new(&settings, now),
+            know: Knowledge::new(&settings, census.size(), now),
             maps: (0..=settings.kinds).map(|_| SizeMap::default()).collect(),
             maps_stale: true,
             requests: Table::default(),
@@ -96,6 +98,7 @@
             list_tries: 0,
             spill_from: 0,
             cohorts: Vec::new(),
+            census,
             settings,
         }
     }
@@ -163,6 +166,8 @@
             {
                 self.index = workers.iter().enumerate().map(|(at, worker)| (worker.id, at)).collect();
                 (self.workers, self.maps, self.know) = (workers, maps, know);
+                let ranks = self.know.zones.len().max(self.census.size() as usize);
+                self.know.zones.resize(ranks, None);
             }
             _ => out.push(Action::Log("what another process handed on does not fit".to_owned())),
         }
@@ -221,8 +226,8 @@
         }
         self.rebuild_maps();
         if kind == ListKind::Saved {
-            if self.settings.limits.peers && self.settings.instances > 1 {
-                out.push(Action::Tell { to: None, body: self.greeting(1) });
+            if self.settings.limits.peers && self.census.size() > 1 {
+                out.push(Action::Tell { to: None, body: peer::greeting(self.settings.zone.0, true) });
             }
             let ranges = self.maps.iter().flat_map(|map| &map.ranges);
             let homes: Vec<usize> = ranges.flat_map(|range| range.home.iter().copied()).collect();
@@ -269,15 +274,14 @@
     /// which differ a little give the same cohorts.
     fn deal_cohorts(&mut self) {
         let workers = self.workers.iter().filter(|worker| worker.standing == Standing::On).count().max(1);
-        let wanted =
-            (SHARE * self.settings.instances as usize / workers).clamp(1, COHORT).next_power_of_two();
+        let wanted = (SHARE * self.census.size() as usize / workers).clamp(1, COHORT).next_power_of_two();
         let size = if self.settings.limits.peers { wanted } else { 1 };
         self.cohorts.clear();
         let apart = size < 2 * self.settings.zones;
         let zones = (0..self.settings.zones).map(|zone| Some(zone as u8)).filter(|_| apart);
         for zone in zones.chain([None]) {
             let here = |rank: &u32| !apart || self.know.zones[*rank as usize] == zone;
-            let ranks: Vec<u32> = (0..self.settings.instances).filter(here).collect();
+            let ranks: Vec<u32> = (0..self.census.size()).filter(here).collect();
             let count = (ranks.len() / size).max(usize::from(!ranks.is_empty()));
             let part = |nr: usize| ranks[nr * ranks.len() / count..(nr + 1) * ranks.len() / count].to_vec();
             self.cohorts.extend((0..count).map(|nr| (zone, part(nr))));
@@ -576,39 +580,37 @@
     }
 
     fn on_peer(&mut self, now: Micros, from: u32, body: &[u8], out: &mut Vec<Action>) {
-        if from >= self.settings.instances {
-            return;
-        }
         let kin = from == self.settings.rank;
-        let (lanes, id, soonest, latest) = match *body {
-            [PEER_VERSION, zone, greets] if usize::from(zone) < self.settings.zones && !kin => {
+        let said = peer::read(body).filter(|_| from < MOST_RANKS);
+        if said.is_some() && !kin {
+            self.hear(from);
+        }
+        let load = match said {
+            Some(Said::Greeting { zone, asks }) if usize::from(zone) < self.settings.zones && !kin => {
                 if self.know.zones[from as usize] != Some(zone) {
                     self.know.zones[from as usize] = Some(zone);
                     self.maps_stale = true;
                 }
                 // One that has just started does not know where this one stands.
-                if greets == 1 {
-                    out.push(Action::Tell { to: Some(from), body: self.greeting(0) });
+                if asks {
+                    out.push(Action::Tell {
+                        to: Some(from),
+                        body: peer::greeting(self.settings.zone.0, false),
+                    });
                 }
                 return;
             }
-            [PEER_VERSION, lanes, a, b, c, d, soonest, latest] => {
-                (lanes, WorkerId(u32::from_le_bytes([a, b, c, d])), soonest, latest)
-            }
+            Some(Said::Load(load)) => load,
             _ => return,
         };
-        let Some(&at) = self.index.get(&id) else { return };
-        let span = |units| Micros::from(units) * PEER_UNIT;
-        let (soonest, latest) = (now + span(soonest), now + span(latest));
+        let Some(&at) = self.index.get(&load.worker) else { return };
         let peers = &mut self.workers[at].peers;
-        let before = peers.iter().position(|peer| peer.from == from);
-        let load = PeerLoad { from, lanes: usize::from(lanes), soonest, latest };
-        if let Some(nr) = before {
-            peers.swap_remove(nr);
-        }
-        if lanes > 0 {
-            peers.push(load);
-        } else if before.is_some() {
+        let before = peers.iter().position(|peer| peer.from == from).map(|nr| peers.swap_remove(nr));
+        if load.lanes > 0 || load.cold > 0.0 {
+            let (soonest, latest) = (now + load.soonest, now + load.latest);
+            peers.push(PeerLoad { from, lanes: load.lanes, soonest, latest, cold: load.cold, told: now });
+        }
+        if load.lanes == 0 && before.is_some() {
             self.offer(now, at, out);
         }
         if kin {
@@ -616,27 +618,29 @@
         }
     }
 
-    fn greeting(&self, asks: u8) -> Vec<u8> {
-        vec![PEER_VERSION, self.settings.zone.0 as u8, asks]
+    /// A dispatcher of this rank has spoken: there are as many as that at least.
+    fn hear(&mut self, from: u32) {
+        if self.census.hear(from) {
+            self.know.zones.resize(self.census.size() as usize, None);
+            self.maps_stale = true;
+        }
     }
 
     /// Tells the worker's cohort what this dispatcher has there now, both its processes if there are two; the
     /// one that was succeeded tells the other.
     fn tell_peers(&self, now: Micros, at: usize, out: &mut Vec<Action>) {
-        if !self.succeeded && (!self.settings.limits.peers || self.settings.instances < 2) {
+        if !self.succeeded && (!self.settings.limits.peers || self.census.size() < 2) {
             return;
         }
         let (worker, rank) = (&self.workers[at], self.settings.rank);
         let kin = worker.peers.iter().find(|peer| peer.from == rank && peer.latest + 2 * SECOND > now);
         let lanes = worker.busy() + kin.map_or(0, |kin| kin.lanes);
-        let span = |end: Option<Micros>| {
-            u8::try_from(end.unwrap_or(now).saturating_sub(now) / PEER_UNIT).unwrap_or(u8::MAX)
-        };
+        let span = |end: Option<Micros>| end.unwrap_or(now).saturating_sub(now);
         let ends = worker.own.iter().map(|own| own.end);
         let soonest = span(ends.clone().chain(kin.map(|kin| kin.soonest)).min());
         let latest = span(ends.chain(kin.map(|kin| kin.latest)).max());
-        let [a, b, c, d] = worker.id.0.to_le_bytes();
-        let body = vec![PEER_VERSION, lanes.min(255) as u8, a, b, c, d, soonest, latest];
+        let cold = self.cold_sent(now, at) + kin.map_or(0.0, |kin| kin.cold);
+        let body = peer::load(&Load { worker: worker.id, lanes, soonest, latest, cold });
         if self.succeeded {
             return out.push(Action::Tell { to: Some(rank), body });
         }
@@ -1036,33 +1040,33 @@
         if worker.standing != Standing::On || worker.refuses(request.skill) {
             return false;
         }
-        // Rule 4.
-        if self.warmth(at, now) < 1.0 {
-            // What a cold worker was sent counts on in the process that took over.
-            let Some(budget) = self.cold_budget(now, at).filter(|_| !self.succeeded) else { return false };
-            let since = now.saturating_sub(self.settings.rules.fall_window);
-            let sent: f64 =
-                worker.cold_sent.iter().filter(|(then, _)| *then >= since).map(|sent| sent.1).sum();
-            return sent + request.size * request.slots as f64 <= budget;
-        }
-        true
+        // Rule 4. What a cold worker was sent counts on in the process that took over.
+        let work = request.size * request.slots as f64;
+        self.warmth(at, now) >= 1.0 || (!self.succeeded && self.cold_allows(now, at, work) == Allowance::Yes)
+    }
+
+    /// Work sent to a worker in the last window of the fourth rule.
+    fn cold_sent(&self, now: Micros, at: usize) -> f64 {
+        let since = now.saturating_sub(self.settings.rules.fall_window);
+        self.workers[at].cold_sent.iter().filter(|(then, _)| *then >= since).map(|sent| sent.1).sum()
     }
 
-    /// This dispatcher's part of what a cold worker can be sent in a window. Its senders are the cohort whose
-    /// share holds it, which look at it first, and a few wardens drawn by its id and start, so that where
-    /// cohorts are small more than one has a part that holds a job; shared by hundreds, none would.
-    fn cold_budget(&self, now: Micros, at: usize) -> Option<f64> {
+    /// Whether a cold worker may be sent this much more work by this dispatcher. Its senders are the cohort whose
+    /// share holds it, which look at it first and pool their parts as they tell each other, and a few wardens drawn by
+    /// its id and start, so that where cohorts are small more than one has a part that holds a job.
+    fn cold_allows(&self, now: Micros, at: usize, work: f64) -> Allowance {
         let (worker, rules) = (&self.workers[at], &self.settings.rules);
         let power = self.lanes(at) as f64 * self.speed(at);
         let window = rules.fall_window as f64;
         let budget = COLD_SHARE * rules.fall_multiple * self.warmth(at, now) * power * window;
         let usual = (self.know.work_rate / SECOND as f64 * window).max(self.know.mean_time);
-        let wardens = (budget / usual).floor().clamp(1.0, f64::from(self.settings.instances));
-        let draw =
-            mix(u64::from(worker.id.0), worker.started.unwrap_or(0)) % u64::from(self.settings.instances);
-        let place = (draw + u64::from(self.settings.rank)) % u64::from(self.settings.instances);
-        let members = self.cohorts.get(worker.cohort).map_or(0, |cohort| cohort.1.len()) as f64;
-        (worker.home || (place as f64) < wardens).then_some(budget / (members + wardens))
+        let members = self.cohorts.get(worker.cohort).map_or(0, |cohort| cohort.1.len());
+        let share = ColdShare::new(budget, members, usual, self.census.size());
+        let draw = mix(u64::from(worker.id.0), worker.started.unwrap_or(0));
+        let sender = Sender::of(worker.home, share.warden(draw, self.settings.rank, self.census.size()));
+        let fresh = |peer: &&PeerLoad| peer.told + rules.fall_window > now && peer.from != self.settings.rank;
+        let told = worker.peers.iter().filter(fresh).map(|peer| peer.cold).sum();
+        share.allows(sender, self.cold_sent(now, at), told, work)
     }
 
     fn send(&mut self, now: Micros, id: RequestId, at: usize, out: &mut Vec<Action>) -> bool {
@@ -1257,7 +1261,7 @@
         if spec.quota_per_s <= 0.0 {
             return false;
         }
-        let rate = spec.quota_per_s / f64::from(self.settings.instances);
+        let rate = spec.quota_per_s / f64::from(self.census.size());
         let bucket = &mut self.know.buckets[nr];
         let gone = now.saturating_sub(bucket.at) as f64 / SECOND as f64;
         bucket.at = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,8 +70,8 @@
 
 impl Knowledge {
     /// What is known at the start.
-    pub(crate) fn new(settings: &Settings, now: Micros) -> Self {
-        let mut zones = vec![None; settings.instances.max(settings.rank + 1) as usize];
+    pub(crate) fn new(settings: &Settings, fleet: u32, now: Micros) -> Self {
+        let mut zones = vec![None; fleet as usize];
         if settings.limits.peers {
             zones[settings.rank as usize] = Some(settings.zone.0 as u8);
         }
@@ -93,14 +93,7 @@
     /// on may come from other settings.
     pub(crate) fn like(&self, other: &Knowledge) -> bool {
         let shape = |of: &Knowledge| {
-            (
-                of.kinds.len(),
-                of.classes.len(),
-                of.buckets.len(),
-                of.mean_foreign.len(),
-                of.zones.len(),
-                of.cuts.len(),
-            )
+            (of.kinds.len(), of.classes.len(), of.buckets.len(), of.mean_foreign.len(), of.cuts.len())
         };
         shape(self) == shape(other)
     }
@@ -118,6 +111,11 @@
     pub(crate) lanes: usize,
     pub(crate) soonest: Micros,
     pub(crate) latest: Micros,
+    /// Work that it sent the worker in the window while it is cold, as told at `told`.
+    #[serde(default)]
+    pub(crate) cold: f64,
+    #[serde(default)]
+    pub(crate) told: Micros,
 }
 
 #[derive(Default, Serialize, Deserialize)]
