Tell all schedulers of erring workers, the cohort of speeds, and probe before a spill

Of 442 late jobs at home workers 234 had started at once and ran longer than reckoned, at workers of half to two thirds of the speed taken for their kind. Of 974 spills to a worker never heard of 258 were late, 131 queued. From the trace: 7.831 END id=15 att=0 w= Ok class=1 held=0 est_wait=0 est_run=250 wait=14 run=745 size=128 margin=-122 deadline=637 lnsp=-0.12 kindsp=-0.39 lanes=Some(3.0) home cold=0 known_age=460 foreign=Some((460, 1.998)) Ruled out: more jobs than cores (run time by jobs running at once is level: 1.77, 1.72, 1.57 of the size), the list, drains, time to connect (430 us to the first attempt at the median).

At fault: rules.rs, strike (each for itself, wiped out job by job), on_report (eps unused), learn (a tenth of the difference from one's own jobs only), choose (a guess for the others' workers where answers bring reports).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,10 +6,14 @@
 //! spend:
 //!
 //! * [`census`]: how many schedulers there are, from what the settings say and from whom it has heard;
-//! * [`cold`]: what it may send a worker that is still cold, as a member of the cohort that shares it or as a warden.
+//! * [`cold`]: what it may send a worker that is still cold, as a member of the cohort that shares it or as a warden;
+//! * [`speed`]: how fast a worker is, by what several schedulers measured;
+//! * [`trust`]: how far it trusts a worker, by what it saw, what the worker reports and what the others tell.
 //!
 //! Which worker a job goes to, whether it is tried again and what is turned away are decided elsewhere, by the
 //! decision module; it asks here what it may spend. See `docs/fleet.md`.
 
 pub mod census;
 pub mod cold;
+pub mod speed;
+pub mod trust;
--- /dev/null
+++ b/crates/fleet/src/trust.rs
@@ -0,0 +1,207 @@
+//! How far one worker is trusted: from what a scheduler saw of it, from the errors that the worker itself reports, and
+//! from what others tell of it.
+//!
+//! A scheduler of hundreds sees a worker every few seconds, and finds out alone what all of them pay for: each has to
+//! lose a job there first. So who sees trouble tells everybody, and who sees it end tells that too. What others tell is
+//! bounded in its pull: the word of one alone keeps a worker idle for [`HEARSAY`], only a second one's, or what was
+//! seen at first hand, for longer.
+
+use serde::{Deserialize, Serialize};
+
+/// A time or a span on the caller's clock, in microseconds.
+pub type Micros = u64;
+
+/// With so many strikes a worker is on trial: one job at a time, and none that must not run twice.
+pub const TRIAL: u32 = 3;
+/// Strikes at most.
+pub const MOST: u32 = 6;
+/// How long the word of a single other scheduler counts.
+pub const HEARSAY: Micros = 1_000_000;
+/// A worker that fails this share of the jobs it could do at once, by its own report, is sick.
+pub const SICK: f64 = 0.05;
+/// How long a worker is left alone at first; twice as long with each further strike.
+const FIRST: Micros = 250_000;
+/// Two schedulers that tell of the same worker within this time confirm each other.
+const CONFIRMS: Micros = 10_000_000;
+/// Once a worker may be tried again, a strike is forgotten after this time without news.
+const FADES: Micros = 30_000_000;
+/// What was seen at first hand stands for this long against others' word.
+const FIRST_HAND: Micros = 2_000_000;
+/// News of one worker are told at most this often, whoever tells them.
+const TELL_EVERY: Micros = 1_000_000;
+
+/// See the head of this file. All times are given in microseconds of the caller's clock, which must not go back.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Trust {
+    strikes: u32,
+    until: Micros,
+    /// When trouble was last seen at first hand, or reported by the worker.
+    seen: Micros,
+    /// When its report last said that it is sick.
+    sick: Micros,
+    /// When news of it were last told or heard.
+    told: Micros,
+    /// Who told of trouble last, unconfirmed, and when.
+    word: Option<(u32, Micros)>,
+}
+
+/// How long a worker with so many strikes is left alone.
+fn span(strikes: u32) -> Micros {
+    FIRST << strikes.min(MOST)
+}
+
+impl Trust {
+    /// Nothing is sent there for now.
+    pub fn avoided(&self, now: Micros) -> bool {
+        self.until > now
+    }
+
+    /// Strikes that count now: they fade while nothing is heard or seen of the worker.
+    pub fn strikes(&self, now: Micros) -> u32 {
+        self.strikes.saturating_sub((now.saturating_sub(self.until) / FADES).min(u64::from(MOST)) as u32)
+    }
+
+    /// It may be tried, with one job at a time that may run twice.
+    pub fn on_trial(&self, now: Micros) -> bool {
+        self.strikes(now) >= TRIAL
+    }
+
+    /// A job failed there, or it could not be reached: it is left alone for a while, longer each time.
+    pub fn fault(&mut self, now: Micros, by: u32) {
+        self.strikes = (self.strikes(now) + by).min(MOST);
+        self.seen = now;
+        self.until = now + span(self.strikes);
+    }
+
+    /// A job ended well there. Trust comes back by degrees, and not while the worker's own reports speak against it:
+    /// most jobs end well even where every other one fails.
+    pub fn fine(&mut self, now: Micros) {
+        if now >= self.sick + FIRST_HAND || self.sick == 0 {
+            self.strikes = self.strikes(now).saturating_sub(1);
+            self.until = self.until.min(now);
+        }
+    }
+
+    /// Its report says that it fails this share of the jobs it could do at once.
+    pub fn reported(&mut self, now: Micros, share: f64) {
+        if share.is_finite() && share >= SICK {
+            self.strikes = self.strikes(now).max(TRIAL);
+            (self.seen, self.sick) = (now, now);
+            self.until = self.until.max(now + span(self.strikes));
+        }
+    }
+
+    /// Another scheduler tells how many strikes it has against the worker; none: it is well again. `draw`, drawn evenly
+    /// from 0 to 1, spreads the time at which those who heard the same news try the worker again.
+    pub fn hear(&mut self, now: Micros, from: u32, strikes: u32, draw: f64) {
+        self.told = now;
+        let first_hand = self.seen > 0 && now < self.seen + FIRST_HAND;
+        if strikes == 0 {
+            if !first_hand {
+                (self.strikes, self.until, self.word) = (0, 0, None);
+            }
+            return;
+        }
+        let other = self.word.is_some_and(|(who, then)| who != from && now < then + CONFIRMS);
+        let span = if other || self.strikes(now) > 0 {
+            self.strikes = self.strikes(now).max(strikes.min(MOST));
+            span(self.strikes)
+        } else {
+            HEARSAY
+        };
+        let lag = (span as f64 * draw.clamp(0.0, 1.0)) as Micros;
+        self.until = self.until.max(now + span + lag);
+        self.word = Some((from, now));
+    }
+
+    /// What the others are to hear of the worker, if anything: trouble once it is more than a single failed connect,
+    /// and its end, where `before` strikes counted before what was just seen.
+    pub fn news(&mut self, now: Micros, before: u32) -> Option<u32> {
+        let strikes = self.strikes(now);
+        let ended = before >= TRIAL && strikes < TRIAL;
+        let trouble = strikes >= 2 && self.seen == now && (now >= self.told + TELL_EVERY || self.told == 0);
+        if !ended && !trouble {
+            return None;
+        }
+        self.told = now;
+        Some(if ended { 0 } else { strikes })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    #[test]
+    fn trouble_seen_is_left_alone_longer_each_time_and_fades() {
+        let mut trust = Trust::default();
+        trust.fault(S, 2);
+        assert!(trust.avoided(2 * S - 1) && !trust.avoided(2 * S) && !trust.on_trial(2 * S));
+        trust.fault(2 * S, 2);
+        assert!(trust.avoided(6 * S - 1) && !trust.avoided(6 * S) && trust.on_trial(6 * S));
+        // Nothing more is heard: the four strikes are forgotten one by one.
+        assert_eq!((trust.strikes(6 * S), trust.strikes(36 * S), trust.strikes(126 * S)), (4, 3, 0));
+    }
+
+    #[test]
+    fn the_word_of_one_keeps_a_worker_idle_for_a_second_and_that_of_two_for_as_long_as_they_say() {
+        let mut trust = Trust::default();
+        for at in 0..4 {
+            // However often one alone says so, and however loud: nothing adds up.
+            trust.hear(20 * S * (at + 1), 7, MOST, 0.0);
+            assert_eq!(trust.strikes(20 * S * (at + 1)), 0);
+            assert!(!trust.avoided(20 * S * (at + 1) + HEARSAY));
+        }
+        trust.hear(81 * S, 8, 5, 0.0);
+        assert!(trust.on_trial(82 * S) && trust.avoided(88 * S) && !trust.avoided(89 * S));
+        // Taken back as fast.
+        trust.hear(90 * S, 9, 0, 0.0);
+        assert!(!trust.on_trial(90 * S) && !trust.avoided(90 * S));
+    }
+
+    #[test]
+    fn what_is_seen_at_first_hand_stands_against_others_word() {
+        let mut trust = Trust::default();
+        trust.fault(S, 4);
+        trust.hear(S + 1, 3, 0, 0.0);
+        assert!(trust.avoided(2 * S));
+        trust.hear(4 * S, 3, 0, 0.0);
+        assert!(!trust.avoided(4 * S));
+    }
+
+    #[test]
+    fn a_worker_that_reports_errors_is_on_trial_though_jobs_end_well() {
+        let mut trust = Trust::default();
+        trust.reported(S, SICK / 2.0);
+        trust.reported(S, f64::NAN);
+        assert_eq!(trust.strikes(S), 0);
+        trust.reported(S, SICK);
+        trust.fine(S);
+        trust.fine(2 * S);
+        assert!(trust.on_trial(2 * S));
+        // Its reports are clean again: each job that ends well counts.
+        trust.fine(4 * S);
+        assert!(!trust.on_trial(4 * S));
+    }
+
+    #[test]
+    fn news_are_told_once_a_second_and_their_end_at_once() {
+        let mut trust = Trust::default();
+        trust.fault(S, 1);
+        assert_eq!(trust.news(S, 0), None, "one failed connect is no news");
+        trust.fault(S, 2);
+        assert_eq!(trust.news(S, 1), Some(3));
+        trust.fault(S + 1, 1);
+        assert_eq!(trust.news(S + 1, 3), None);
+        trust.fine(2 * S);
+        trust.fine(2 * S);
+        assert_eq!(trust.news(2 * S, 4), Some(0));
+        // Who has just heard the same says nothing.
+        let mut other = Trust::default();
+        other.hear(S, 1, 3, 0.0);
+        other.fault(S + S / 2, 2);
+        assert_eq!(other.news(S + S / 2, 0), None);
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 use crate::state::*;
 use calicolb_fleet::census::{Census, MOST_RANKS};
 use calicolb_fleet::cold::{Allowance, ColdShare, Sender};
+use calicolb_fleet::trust::Trust;
 use std::collections::BTreeSet;
 
 const MILLI: Micros = 1_000;
@@ -22,8 +23,6 @@
 const RANGE_WORKERS: usize = 8;
 /// Sizes that must have been seen for each range: boundaries drawn from fewer would crowd some ranges.
 const RANGE_SIZES: usize = 8;
-/// Workers outside the cohort's share that are looked at for one job.
-const SPILL: usize = 8;
 /// Lanes that a worker in another zone must have free more than one in this zone to be spilled to.
 const CROSSING: f64 = 0.5;
 /// Sizes remembered for the boundaries of the map.
@@ -38,20 +37,19 @@
 const REPORT_OLDEST: Micros = 1_800 * MILLI;
 /// A worker is probed at most this often: reports are refreshed about as slowly.
 const PROBE_EVERY: Micros = 500 * MILLI;
-/// Workers probed for one job at most, of its own range and of those it may spill to.
+/// Workers outside the cohort's share that are looked at, and probed, for one job.
 const PROBES: usize = 4;
 /// News of a start takes this long at most; after that a job is taken to wait.
 const START_NEWS: Micros = 100 * MILLI;
 /// Share of a cold worker's stated budget that is used: its true size is only estimated.
 const COLD_SHARE: f64 = 0.4;
-/// A worker that failed is left alone this long at first, and twice as long each further time.
-const SUSPECT_FIRST: Micros = 500 * MILLI;
-/// With so many strikes a worker is on trial: only jobs that may run twice go there.
-const TRIAL: u32 = 3;
 /// Timers of the list and of the hold queue.
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
 
+/// When a job starts, and when it ends.
+type Span = (Micros, Micros);
+
 /// One dispatcher's decisions.
 pub struct Dispatcher {
     settings: Settings,
@@ -123,7 +121,7 @@
             Event::Handed(knowledge) => self.on_handed(knowledge, out),
             Event::Succeeded(succeeded) => {
                 self.succeeded = succeeded;
-                (0..self.workers.len()).for_each(|at| self.tell_peers(now, at, out));
+                (0..self.workers.len()).for_each(|at| self.tell_peers(now, at, None, out));
             }
             Event::Streaming { request, attempt } => {
                 // The attempt is the client's now: nothing is owed for the request any more.
@@ -141,7 +139,7 @@
                 let Some(&at) = self.index.get(&worker) else { return };
                 self.on_report(now, at, report);
                 if ending == Ending::Unreachable {
-                    self.strike(now, at, 1);
+                    self.strike(now, at, 1, out);
                 }
                 self.offer(now, at, out);
             }
@@ -187,7 +185,7 @@
         self.workers[at].own.push(Own { request: id, slots, sent, start: sent, end, ..Own::default() });
         // Told of as the other process's so far.
         self.workers[at].peers.retain(|peer| peer.from != self.settings.rank);
-        self.tell_peers(now, at, out);
+        self.tell_peers(now, at, None, out);
     }
 
     // ---- Membership ------------------------------------------------------------------------------
@@ -231,7 +229,7 @@
             }
             let ranges = self.maps.iter().flat_map(|map| &map.ranges);
             let homes: Vec<usize> = ranges.flat_map(|range| range.home.iter().copied()).collect();
-            self.probe(now, &homes, homes.len(), out);
+            self.probe_home(now, &homes, homes.len(), out);
         }
         self.pump(now, out);
     }
@@ -244,8 +242,7 @@
         let worker = &mut self.workers[at];
         if member.started != worker.started && member.started.is_some() {
             // A new process: nothing learned of the old one's health or load holds.
-            worker.strikes = 0;
-            worker.suspect_until = 0;
+            worker.trust = Trust::default();
             worker.foreign = None;
             worker.peers.clear();
             worker.cold_sent.clear();
@@ -314,8 +311,8 @@
         }
         let total: (f64, f64) = sums.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         for (kind, (weight, count)) in self.know.kinds.iter_mut().zip(sums) {
-            if kind.seen == 0.0 && count > 0.0 {
-                kind.ln_speed = (weight / count / (total.0 / total.1)).ln();
+            if kind.speed.seen == 0.0 && count > 0.0 {
+                kind.speed.ln = (weight / count / (total.0 / total.1)).ln();
             }
         }
     }
@@ -327,7 +324,7 @@
                 worker.standing == Standing::On && wanted.is_none_or(|kind| kind == worker.kind)
             })
             .collect();
-        let speed = |at: usize| self.know.kinds[self.workers[at].kind].ln_speed;
+        let speed = |at: usize| self.know.kinds[self.workers[at].kind].speed.ln;
         order.sort_by(|&a, &b| {
             let key = |at: usize| (self.workers[at].kind, self.workers[at].id);
             speed(a).total_cmp(&speed(b)).then(key(a).cmp(&key(b)))
@@ -385,7 +382,7 @@
         let mut sizes: Vec<f64> = self.maps[need].sizes.iter().copied().collect();
         sizes.sort_by(f64::total_cmp);
         let work: f64 = sizes.iter().sum();
-        let power = |at: &usize| self.know.kinds[self.workers[*at].kind].ln_speed.exp();
+        let power = |at: &usize| self.know.kinds[self.workers[*at].kind].speed.ln.exp();
         let all: f64 = order.iter().map(power).sum();
         let mut bounds = Vec::with_capacity(count);
         let (mut at, mut sum, mut share) = (0, 0.0, 0.0);
@@ -418,7 +415,7 @@
 
     fn speed(&self, at: usize) -> f64 {
         let worker = &self.workers[at];
-        (self.know.kinds[worker.kind].ln_speed + worker.ln_speed).exp()
+        (self.know.kinds[worker.kind].speed.ln + worker.speed.ln).exp()
     }
 
     /// How long a job of this size would run there.
@@ -426,29 +423,33 @@
         (size / (self.speed(at) * self.warmth(at, now))).min(3600.0 * SECOND as f64) as Micros
     }
 
-    /// Learns from a job's measured time: its class's ratio to the hint, and the worker's and kind's speed.
-    fn learn(&mut self, now: Micros, at: usize, class: usize, hint: Option<f64>, time: Micros) {
+    /// Learns from a job's measured time: its class's ratio to the hint, and the worker's and kind's speed. Gives the
+    /// logarithm of the worker's speed as this job shows it.
+    fn learn(&mut self, now: Micros, at: usize, of: (usize, Option<f64>), time: Micros) -> Option<f64> {
         if self.warmth(at, now) < 1.0 || time == 0 {
-            return;
+            return None;
         }
-        let speed = self.speed(at);
+        let ((class, hint), speed) = (of, self.speed(at));
         self.know.mean_time += (time as f64 - self.know.mean_time) * 0.05;
         let model = &mut self.know.classes[class];
         let size = time as f64 * speed;
         let gain = |seen: f64, least: f64| (1.0 / (seen + 2.0)).max(least);
         model.mean_size += (size - model.mean_size) * gain(model.seen, 0.05);
-        if let Some(hint) = hint.filter(|hint| hint.is_finite() && *hint > 0.0) {
-            let error = ((size / hint).ln() - model.ln_ratio).clamp(-1.0, 1.0);
-            model.ln_ratio += error * gain(model.seen, 0.03);
-            model.spread += (error.abs() - model.spread) * gain(model.seen + 4.0, 0.05);
-            let worker = &mut self.workers[at];
-            let kind = &mut self.know.kinds[worker.kind];
-            kind.ln_speed -= error * gain(kind.seen + 4.0, 0.02);
-            worker.ln_speed -= error * 0.1;
-            worker.ln_speed = worker.ln_speed.clamp(-0.7, 0.7);
-            kind.seen += 1.0;
-        }
         model.seen += 1.0;
+        let hint = hint.filter(|hint| hint.is_finite() && *hint > 0.0)?;
+        let error = ((size / hint).ln() - model.ln_ratio).clamp(-1.0, 1.0);
+        model.ln_ratio += error * gain(model.seen - 1.0, 0.03);
+        model.spread += (error.abs() - model.spread) * gain(model.seen + 3.0, 0.05);
+        self.learn_speed(at, error);
+        Some(speed.ln() - error)
+    }
+
+    /// A worker took so much longer, in logarithms, than its speed says.
+    fn learn_speed(&mut self, at: usize, error: f64) {
+        let worker = &mut self.workers[at];
+        self.know.kinds[worker.kind].speed.learn(error, 6.0, 50.0);
+        worker.speed.learn(error, 4.0, 10.0);
+        worker.speed.ln = worker.speed.ln.clamp(-0.7, 0.7);
     }
 
     // ---- Worker model ----------------------------------------------------------------------------
@@ -496,6 +497,9 @@
 
     fn on_report(&mut self, now: Micros, at: usize, report: Option<Report>) {
         let Some(report) = report else { return };
+        let errors = report.errors_per_s.unwrap_or(0.0) * self.know.mean_time / SECOND as f64;
+        let share = errors / self.lanes(at) as f64;
+        self.workers[at].trust.reported(now, share);
         let guessed = self.workers[at].told.is_none();
         let Some(free) = report.free_slots.filter(|free| free.is_finite() && guessed) else { return };
         let free = free.clamp(0.0, 1024.0);
@@ -541,42 +545,49 @@
     /// Connections that fail one after the other across another zone point to the link, not to its workers:
     /// the zone is left alone for a while, and the next job after that is a trial.
     fn on_connection(&mut self, now: Micros, at: usize, made: bool) {
-        let zone = self.workers[at].zone;
-        let cut = &mut self.know.cuts[zone.0];
-        *cut = if made { (0, 0) } else { (cut.0 + 1, cut.1) };
-        if zone != self.settings.zone && cut.0 >= 3 {
-            cut.1 = now + SECOND;
-        }
+        let (zone, own) = (self.workers[at].zone, self.settings.zone);
+        let (failed, until) = self.know.cuts[zone.0];
+        let until = if zone != own && failed >= 2 { now + SECOND } else { until };
+        self.know.cuts[zone.0] = if made { (0, 0) } else { (failed + 1, until) };
     }
 
-    /// Reports come by probe: no job goes to another cohort's worker on a guess.
+    /// Probes bring reports: no job goes to another cohort's worker on a guess.
     fn asks(&self) -> bool {
-        self.settings.reports == ReportSource::Probes && self.settings.limits.probes
+        self.settings.reports != ReportSource::Nowhere && self.settings.limits.probes
     }
 
-    /// Asks workers for a report where only probes bring one: of these, those that were not asked for a
-    /// while.
+    /// Asks workers for a report: of these, those of which nothing is known of late.
     fn probe(&mut self, now: Micros, among: &[usize], most: usize, out: &mut Vec<Action>) {
-        if !self.asks() {
-            return;
-        }
-        let mut asked = 0;
-        for &at in among {
-            let worker = &mut self.workers[at];
-            let idle = now >= worker.probed + PROBE_EVERY && now >= worker.known + PROBE_EVERY;
-            if asked < most && worker.standing == Standing::On && idle {
-                worker.probed = now;
-                asked += 1;
-                out.push(Action::Probe(worker.id));
-            }
+        let due = |worker: &Worker| now >= worker.probed.max(worker.known) + PROBE_EVERY;
+        let due = |at: &&usize| self.workers[**at].standing == Standing::On && due(&self.workers[**at]);
+        let due: Vec<usize> =
+            among.iter().filter(due).take(if self.asks() { most } else { 0 }).copied().collect();
+        for at in due {
+            self.workers[at].probed = now;
+            out.push(Action::Probe(self.workers[at].id));
         }
     }
 
-    /// Leaves a failing worker alone for a while, longer each time; the next job after that is a trial.
-    fn strike(&mut self, now: Micros, at: usize, by: u32) {
-        let worker = &mut self.workers[at];
-        worker.strikes = (worker.strikes + by).min(6);
-        worker.suspect_until = now + (SUSPECT_FIRST << worker.strikes) / 2;
+    /// The same of the own share, where no answer brings a report.
+    fn probe_home(&mut self, now: Micros, among: &[usize], most: usize, out: &mut Vec<Action>) {
+        let needed = self.settings.reports == ReportSource::Probes;
+        self.probe(now, among, if needed { most } else { 0 }, out);
+    }
+
+    /// Something went wrong there: it is left alone for a while, and the others hear of it.
+    fn strike(&mut self, now: Micros, at: usize, by: u32, out: &mut Vec<Action>) {
+        let before = self.workers[at].trust.strikes(now);
+        self.workers[at].trust.fault(now, by);
+        self.tell_trust(now, at, before, out);
+    }
+
+    /// Tells all others what has just been seen of a worker, if they are to hear of it.
+    fn tell_trust(&mut self, now: Micros, at: usize, before: u32, out: &mut Vec<Action>) {
+        let news = self.workers[at].trust.news(now, before);
+        if let Some(strikes) = news.filter(|_| self.settings.limits.peers && self.census.size() > 1) {
+            let body = peer::trouble(self.workers[at].id, strikes);
+            out.push(Action::Tell { to: None, body });
+        }
     }
 
     fn on_peer(&mut self, now: Micros, from: u32, body: &[u8], out: &mut Vec<Action>) {
@@ -593,17 +604,24 @@
                 }
                 // One that has just started does not know where this one stands.
                 if asks {
-                    out.push(Action::Tell {
-                        to: Some(from),
-                        body: peer::greeting(self.settings.zone.0, false),
-                    });
+                    let body = peer::greeting(self.settings.zone.0, false);
+                    out.push(Action::Tell { to: Some(from), body });
                 }
                 return;
             }
+            Some(Said::Trouble { worker, strikes }) => {
+                // What is heard may keep a part of the workers idle, not most of them.
+                let heard = strikes == 0 || self.avoided(now) * 4 <= self.workers.len();
+                let Some(&at) = self.index.get(&worker).filter(|_| heard && !kin) else { return };
+                return self.workers[at].trust.hear(now, from, strikes, self.rng.f64());
+            }
             Some(Said::Load(load)) => load,
             _ => return,
         };
         let Some(&at) = self.index.get(&load.worker) else { return };
+        if let Some(speed) = load.ln_speed.filter(|_| !kin) {
+            self.learn_speed(at, self.speed(at).ln() - speed);
+        }
         let peers = &mut self.workers[at].peers;
         let before = peers.iter().position(|peer| peer.from == from).map(|nr| peers.swap_remove(nr));
         if load.lanes > 0 || load.cold > 0.0 {
@@ -614,7 +632,7 @@
             self.offer(now, at, out);
         }
         if kin {
-            self.tell_peers(now, at, out);
+            self.tell_peers(now, at, None, out);
         }
     }
 
@@ -628,7 +646,7 @@
 
     /// Tells the worker's cohort what this dispatcher has there now, both its processes if there are two; the
     /// one that was succeeded tells the other.
-    fn tell_peers(&self, now: Micros, at: usize, out: &mut Vec<Action>) {
+    fn tell_peers(&self, now: Micros, at: usize, ln_speed: Option<f64>, out: &mut Vec<Action>) {
         if !self.succeeded && (!self.settings.limits.peers || self.census.size() < 2) {
             return;
         }
@@ -640,7 +658,7 @@
         let soonest = span(ends.clone().chain(kin.map(|kin| kin.soonest)).min());
         let latest = span(ends.chain(kin.map(|kin| kin.latest)).max());
         let cold = self.cold_sent(now, at) + kin.map_or(0.0, |kin| kin.cold);
-        let body = peer::load(&Load { worker: worker.id, lanes, soonest, latest, cold });
+        let body = peer::load(&Load { worker: worker.id, lanes, soonest, latest, cold, ln_speed });
         if self.succeeded {
             return out.push(Action::Tell { to: Some(rank), body });
         }
@@ -687,13 +705,7 @@
 
     /// The EDF demand test: with the jobs planned for the worker and this one, in deadline order, each ends
     /// by its deadline. Gives the job's start, and its end.
-    fn demand(
-        &self,
-        at: usize,
-        now: Micros,
-        id: RequestId,
-        scratch: &mut Vec<Micros>,
-    ) -> Option<(Micros, Micros)> {
+    fn demand(&self, at: usize, now: Micros, id: RequestId, scratch: &mut Vec<Micros>) -> Option<Span> {
         let request = &self.requests[&id];
         self.lane_ends(at, now, scratch);
         if request.slots > scratch.len() {
@@ -732,7 +744,7 @@
     fn avoids(&self, now: Micros, at: usize) -> bool {
         let worker = &self.workers[at];
         let cut = self.know.cuts[worker.zone.0].1 > now;
-        worker.standing != Standing::On || worker.suspect_until > now || cut
+        worker.standing != Standing::On || worker.trust.avoided(now) || cut
     }
 
     /// Listed workers that nothing is sent to for now.
@@ -742,9 +754,10 @@
     }
 
     fn usable(&self, at: usize, now: Micros, request: &Request) -> bool {
-        // A job that must not run twice is lost if a trial goes wrong.
-        let once = self.settings.classes[request.class].effect == Effect::Unsafe;
-        let barred = once && self.workers[at].strikes >= TRIAL;
+        // A job that must not run twice is lost if a trial goes wrong. Those that try a worker first try it again.
+        let (once, worker) =
+            (self.settings.classes[request.class].effect == Effect::Unsafe, &self.workers[at]);
+        let barred = worker.trust.on_trial(now) && (once || !worker.home || !worker.own.is_empty());
         !barred && !self.avoids(now, at) && self.may_send(now, request, at)
     }
 
@@ -795,14 +808,13 @@
     /// look at its few workers, and send on the same aged report.
     fn window(&self, range: &Range) -> Vec<usize> {
         let (near, far) = (range.near.len(), range.far.len());
-        let width = if self.asks() { PROBES } else { SPILL };
-        let nearby = (width * 2 * near).div_ceil((2 * near + far).max(1)).min(near);
+        let nearby = (PROBES * 2 * near).div_ceil((2 * near + far).max(1)).min(near);
         let pick = |list: &[usize], count: usize| {
             let from = self.spill_from % list.len().max(1);
             list.iter().cycle().skip(from).take(count.min(list.len())).copied().collect::<Vec<_>>()
         };
         let mut few = pick(&range.near, nearby);
-        few.extend(pick(&range.far, width - nearby));
+        few.extend(pick(&range.far, PROBES - nearby));
         few
     }
 
@@ -819,12 +831,9 @@
     fn probe_for(&mut self, now: Micros, id: RequestId, spill: bool, out: &mut Vec<Action>) {
         let Some((need, range)) = self.range_of(&self.requests[&id]) else { return };
         let range = &self.maps[need].ranges[range];
-        let home: Vec<usize> = range.home.iter().take(2).copied().collect();
-        let few = self.window(range);
-        self.probe(now, &home, 1, out);
-        if spill {
-            self.probe(now, &few, PROBES, out);
-        }
+        let (home, few) = (range.home[..range.home.len().min(2)].to_vec(), self.window(range));
+        self.probe_home(now, &home, 1, out);
+        self.probe(now, &few, if spill { PROBES } else { 0 }, out);
     }
 
     // ---- Hold queue ------------------------------------------------------------------------------
@@ -875,7 +884,7 @@
         if let Some((worker, sent)) = arrival.out {
             return self.adopt(now, arrival.request, worker, sent, out);
         }
-        self.spill_from = self.spill_from.wrapping_add(SPILL);
+        self.spill_from = self.spill_from.wrapping_add(1);
         self.hold(arrival.request);
         let mut wake = Micros::MAX;
         let sent = self.release(now, arrival.request, &mut wake, out);
@@ -1091,7 +1100,7 @@
             worker.cold_sent.push_back((now, size * slots as f64));
         }
         out.push(Action::Send { request: id, worker: worker.id, timeout: None });
-        self.tell_peers(now, at, out);
+        self.tell_peers(now, at, None, out);
         true
     }
 
@@ -1164,7 +1173,7 @@
                 // The way there is dead, or the worker: nothing of a queue there shows in this. A job that may
                 // run twice is tried elsewhere, any other can only be waited for.
                 self.workers[at].own[nr].awaits_start = false;
-                self.strike(now, at, 1);
+                self.strike(now, at, 1, out);
                 let effect = self.settings.classes[self.requests[&id].class].effect;
                 if effect == Effect::Safe && self.settings.limits.cancel {
                     out.push(Action::Cancel { request: id, attempt });
@@ -1189,7 +1198,7 @@
         let Outcome { request: id, attempt, ending, elapsed, concluded, .. } = outcome;
         let Some((at, nr)) = self.own(id, attempt) else { return };
         let own = self.workers[at].own.swap_remove(nr);
-        self.tell_peers(now, at, out);
+        let mut speed = None;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let state = if ending.never_ran() { State::NeverRan } else { State::MayHaveRan };
         request.attempts[attempt as usize].state = state;
@@ -1197,13 +1206,14 @@
         let (class, hint) = (request.class, request.hint);
         match ending {
             Ending::Ok => {
-                // Trust comes back by degrees: most jobs end well even where every other one fails.
-                self.workers[at].strikes = self.workers[at].strikes.saturating_sub(1);
+                let before = self.workers[at].trust.strikes(now);
+                self.workers[at].trust.fine(now);
+                self.tell_trust(now, at, before, out);
                 self.on_connection(now, at, true);
                 self.step_lanes(at, own.slots, true);
                 if own.clean {
                     let time = if own.start > own.sent { now.saturating_sub(own.start) } else { elapsed };
-                    self.learn(now, at, class, hint, time);
+                    speed = self.learn(now, at, (class, hint), time);
                 }
             }
             Ending::Full => {
@@ -1216,14 +1226,15 @@
                 self.on_zone_load(at, lanes);
             }
             Ending::Unreachable => {
-                self.strike(now, at, 1);
+                self.strike(now, at, 1, out);
                 self.on_connection(now, at, false);
             }
             // One that answers with errors is soon free again, and would draw more jobs than the others.
-            Ending::Error => self.strike(now, at, 2),
-            Ending::Broken => self.strike(now, at, 1),
+            Ending::Error => self.strike(now, at, 2, out),
+            Ending::Broken => self.strike(now, at, 1, out),
             Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unusable => {}
         }
+        self.tell_peers(now, at, speed, out);
         self.after_attempt(now, id, ending, out);
         self.forget(id);
         self.offer(now, at, out);
@@ -1262,14 +1273,6 @@
             return false;
         }
         let rate = spec.quota_per_s / f64::from(self.census.size());
-        let bucket = &mut self.know.buckets[nr];
-        let gone = now.saturating_sub(bucket.at) as f64 / SECOND as f64;
-        bucket.at = now;
-        bucket.tokens = (bucket.tokens + gone * rate).min((rate * 5.0).max(3.0));
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return false;
-        }
-        true
+        !self.know.buckets[nr].take(now, rate)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! What the decision module keeps in mind: plain records without behaviour, and its hashing.
 
 use crate::api::*;
+use calicolb_fleet::speed::Speed;
+use calicolb_fleet::trust::Trust;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
@@ -143,9 +145,11 @@
     pub(crate) lanes: Option<f64>,
     /// Lanes in use by others when last reported, and when that was.
     pub(crate) foreign: Option<(Micros, f64)>,
-    pub(crate) ln_speed: f64,
-    pub(crate) strikes: u32,
-    pub(crate) suspect_until: Micros,
+    /// Its speed beside its kind's, learned here and at its cohort's other dispatchers.
+    #[serde(default)]
+    pub(crate) speed: Speed,
+    #[serde(default)]
+    pub(crate) trust: Trust,
     pub(crate) probed: Micros,
     /// Its load is known from a report, or from being full, at this time.
     pub(crate) known: Micros,
@@ -170,8 +174,8 @@
 
 #[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Kind {
-    pub(crate) ln_speed: f64,
-    pub(crate) seen: f64,
+    #[serde(default)]
+    pub(crate) speed: Speed,
     pub(crate) lanes: Option<f64>,
 }
 
@@ -246,3 +250,16 @@
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
 }
+
+impl Bucket {
+    /// Takes a token, where there is one; they come at `rate` a second, and five seconds' worth, but three at least,
+    /// may be saved.
+    pub(crate) fn take(&mut self, now: Micros, rate: f64) -> bool {
+        let gone = now.saturating_sub(self.at) as f64 / 1e6;
+        self.at = now;
+        self.tokens = (self.tokens + gone * rate).min((rate * 5.0).max(3.0));
+        let there = self.tokens >= 1.0;
+        self.tokens -= if there { 1.0 } else { 0.0 };
+        there
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -74,3 +74,179 @@
     assert!(all as f64 <= bound, "{all} ms sent by all, it bears {bound:.0}");
     assert!(all > 0, "nobody sent it anything");
 }
+
+/// Dispatchers that share twelve workers and hear each other, as far as `loss` of their datagrams, one in so many, are
+/// not lost.
+struct Tier {
+    benches: Vec<Bench>,
+    loss: usize,
+    told: usize,
+    next: u32,
+    /// Jobs sent to each worker, and of these the ones that must not run twice.
+    sent: std::collections::BTreeMap<u32, (u32, u32)>,
+}
+
+/// The worker of the tier that answers with errors.
+const SICK: u32 = 15;
+
+impl Tier {
+    fn new(count: u32, loss: usize) -> Tier {
+        let start = |rank| {
+            let mut settings = settings();
+            (settings.instances, settings.rank, settings.limits.peers) = (count, rank, true);
+            Bench::with_workers(settings, &(10..22).collect::<Vec<_>>())
+        };
+        let benches = (0..count).map(start).collect();
+        Tier { benches, loss, told: 0, next: 1, sent: Default::default() }
+    }
+
+    /// Carries messages to whom they are for.
+    fn post(&mut self, from: usize, actions: &[Action]) {
+        for action in actions {
+            let Action::Tell { to, body } = action else { continue };
+            for rank in (0..self.benches.len()).filter(|&rank| rank != from) {
+                if to.is_none_or(|to| to as usize == rank) {
+                    self.told += 1;
+                    if self.loss == 0 || !self.told.is_multiple_of(self.loss) {
+                        let body = body.clone();
+                        self.benches[rank].tell(Event::Peer { from: from as u32, body });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Notes what these actions of a dispatcher send, and gives it with the attempt.
+    fn note(&mut self, rank: usize, actions: &[Action], attempt: u32) -> Vec<(usize, u32, u32, u32)> {
+        self.post(rank, actions);
+        let sent: Vec<_> = sends(actions).into_iter().map(|(id, hop)| (rank, id, attempt, hop.0)).collect();
+        for &(_, id, _, hop) in &sent {
+            let count = self.sent.entry(hop).or_default();
+            (count.0, count.1) = (count.0 + 1, count.1 + id % 2);
+        }
+        sent
+    }
+
+    /// So many rounds, 200 ms apart, in which each dispatcher has three jobs, all out at once; those with odd numbers
+    /// must not run twice. `sick` decides whether [`SICK`] fails them. Gives what it was sent, and of that what must
+    /// not run twice.
+    fn rounds(&mut self, rounds: usize, sick: bool) -> (u32, u32) {
+        let before = self.sent.get(&SICK).copied().unwrap_or_default();
+        for _ in 0..rounds {
+            let mut out = Vec::new();
+            let count = self.benches.len();
+            for rank in (0..3 * count).map(|nr| nr % count) {
+                let id = self.next;
+                self.next += 1;
+                let actions = self.benches[rank].arrive(id, (id % 2) as usize, 20 * MS);
+                out.extend(self.note(rank, &actions, 0));
+            }
+            while let Some((rank, id, attempt, hop)) = out.pop() {
+                // Every other job ends well even there.
+                let ending = if sick && hop == SICK && id / 2 % 2 == 0 { Ending::Error } else { Ending::Ok };
+                let mut actions = self.benches[rank].outcome(id, attempt, WorkerId(hop), ending);
+                actions.extend(self.benches[rank].wait(10 * MS));
+                out.extend(self.note(rank, &actions, attempt + 1).into_iter().filter(|sent| sent.1 == id));
+            }
+            let latest = self.benches.iter().map(|bench| bench.now).max().unwrap_or(0) + 200 * MS;
+            self.benches.iter_mut().for_each(|bench| bench.now = latest);
+        }
+        let after = self.sent.get(&SICK).copied().unwrap_or_default();
+        (after.0 - before.0, after.1 - before.1)
+    }
+}
+
+#[test]
+fn a_worker_that_answers_with_errors_is_found_out_once_for_all_of_them() {
+    // In the first round all meet it at once; after that only who has not heard sends it more than trials.
+    let play = |loss| {
+        let mut tier = Tier::new(24, loss);
+        tier.rounds(1, true);
+        tier.rounds(80, true)
+    };
+    // With a tenth of the datagrams lost it is found out all the same.
+    let (deaf, heard, lossy) = (play(1), play(0), play(10));
+    assert!(heard.0 * 3 <= deaf.0, "sent to it: {heard:?} where they hear each other, {deaf:?} where not");
+    assert!(lossy.0 * 2 <= deaf.0, "sent to it: {lossy:?} with a tenth lost, {deaf:?} with all");
+    assert!(heard.1 * 4 <= deaf.1, "not to be run twice: {heard:?} where they hear each other, {deaf:?}");
+}
+
+#[test]
+fn a_worker_that_is_well_again_is_used_again_by_all() {
+    let mut tier = Tier::new(24, 0);
+    tier.rounds(60, true);
+    // The trials come once it has been left alone for up to sixteen seconds, and as much again by the draw.
+    for bench in &mut tier.benches {
+        bench.now += 33 * SECOND;
+    }
+    tier.rounds(30, false);
+    let (all, once) = tier.rounds(60, false);
+    let others: u32 = tier.sent.iter().filter(|(id, _)| **id != SICK).map(|(_, sent)| sent.0).sum();
+    assert!(all > 0 && once > 0, "{all} jobs, {once} of them not to be run twice, of {others} elsewhere");
+}
+
+#[test]
+fn one_confused_dispatcher_cannot_keep_the_workers_from_the_others() {
+    let mut bench = fleet(8, 0).0;
+    bench.members(ListKind::Full, (10..22).map(member).collect());
+    // It says of every worker, again and again, that it is as bad as can be.
+    for _ in 0..3 {
+        for id in 10..22_u32 {
+            let [a, b, c, d] = id.to_le_bytes();
+            bench.tell(Event::Peer { from: 3, body: vec![1, a, b, c, d, 255] });
+        }
+        assert!(bench.dispatcher.avoided(bench.now) <= 4, "{} avoided", bench.dispatcher.avoided(bench.now));
+        bench.now += 2 * SECOND;
+    }
+    // Its word alone counts for a second, and twice that by the draw.
+    assert_eq!(bench.dispatcher.avoided(bench.now), 0);
+    assert_eq!(sends(&bench.arrive(1, 1, 10 * MS)).len(), 1);
+}
+
+#[test]
+fn a_worker_whose_own_reports_tell_of_errors_gets_no_job_that_must_not_run_twice() {
+    let mut bench = Bench::with_workers(settings(), &[11]);
+    assert_eq!(sends(&bench.arrive(1, 0, 10 * MS)).len(), 1);
+    let report = Some(Report { errors_per_s: Some(3.0), ..Report::default() });
+    let (request, worker, elapsed) = (RequestId(1), WorkerId(11), 100 * MS);
+    let (attempt, ending, concluded) = (0, Ending::Ok, true);
+    bench.tell(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }));
+    bench.now += 5 * SECOND;
+    assert!(sends(&bench.arrive(2, 1, 10 * MS)).is_empty(), "it must not run twice");
+    assert_eq!(sends(&bench.arrive(3, 0, 10 * MS)).len(), 1, "a trial");
+    assert!(sends(&bench.arrive(4, 0, 10 * MS)).is_empty(), "one at a time");
+}
+
+#[test]
+fn what_a_job_showed_of_a_workers_speed_is_known_to_the_cohort() {
+    // One runs jobs at a worker that takes three times as long as hinted; another hears of it, a third does not.
+    let start = |rank| {
+        let mut bench = fleet(3, rank).0;
+        bench.members(ListKind::Full, vec![member(12)]);
+        bench
+    };
+    let (mut one, mut two, mut three) = (start(0), start(1), start(2));
+    let estimate = |bench: &mut Bench| {
+        let actions = bench.arrive(1, 0, 300 * MS);
+        let told = actions.iter().find_map(|action| match action {
+            // The end of what it has there, in units of 64 ms.
+            Action::Tell { to: Some(_), body } if body.len() >= 8 => Some(body[7]),
+            _ => None,
+        });
+        told.expect("the others are told")
+    };
+    for id in 10..30 {
+        one.arrive(id, 0, 300 * MS);
+        one.now += 900 * MS;
+        let (request, worker, elapsed) = (RequestId(id), WorkerId(12), 900 * MS);
+        let (attempt, ending, concluded, report) = (0, Ending::Ok, true, None);
+        let outcome = Outcome { request, attempt, worker, ending, elapsed, concluded, report };
+        for action in one.tell(Event::Outcome(outcome)) {
+            if let Action::Tell { to: Some(1), body } = action {
+                two.tell(Event::Peer { from: 0, body });
+            }
+        }
+    }
+    let (unheard, heard) = (estimate(&mut three), estimate(&mut two));
+    assert!(heard >= unheard + 2, "{unheard} units where nothing was heard, {heard} where it was");
+}
