Show at the door what is spent of the fleet's share, and bound hearsay by the workers listed

The door now shows each, counted where it is decided or carried out. Read again with that: hearsay was bounded by all workers ever listed, so after a full replacement half of those in service could be kept idle by it (rules.rs, on_peer); now by those in service. A job that ended well wiped out the whole time that a worker was to be left alone (trust.rs, fine); now strike by strike.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`census`]: how many schedulers there are, from what the settings say and from whom it has heard;
 //! * [`cold`]: what it may send a worker that is still cold, as a member of the cohort that shares it or as a warden;
 //! * [`speed`]: how fast a worker is, by what several schedulers measured;
+//! * [`spending`]: what it has spent, for operators;
 //! * [`trust`]: how far it trusts a worker, by what it saw, what the worker reports and what the others tell.
 //!
 //! Which worker a job goes to, whether it is tried again and what is turned away are decided elsewhere, by the
@@ -16,4 +17,5 @@
 pub mod census;
 pub mod cold;
 pub mod speed;
+pub mod spending;
 pub mod trust;
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -78,7 +78,9 @@
     pub fn fine(&mut self, now: Micros) {
         if now >= self.sick + FIRST_HAND || self.sick == 0 {
             self.strikes = self.strikes(now).saturating_sub(1);
-            self.until = self.until.min(now);
+            if self.strikes == 0 {
+                self.until = self.until.min(now);
+            }
         }
     }
 
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -593,6 +593,11 @@
         &self.figures
     }
 
+    /// What was spent since the start of what all schedulers share, by the names that operators see.
+    pub fn spent(&self) -> [(&'static str, u64); 6] {
+        self.dispatcher.spent.figures()
+    }
+
     /// Listed next hops that the module does not send to at present.
     pub fn avoided(&self, now: Micros) -> usize {
         self.dispatcher.avoided(now)
@@ -617,10 +622,22 @@
                 self.next_timer += 1;
                 deadlines.set(Due::Timer(timer.0, self.next_timer), now + after);
             }
-            Action::Probe(hop) => self.work.push(Work::Probe(hop)),
-            Action::Tell { to, body } => self.work.push(Work::Tell { to, body }),
-            Action::FetchList => self.work.push(Work::FetchList),
-            Action::Subscribe(want) => self.work.push(Work::Watch(want)),
+            Action::Probe(hop) => {
+                self.dispatcher.spent.probes += 1;
+                self.work.push(Work::Probe(hop));
+            }
+            Action::Tell { to, body } => {
+                self.dispatcher.spent.messages += 1;
+                self.work.push(Work::Tell { to, body });
+            }
+            Action::FetchList => {
+                self.dispatcher.spent.list_calls += 1;
+                self.work.push(Work::FetchList);
+            }
+            Action::Subscribe(want) => {
+                self.dispatcher.spent.list_calls += u64::from(want);
+                self.work.push(Work::Watch(want));
+            }
             Action::CloseIdle(hop) => self.work.push(Work::CloseIdle(hop)),
             Action::Log(text) => note!("module: {text}"),
         }
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -116,6 +116,9 @@
     connect_timeout: Micros,
     rest: Rest,
     most: usize,
+    /// Connections opened, and requests that went out on a kept one, since the start.
+    opened: u64,
+    reused: u64,
 }
 
 impl NextHops {
@@ -128,9 +131,21 @@
             connect_timeout,
             rest: Rest::new(idle.saturating_sub(IDLE_MARGIN).max(idle / 2)),
             most,
+            opened: 0,
+            reused: 0,
         }
     }
 
+    /// What operators are shown of the connections, by name.
+    pub fn figures(&self) -> [(&'static str, u64); 3] {
+        let open = self.links.len() as u64;
+        [
+            ("fleet.connections.open", open),
+            ("fleet.connections.opened", self.opened),
+            ("fleet.connections.reused", self.reused),
+        ]
+    }
+
     /// So many connections may be open from now on; of those at rest, all that are too many are closed.
     pub fn limit(&mut self, ctx: &mut Ctx<'_>, most: usize) {
         self.most = most;
@@ -244,7 +259,10 @@
         bytes: &[u8],
     ) -> bool {
         let token = match self.take_idle(ctx, hop) {
-            Some(token) => token,
+            Some(token) => {
+                self.reused += 1;
+                token
+            }
             None => match self.open(ctx, spare, hop) {
                 Some(token) => token,
                 None => return false,
@@ -323,6 +341,7 @@
             rest: None,
         };
         self.links.insert(token, link);
+        self.opened += 1;
         Some(token)
     }
 
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -518,7 +518,8 @@
                     known: self.desk.known(),
                     avoided: self.desk.avoided(now),
                 };
-                let others = self.others.iter().flat_map(|other| other.figures());
+                let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
+                let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
                 self.desk.figures().write(self.names.classes(), present, others)
             }
             // What this process no longer takes is the heir's to send away.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 use crate::state::*;
 use calicolb_fleet::census::{Census, MOST_RANKS};
 use calicolb_fleet::cold::{Allowance, ColdShare, Sender};
+use calicolb_fleet::spending::Spending;
 use calicolb_fleet::trust::Trust;
 use std::collections::BTreeSet;
 
@@ -74,6 +75,8 @@
     cohorts: Vec<(Option<u8>, Vec<u32>)>,
     /// Who has been heard from, and how many dispatchers there are, by that and the settings.
     census: Census,
+    /// What has been spent of what all dispatchers share, for operators.
+    pub spent: Spending,
 }
 
 impl Dispatcher {
@@ -97,6 +100,7 @@
             spill_from: 0,
             cohorts: Vec::new(),
             census,
+            spent: Spending::default(),
             settings,
         }
     }
@@ -299,14 +303,13 @@
                 // shares are even, few jobs cross zones, and little moves as workers come and go.
                 let zone = Some(self.workers[at].zone.0 as u8);
                 let draw = mix(u64::from(id.0), 0) as usize;
-                let turns = (0..self.cohorts.len()).map(|by| (draw + by) % self.cohorts.len());
+                let all = (0..self.cohorts.len()).map(|by| (draw + by) % self.cohorts.len());
                 let same = |&cohort: &usize| self.cohorts[cohort].0.is_none_or(|there| Some(there) == zone);
                 let room = |&cohort: &usize| taken[cohort] < cap;
-                let first = turns.clone().filter(same).find(room).or_else(|| turns.clone().find(room));
-                let cohort = first.unwrap_or(0);
-                taken[cohort] += 1;
-                self.workers[at].cohort = cohort;
-                self.workers[at].home = self.cohorts[cohort].1.contains(&self.settings.rank);
+                let to = all.clone().filter(same).find(room).or_else(|| all.clone().find(room)).unwrap_or(0);
+                taken[to] += 1;
+                self.workers[at].cohort = to;
+                self.workers[at].home = self.cohorts[to].1.contains(&self.settings.rank);
             }
         }
     }
@@ -345,9 +348,7 @@
     }
 
     fn rebuild_map(&mut self, need: usize, wanted: Option<usize>) {
-        let on = |worker: &Worker| {
-            worker.standing == Standing::On && wanted.is_none_or(|kind| kind == worker.kind)
-        };
+        let on = |of: &Worker| of.standing == Standing::On && wanted.is_none_or(|kind| kind == of.kind);
         let mut order: Vec<usize> = (0..self.workers.len()).filter(|&at| on(&self.workers[at])).collect();
         let speed = |at: usize| self.know.kinds[self.workers[at].kind].speed.ln;
         let key = |at: usize| (self.workers[at].kind, self.workers[at].id);
@@ -613,7 +614,8 @@
             }
             Some(Said::Trouble { worker, strikes }) => {
                 // What is heard may keep a part of the workers idle, not most of them.
-                let heard = strikes == 0 || self.avoided(now) * 4 <= self.workers.len();
+                let on = self.workers.iter().filter(|worker| worker.standing == Standing::On).count();
+                let heard = strikes == 0 || self.avoided(now) * 4 <= on;
                 let Some(&at) = self.index.get(&worker).filter(|_| heard && !kin) else { return };
                 return self.workers[at].trust.hear(now, from, strikes, self.rng.f64());
             }
@@ -857,8 +859,7 @@
         let deadline = aim.min(arrival.expires);
         let order = if over { arrival.expires } else { deadline };
         let work = size * slots as f64;
-        let span = now.saturating_sub(self.know.work_at) as f64;
-        let keep = (-span / (10.0 * SECOND as f64)).exp();
+        let keep = (-(now.saturating_sub(self.know.work_at) as f64) / (10.0 * SECOND as f64)).exp();
         self.know.work_rate = self.know.work_rate * keep + work / 10.0;
         self.know.work_at = now;
         let map = &mut self.maps[spec.kind.map_or(0, |kind| kind.0 + 1)];
@@ -1026,7 +1027,7 @@
             return false;
         }
         // Rule 2.
-        if !limits.copies && request.attempts.iter().any(|attempt| attempt.state == State::Out) {
+        if !limits.copies && request.out() {
             return false;
         }
         let mut risky = request.attempts.iter().filter(|attempt| attempt.state != State::NeverRan);
@@ -1077,7 +1078,7 @@
         let sender = Sender::of(worker.home, share.warden(draw, self.settings.rank, self.census.size()));
         let fresh = |peer: &&PeerLoad| peer.told + rules.fall_window > now && peer.from != self.settings.rank;
         let told = worker.peers.iter().filter(fresh).map(|peer| peer.cold).sum();
-        share.allows(sender, self.cold_sent(now, at), told, work)
+        self.spent.looked(share.allows(sender, self.cold_sent(now, at), told, work))
     }
 
     fn send(&mut self, now: Micros, id: RequestId, at: usize, out: &mut Vec<Action>) -> bool {
@@ -1100,6 +1101,7 @@
         worker.own.push(own);
         if cold {
             worker.cold_sent.push_back((now, size * slots as f64));
+            self.spent.cold_jobs += 1;
         }
         out.push(Action::Send { request: id, worker: worker.id, timeout: None });
         self.tell_peers(now, at, None, out);
@@ -1143,8 +1145,7 @@
 
     /// A request's record goes once it is answered and its last attempt has ended.
     fn forget(&mut self, id: RequestId) {
-        let out = |request: &Request| request.attempts.iter().any(|attempt| attempt.state == State::Out);
-        if self.requests.get(&id).is_some_and(|request| request.done && !out(request)) {
+        if self.requests.get(&id).is_some_and(|request| request.done && !request.out()) {
             self.requests.remove(&id);
         }
     }
@@ -1245,8 +1246,7 @@
     /// An attempt has ended without the answer: try again where that is allowed and can help, else answer.
     fn after_attempt(&mut self, now: Micros, id: RequestId, ending: Ending, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.done || request.held || request.attempts.iter().any(|attempt| attempt.state == State::Out)
-        {
+        if request.done || request.held || request.out() {
             return;
         }
         let risky = request.attempts.iter().any(|attempt| attempt.state == State::MayHaveRan);
--- a/src/state.rs
+++ b/src/state.rs
@@ -229,6 +229,13 @@
     pub(crate) planned: Option<usize>,
 }
 
+impl Request {
+    /// An attempt of it is out.
+    pub(crate) fn out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.state == State::Out)
+    }
+}
+
 pub(crate) struct Range {
     pub(crate) upper: f64,
     pub(crate) home: Vec<usize>,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -437,6 +437,10 @@
         expect o1 scheduler.in_flight=1
         expect o1 scheduler.stock_workers_known=1
         expect o1 scheduler.stock_workers_excluded=0
+        expect o1 scheduler.fleet.cold.jobs=0
+        expect o1 scheduler.fleet.connections.open=1
+        expect o1 scheduler.fleet.connections.opened=1
+        expect o1 scheduler.fleet.connections.reused=0
         expect o1 end
         wait o1
         send h1 202
