Test that a job spills to another cohort only on a report of a free lane

Now it has: a job beyond the own share is sent nowhere on a guess, others' workers are probed, and the one that reports a free lane gets it.

No program line changed.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -302,3 +302,32 @@
         _ => None,
     }
 }
+
+#[test]
+fn a_job_spills_to_another_cohorts_worker_only_once_that_has_reported_a_free_lane() {
+    let mut settings = settings();
+    (settings.instances, settings.rank, settings.limits.peers) = (48, 5, true);
+    settings.limits.probes = true;
+    let mut bench = Bench::with_workers(settings, &(100..148).collect::<Vec<_>>());
+    let probed = |action: &Action| match action {
+        Action::Probe(worker) => Some(*worker),
+        _ => None,
+    };
+    // The own share takes one job a worker; the first beyond it goes nowhere on a guess.
+    let mut home = 0;
+    let asked = loop {
+        home += 1;
+        let actions = bench.arrive(home, 0, 400 * MS);
+        if sends(&actions).is_empty() {
+            break actions.iter().filter_map(probed).collect::<Vec<_>>();
+        }
+        assert!(home <= 48, "every worker was sent to without a word from it");
+    };
+    assert!((2..20).contains(&home), "the own share took {} jobs", home - 1);
+    assert!(!asked.is_empty(), "nobody is asked");
+    bench.now += 10 * MS;
+    let report = Some(Report { free_slots: Some(2.0), ..Report::default() });
+    let (worker, ending, elapsed) = (asked[0], Ending::Ok, 10 * MS);
+    let actions = bench.tell(Event::Probed { worker, ending, elapsed, report });
+    assert_eq!(sends(&actions), [(home, worker)]);
+}
