--- a/src/rules.rs
+++ b/src/rules.rs
@@ -436,14 +436,14 @@
         let ((class, hint), speed) = (of, self.speed(at));
         self.know.mean_time += (time as f64 - self.know.mean_time) * 0.05;
         let model = &mut self.know.classes[class];
-        let size = time as f64 * speed;
+        let (size, seen) = (time as f64 * speed, model.seen);
         let gain = |seen: f64, least: f64| (1.0 / (seen + 2.0)).max(least);
-        model.mean_size += (size - model.mean_size) * gain(model.seen, 0.05);
+        model.mean_size += (size - model.mean_size) * gain(seen, 0.05);
         model.seen += 1.0;
         let hint = hint.filter(|hint| hint.is_finite() && *hint > 0.0)?;
         let error = ((size / hint).ln() - model.ln_ratio).clamp(-1.0, 1.0);
-        model.ln_ratio += error * gain(model.seen - 1.0, 0.03);
-        model.spread += (error.abs() - model.spread) * gain(model.seen + 3.0, 0.05);
+        model.ln_ratio += error * gain(seen, 0.03);
+        model.spread += (error.abs() - model.spread) * gain(seen + 4.0, 0.05);
         self.learn_speed(at, error);
         Some(speed.ln() - error)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,8 +74,9 @@
     /// What is known at the start.
     pub(crate) fn new(settings: &Settings, fleet: u32, now: Micros) -> Self {
         let mut zones = vec![None; fleet as usize];
-        if settings.limits.peers {
-            zones[settings.rank as usize] = Some(settings.zone.0 as u8);
+        // A rank beyond those that are counted has no place here.
+        if let Some(own) = zones.get_mut(settings.rank as usize).filter(|_| settings.limits.peers) {
+            *own = Some(settings.zone.0 as u8);
         }
         Knowledge {
             kinds: (0..settings.kinds.max(1)).map(|_| Kind::default()).collect(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -279,8 +279,8 @@
     for id in 1..400 {
         let size = Micros::from(1 + id % 40) * 10 * MS;
         for (request, worker) in sends(&veteran.arrive(id, 0, size)) {
-            veteran.now += if worker.0 % 2 == 0 { size / 2 } else { size * 2 };
             let elapsed = if worker.0 % 2 == 0 { size / 2 } else { size * 2 };
+            veteran.now += elapsed;
             let (request, attempt, ending) = (RequestId(request), 0, Ending::Ok);
             let (concluded, report) = (true, None);
             let outcome = Outcome { request, attempt, worker, ending, elapsed, concluded, report };
@@ -331,3 +331,11 @@
     let actions = bench.tell(Event::Probed { worker, ending, elapsed, report });
     assert_eq!(sends(&actions), [(home, worker)]);
 }
+
+#[test]
+fn a_rank_beyond_those_that_are_counted_starts_and_serves() {
+    let mut settings = settings();
+    (settings.instances, settings.rank, settings.limits.peers) = (10_000, 7_000, true);
+    let mut bench = Bench::with_workers(settings, &[11]);
+    assert_eq!(sends(&bench.arrive(1, 0, 10 * MS)).len(), 1);
+}
