Watch a pushed list at its agent, and send nothing on a list that is too old

Ruled out by the log: a watch that was slow or lost (no call to the agent was ever made). At fault: `ask_list` in src/rules.rs subscribes only where lists are asked for, so the program lived on the list of its configuration.

Change: crates/freshness, a clock without I/O for told, silent, broken and anew, pushed and asked, after a start, an outage and a SIGHUP; the only place that knows 2 s, 4 s and 6 s. The network side keeps a watch at an agent by it; the module is told until when the list may be acted on. A version older than the known one brings nothing back. Silence is noticed after 2.75 s, not 4.5 s. Where two copies are barred, a branch that a worker has taken ends only once the worker has heard the DELETE. route_set.rs is split in three.

--- /dev/null
+++ b/crates/freshness/src/lib.rs
@@ -0,0 +1,176 @@
+//! How fresh a scheduler's list of stock workers is.
+//!
+//! What discovery has to tell counts as told at some time, whether it arrived or not; from then on a scheduler has a
+//! grace to stop sending to what drains or has gone. This crate is the one place that knows when that is. It has no
+//! I/O and no clock: whoever holds the connections says what happened and when, asks when to look again
+//! ([`ListClock::due`]) and what to do then ([`ListClock::act`]), and tells the decision module until when the list may
+//! be acted on ([`ListClock::until`]).
+//!
+//! | state | begins | ends |
+//! | --- | --- | --- |
+//! | [`State::Anew`] | with a call | with the first word of its answer, its end, or [`ANSWER`] |
+//! | [`State::Told`] | with any word of the watch, an empty line too | when nothing came for [`SILENCE`], or it broke |
+//! | [`State::Broken`] | with the end, or the silence, of what was open | with the next call |
+//!
+//! Where the list is *pushed*, an agent on the scheduler's own machine answers at once and at no cost: the clock itself
+//! asks for each call ([`Act::Open`]), again and again while nobody answers. Where it is *asked for*, one service serves
+//! the whole fleet and calls have a price: when to ask is the decision module's, and the clock only tells that a watch
+//! or a call has fallen silent ([`Act::Lose`]). See `docs/freshness.md`.
+
+/// A time on the caller's clock, or a span, in microseconds.
+pub type Micros = u64;
+
+const MILLI: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+/// While nothing changes a watch brings an empty line at this interval.
+pub const BEAT: Micros = 2 * SECOND;
+/// A watch that brought nothing for this long is silent: one beat, and what a busy machine may add to it.
+pub const SILENCE: Micros = BEAT + 750 * MILLI;
+/// What a silent watch misses counts as told so long after it fell silent.
+pub const MISSED: Micros = 6 * SECOND;
+/// After a move of discovery, what is to be had there counts as told so long after the move.
+pub const MOVED: Micros = 4 * SECOND;
+/// An agent answers at once: a call that brought no word for this long meets one that is silent.
+pub const ANSWER: Micros = SECOND;
+/// A call that waits its turn at a service that is asked has this long.
+pub const TURN: Micros = 9 * SECOND / 2;
+/// Calls to an agent follow each other at this distance at the soonest.
+pub const PACE: Micros = 250 * MILLI;
+
+/// How a scheduler comes by the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// An agent on its own machine holds what it was sent, and counts as having told it.
+    Pushed,
+    /// One service for the fleet is asked.
+    Asked,
+}
+
+/// See the head of this crate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// A call is out, since this time, and has brought no word yet.
+    Anew(Micros),
+    /// A watch is open; its last word came at this time.
+    Told(Micros),
+    /// No watch is open, and no call is out, since this time.
+    Broken(Micros),
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Begin a watch. One that is open is silent; it may be read on until the new one has brought a word.
+    Open,
+    /// What is open, or was called, is silent: it is to be ended, and the decision module to be told.
+    Lose,
+}
+
+/// See the head of this crate.
+#[derive(Clone, Debug)]
+pub struct ListClock {
+    mode: Mode,
+    grace: Micros,
+    state: State,
+    /// The time of the last call.
+    called: Option<Micros>,
+    /// Since this time something may have been told that was not heard, and by this time it counts as told.
+    missed: Option<(Micros, Micros)>,
+}
+
+impl ListClock {
+    /// The clock of a process that starts now. `grace`: how long after it was told of a change a scheduler may go on
+    /// as before.
+    pub fn new(mode: Mode, grace: Micros, now: Micros) -> Self {
+        // What an agent holds counts as told from the first moment of a process.
+        let missed = (mode == Mode::Pushed).then_some((now, now));
+        ListClock { mode, grace, state: State::Broken(now), called: None, missed }
+    }
+
+    /// How the list is come by.
+    pub fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// What is known of the watch.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// A call for a watch goes out.
+    pub fn opened(&mut self, now: Micros) {
+        self.called = Some(now);
+        self.state = State::Anew(now);
+    }
+
+    /// The watch has brought a word: its answer's head, a change, or an empty line. Its first word brings all that was
+    /// missed, or tells that there was nothing.
+    pub fn heard(&mut self, now: Micros) {
+        self.state = State::Told(now);
+        self.missed = None;
+    }
+
+    /// The call or the watch has ended without having been ended here.
+    pub fn broke(&mut self, now: Micros) {
+        self.miss(now);
+        self.state = State::Broken(now);
+    }
+
+    /// The watch was ended here, or is not wanted.
+    pub fn closed(&mut self, now: Micros) {
+        self.broke(now);
+    }
+
+    /// Discovery is to be had elsewhere from now on.
+    pub fn moved(&mut self, now: Micros) {
+        self.missed = Some((now, now + MOVED));
+        self.state = State::Broken(now);
+        self.called = None;
+    }
+
+    /// From the last word on something may have been missed.
+    fn miss(&mut self, now: Micros) {
+        if let State::Told(heard) = self.state {
+            let since = heard.min(now);
+            self.missed.get_or_insert((since, since + MISSED));
+        }
+    }
+
+    /// When [`ListClock::act`] is to be asked next, if nothing happens before.
+    pub fn due(&self) -> Option<Micros> {
+        match (self.state, self.mode) {
+            (State::Anew(since), Mode::Pushed) => Some(since + ANSWER),
+            (State::Anew(since), Mode::Asked) => Some(since + TURN),
+            (State::Told(heard), _) => Some(heard + SILENCE),
+            (State::Broken(since), Mode::Pushed) => {
+                // One that ends at once, again and again, is called at a pace.
+                Some(self.called.map_or(since, |called| since.max(called + PACE)))
+            }
+            (State::Broken(_), Mode::Asked) => None,
+        }
+    }
+
+    /// What is to be done now.
+    pub fn act(&mut self, now: Micros) -> Option<Act> {
+        if self.due().is_none_or(|due| due > now) {
+            return None;
+        }
+        self.miss(now);
+        match self.mode {
+            Mode::Pushed => Some(Act::Open),
+            Mode::Asked => {
+                self.state = State::Broken(now);
+                Some(Act::Lose)
+            }
+        }
+    }
+
+    /// Until when the list may be acted on: from then on, what was not heard counts as told for longer than the grace.
+    /// `None` while nothing can have been missed. Where the list is asked for, discovery's own figures for that are in
+    /// the settings, and the decision module keeps to them by asking in time.
+    pub fn until(&self) -> Option<Micros> {
+        let (_, told) = self.missed.filter(|_| self.mode == Mode::Pushed)?;
+        Some(told + self.grace)
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -423,6 +423,9 @@
     Succeeded(bool),
     /// The worker list is to be had elsewhere from now on; the subscription, if any, will end.
     ListMoved,
+    /// The list may be acted on until this time: what may have been missed of it counts as told for too long from then
+    /// on. `None`: nothing has been missed.
+    ListUntil(Option<Micros>),
     /// The client has left, or the answer is overdue; the request is over.
     Lapsed(RequestId),
     /// A message from another dispatcher.
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -122,7 +122,8 @@
         payload: P,
         wait: Micros,
     },
-    /// A branch was given up, and may be with its next hop.
+    /// A branch was given up, and may be with its next hop. Who drives that tells when it has heard, with
+    /// [`Desk::called_off`].
     GiveUp {
         branch: BranchId,
         hop: WorkerId,
@@ -171,6 +172,8 @@
     slots: Vec<u32>,
     most_open: usize,
     most_tries: u32,
+    /// Two branches of a request may be out at once.
+    copies: bool,
     entries: HashMap<u32, Entry<P>>,
     names: HashMap<String, u32>,
     callers: HashMap<CallerId, u32>,
@@ -194,6 +197,7 @@
     pub fn new(settings: Settings, seed: u64, now: Micros, most_open: usize) -> Self {
         Desk {
             most_tries: settings.limits.tries,
+            copies: settings.limits.copies,
             slots: settings.classes.iter().map(|class| class.slots).collect(),
             figures: Figures::new(settings.classes.len()),
             dispatcher: Dispatcher::new(settings, seed, now),
@@ -416,6 +420,12 @@
         }
     }
 
+    /// A next hop has heard that a branch is given up. Where it has not, whether it runs is not known, and the branch
+    /// ends with what the hop tells, or with its time.
+    pub fn called_off(&mut self, now: Micros, id: BranchId) {
+        self.end(now, id, Ending::Cancelled, None);
+    }
+
     /// A branch has ended without a result, as the next hop said on its connection.
     pub fn answered(&mut self, now: Micros, id: BranchId, ending: Ending, report: Option<Report>) {
         self.end(now, id, ending, report);
@@ -487,6 +497,11 @@
         self.events.push_back(Event::ListMoved);
     }
 
+    /// Until when the route set may be acted on; `None` while nothing can have been missed of it.
+    pub fn list_until(&mut self, until: Option<Micros>) {
+        self.events.push_back(Event::ListUntil(until));
+    }
+
     /// A message from another scheduler.
     pub fn peer(&mut self, from: u32, body: Vec<u8>) {
         self.events.push_back(Event::Peer { from, body });
@@ -615,7 +630,13 @@
             Action::Fail(request) => self.conclude(request.0, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let id = BranchId { request: request.0, attempt };
-                let written = self.branch(id).is_some_and(|branch| branch.written);
+                let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
+                let Some(branch) = self.branch(id) else { return };
+                let (taken, written) = (branch.taken, branch.written);
+                if taken && !self.copies && !concluded {
+                    // It runs until its next hop has heard: the request may not go elsewhere before.
+                    return self.tell_off(id);
+                }
                 self.give_up(now, id, if written { Ending::Cancelled } else { Ending::Moot });
             }
             Action::SetTimer { timer, after } => {
@@ -679,10 +700,15 @@
     }
 
     fn give_up(&mut self, now: Micros, id: BranchId, ending: Ending) {
+        self.tell_off(id);
+        self.end(now, id, ending, None);
+    }
+
+    /// The next hop of a branch is to be told that it is given up.
+    fn tell_off(&mut self, id: BranchId) {
         let Some(hop) = self.branch(id).map(|branch| branch.hop) else { return };
         let name = self.entries.get(&id.request).map(|entry| entry.name.clone()).unwrap_or_default();
         self.work.push(Work::GiveUp { branch: id, hop, name });
-        self.end(now, id, ending, None);
     }
 
     fn serve(&mut self, now: Micros, id: BranchId, result: Vec<u8>, report: Option<Report>) {
@@ -761,13 +787,18 @@
     }
 
     impl Table {
-        /// A desk with one next hop.
+        /// A desk with one next hop, where two branches of a request may be out at once.
         fn new() -> Table {
+            Table::with(true)
+        }
+
+        fn with(copies: bool) -> Table {
             let info = r#"{"azs":["a"],"kinds":["k"],"ceilings":{"cancelling":true,"may_duplicate":true,"most_tries":4},
                 "request_classes":[{"name":"look","aim_us":900000,"deadline_us":9000000,"effect":"read_like"},
                 {"name":"book","aim_us":900000,"deadline_us":9000000,"effect":"non_idempotent"}],
                 "extra":{"class_stretch":[2.0,2.0]}}"#;
-            let (settings, _) = wire::settings(info).expect("the settings are sound");
+            let (mut settings, _) = wire::settings(info).expect("the settings are sound");
+            settings.limits.copies = copies;
             let now = 50 * SECOND;
             let mut table =
                 Table { desk: Desk::new(settings, 1, now, 100), deadlines: Deadlines::default(), now };
@@ -901,6 +932,35 @@
         assert_eq!(table.later(), [given_up, answer(Answer::Failed)]);
     }
 
+    #[test]
+    fn where_copies_are_barred_a_branch_ends_only_once_its_hop_has_heard_that_it_is_given_up() {
+        let mut table = Table::with(false);
+        let branch = table.arrive(0);
+        table.desk.written(branch);
+        table.desk.taken(branch);
+        let cancel = Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
+        table.desk.carry_out(table.now, cancel, &mut table.deadlines);
+        // The word is on its way, and may be lost: nothing has ended, and no other branch may go out.
+        let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+        assert_eq!(table.turn(), [given_up]);
+        assert!(!table.desk.has_news());
+        table.desk.called_off(table.now, branch);
+        assert_eq!(sent(&table.later()).attempt, 1);
+        // Where its result comes before the word has got there, that is the answer.
+        let second = BranchId { request: branch.request, attempt: 1 };
+        table.desk.written(second);
+        table.desk.taken(second);
+        table.desk.carry_out(
+            table.now,
+            Action::Cancel { request: RequestId(second.request), attempt: 1 },
+            &mut table.deadlines,
+        );
+        assert!(table.news(News::Served(b"r".to_vec())));
+        assert!(table.turn().contains(&answer(Answer::Served(b"r".to_vec()))));
+        table.desk.called_off(table.now, second);
+        assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+    }
+
     #[test]
     fn who_has_left_is_owed_nothing() {
         let mut table = Table::new();
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -208,6 +208,8 @@
         {
             ctx.deadlines.clear(Due::Conn(token, Alarm::Owed));
         }
+        // There are no words for it: the worker runs on, and what it tells later meets nothing.
+        ctx.desk.called_off(ctx.now, branch);
     }
 
     fn release(&mut self, _ctx: &mut Ctx<'_>, _branch: BranchId) {}
--- a/src/net/http/framing.rs
+++ b/src/net/http/framing.rs
@@ -90,7 +90,7 @@
         Err(_) => return Err(MALFORMED),
     };
     let headers = read_headers(parsed.headers)?;
-    let Some((body, length)) = body(&bytes[head..], &headers)? else { return Ok(None) };
+    let Some((body, length)) = body(&bytes[head..], &headers, BODY_LIMIT)? else { return Ok(None) };
     let request = Request {
         method: parsed.method.unwrap_or("").to_owned(),
         target: parsed.path.unwrap_or("").to_owned(),
@@ -118,10 +118,15 @@
 /// Reads a whole response; gives it with its length. One whose framing does not tell where its body ends is
 /// whole with its head, and its connection is used no more.
 pub fn response(bytes: &[u8]) -> Result<Option<(Response, usize)>, Reject> {
+    response_within(bytes, BODY_LIMIT)
+}
+
+/// The same, with a body of this size at most.
+pub fn response_within(bytes: &[u8], limit: usize) -> Result<Option<(Response, usize)>, Reject> {
     let Some((mut response, head)) = response_head(bytes)? else { return Ok(None) };
     if (100..200).contains(&response.status) {
         // Only news that an answer will come: that one follows.
-        let rest = self::response(&bytes[head..])?;
+        let rest = response_within(&bytes[head..], limit)?;
         return Ok(rest.map(|(response, length)| (response, head + length)));
     }
     let framed = response.headers.get("content-length").is_some() || chunked(&response.headers);
@@ -129,7 +134,7 @@
         response.keep_alive &= matches!(response.status, 204 | 304);
         return Ok(Some((response, head)));
     }
-    let Some((body, length)) = body(&bytes[head..], &response.headers)? else { return Ok(None) };
+    let Some((body, length)) = body(&bytes[head..], &response.headers, limit)? else { return Ok(None) };
     response.body = body;
     Ok(Some((response, head + length)))
 }
@@ -138,7 +143,7 @@
     headers.get("transfer-encoding").is_some()
 }
 
-fn body(bytes: &[u8], headers: &Headers) -> Result<Option<(Vec<u8>, usize)>, Reject> {
+fn body(bytes: &[u8], headers: &Headers, limit: usize) -> Result<Option<(Vec<u8>, usize)>, Reject> {
     let lengths: Vec<&str> =
         headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length")).map(|h| h.1).collect();
     if chunked(headers) {
@@ -149,13 +154,13 @@
         let mut body = Vec::new();
         let mut at = 0;
         loop {
-            let Some((part, length)) = chunk(&bytes[at..])? else { return Ok(None) };
+            let Some((part, length)) = chunk_within(&bytes[at..], limit)? else { return Ok(None) };
             at += length;
             if part.is_empty() {
                 return Ok(Some((body, at)));
             }
             body.extend_from_slice(part);
-            if body.len() > BODY_LIMIT {
+            if body.len() > limit {
                 return Err(Reject(413));
             }
         }
@@ -165,20 +170,20 @@
         return Err(MALFORMED);
     }
     let length: usize = text.parse().map_err(|_| if text.is_empty() { MALFORMED } else { Reject(413) })?;
-    if length > BODY_LIMIT {
+    if length > limit {
         return Err(Reject(413));
     }
     Ok(bytes.get(..length).map(|body| (body.to_vec(), length)))
 }
 
-/// Reads one chunk; gives what it holds and its length with the framing. An empty one is the last.
-pub fn chunk(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, Reject> {
+/// Reads one chunk of this size at most; gives what it holds and its length with the framing. An empty one is the last.
+pub fn chunk_within(bytes: &[u8], limit: usize) -> Result<Option<(&[u8], usize)>, Reject> {
     let (head, size) = match httparse::parse_chunk_size(bytes) {
         Ok(httparse::Status::Complete(found)) => found,
         Ok(httparse::Status::Partial) if bytes.len() <= HEAD_LIMIT => return Ok(None),
         _ => return Err(MALFORMED),
     };
-    if size > BODY_LIMIT as u64 {
+    if size > limit as u64 {
         return Err(Reject(413));
     }
     if size == 0 {
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -41,7 +41,7 @@
 enum Task {
     Idle,
     Branch(BranchId),
-    GiveUp,
+    GiveUp(BranchId),
     Probe(Micros),
 }
 
@@ -220,7 +220,10 @@
         name: &str,
     ) {
         match self.out.get(&branch).copied() {
-            Some(token) => self.drop_link(ctx, token),
+            Some(token) => {
+                self.drop_link(ctx, token);
+                ctx.desk.called_off(ctx.now, branch);
+            }
             None => {
                 let bytes = framing::write_request(
                     "DELETE",
@@ -228,7 +231,7 @@
                     &[("Host", "origin.svc")],
                     b"",
                 );
-                self.put(ctx, spare, hop, Task::GiveUp, &bytes);
+                self.put(ctx, spare, hop, Task::GiveUp(branch), &bytes);
             }
         }
     }
@@ -421,7 +424,9 @@
                         let ending = if response.status == 200 { Ending::Ok } else { Ending::Error };
                         ctx.desk.probed(hop, ending, ctx.now.saturating_sub(sent), report);
                     }
-                    Task::GiveUp | Task::Idle => {}
+                    // Whatever it answers: it has heard, or knows nothing of the job.
+                    Task::GiveUp(branch) => ctx.desk.called_off(ctx.now, branch),
+                    Task::Idle => {}
                 }
                 let known = self.hops.get_mut(&hop).filter(|hop| {
                     self.links
@@ -463,7 +468,7 @@
                 let ending = if up { Ending::Broken } else { Ending::Unreachable };
                 ctx.desk.probed(hop, ending, ctx.now.saturating_sub(sent), None);
             }
-            Task::GiveUp | Task::Idle => {}
+            Task::GiveUp(_) | Task::Idle => {}
         }
         self.drop_link(ctx, token);
     }
--- /dev/null
+++ b/src/net/platform/route_set/mod.rs
@@ -0,0 +1,326 @@
+//! The route set: discovery's list of next hops, fetched and watched. When to ask a service that all share is the module's
+//! decision; an agent of the own machine is asked whenever the list's clock ([`calicolb_freshness`]) wants it. What comes
+//! back, and that nothing did, is told to the module.
+
+mod call;
+mod entry;
+
+pub use self::entry::Update;
+
+use self::call::{Call, fetched, watched};
+use self::entry::{Line, read_member};
+use crate::log::note;
+use crate::net::Ctx;
+use crate::net::core::buffer::Buffer;
+use crate::net::core::deadlines::Due;
+use crate::net::core::roster::Source;
+use crate::net::http::framing;
+use crate::net::http::next_hop::NextHops;
+use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
+use calicolb::wire::WireError;
+use calicolb_freshness::{Act, ListClock, MISSED, Mode, TURN};
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Hops that are remembered at most: a list that names ever new ones must not fill the memory.
+const HOPS_LIMIT: usize = 4096;
+
+/// See the head of this file.
+pub struct RouteSet {
+    /// Where discovery is, if there is any.
+    discovery: Option<SocketAddr>,
+    /// How fresh the list is.
+    clock: ListClock,
+    seq: u64,
+    /// When that version was had.
+    seq_at: Micros,
+    listed: HashMap<WorkerId, Line>,
+    fetch: Option<Call>,
+    watch: Option<Call>,
+    /// The watch before this one: it serves on until this one is open, so that no change falls in between.
+    before: Option<Call>,
+    /// What the module was last told of until when the list may be acted on.
+    until: Option<Micros>,
+}
+
+impl RouteSet {
+    /// The list of this discovery. `grace`: how long after it was told of a change a scheduler may go on as before.
+    pub fn new(discovery: Option<SocketAddr>, asked: bool, grace: Micros, now: Micros) -> Self {
+        // Where there is no discovery nobody has anything to tell.
+        let mode = if asked || discovery.is_none() { Mode::Asked } else { Mode::Pushed };
+        RouteSet {
+            discovery,
+            clock: ListClock::new(mode, grace, now),
+            seq: 0,
+            seq_at: now,
+            listed: HashMap::new(),
+            fetch: None,
+            watch: None,
+            before: None,
+            until: None,
+        }
+    }
+
+    /// Takes in the copy of the list that came with the configuration.
+    pub fn warm(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, known: Option<Update>) {
+        let update = known.unwrap_or(Update { seq: 0, whole: true, hosts: Vec::new() });
+        self.take(ctx, hops, update, ListKind::Saved);
+        self.keep_time(ctx);
+    }
+
+    /// The list as it is known, for another process to begin with.
+    pub fn list(&self) -> Update {
+        let hosts = self.listed.values().filter_map(|line| serde_json::to_value(line).ok()).collect();
+        Update { seq: self.seq, whole: true, hosts }
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(&mut self, ctx: &mut Ctx<'_>) {
+        // One that is under way brings the same.
+        if self.fetch.is_none() {
+            self.fetch = self.call(ctx, "/discovery/hosts");
+            if self.fetch.is_some() {
+                ctx.deadlines.set(Due::Fetch, ctx.now + TURN);
+            }
+        }
+    }
+
+    /// Begins the watch, or ends it.
+    pub fn watch(&mut self, ctx: &mut Ctx<'_>, want: bool) {
+        if let Some(call) = self.watch.take() {
+            if want && call.open {
+                self.leave_before(ctx);
+                self.before = Some(call);
+            } else {
+                hang_up(ctx, call);
+            }
+        }
+        if want {
+            let target = format!("/discovery/hosts?watch=1&from={}", self.seq);
+            self.clock.opened(ctx.now);
+            self.watch = self.call(ctx, &target);
+            if self.watch.is_none() {
+                self.clock.broke(ctx.now);
+            }
+        } else {
+            self.leave_before(ctx);
+            self.clock.closed(ctx.now);
+        }
+        self.keep_time(ctx);
+    }
+
+    /// Sees to it that the clock is looked at when it wants to be, and that the module knows until when the list holds.
+    fn keep_time(&mut self, ctx: &mut Ctx<'_>) {
+        match self.clock.due() {
+            Some(due) => ctx.deadlines.set(Due::Watch, due),
+            None => ctx.deadlines.clear(Due::Watch),
+        }
+        let until = self.clock.until();
+        if until != self.until {
+            self.until = until;
+            ctx.desk.list_until(until);
+        }
+    }
+
+    fn leave_before(&mut self, ctx: &mut Ctx<'_>) {
+        if let Some(call) = self.before.take() {
+            hang_up(ctx, call);
+        }
+    }
+
+    /// Discovery is at this address from now on; what to ask of it, and when, is the module's to say.
+    pub fn move_to(&mut self, ctx: &mut Ctx<'_>, discovery: Option<SocketAddr>) {
+        if self.discovery != discovery {
+            self.discovery = discovery;
+            self.clock.moved(ctx.now);
+            ctx.desk.list_moved();
+            self.keep_time(ctx);
+        }
+    }
+
+    fn call(&mut self, ctx: &mut Ctx<'_>, target: &str) -> Option<Call> {
+        let mut made = TcpStream::connect(self.discovery?);
+        let token = ctx.next_token();
+        if let Ok(stream) = &mut made
+            && let Err(error) =
+                ctx.registry.register(stream, Token(token), Interest::READABLE | Interest::WRITABLE)
+        {
+            made = Err(error);
+        }
+        match made {
+            Ok(stream) => {
+                let mut buffer = Buffer::default();
+                buffer.put(&framing::write_request("GET", target, &[("Host", "discovery")], b""));
+                Some(Call { token, stream, buffer, open: false, text: Vec::new() })
+            }
+            Err(error) => {
+                note!("calling discovery: {error}");
+                self.tell_lost(ctx);
+                None
+            }
+        }
+    }
+
+    /// The connection is one of these.
+    pub fn has(&self, token: usize) -> bool {
+        [&self.fetch, &self.watch, &self.before].into_iter().flatten().any(|call| call.token == token)
+    }
+
+    /// Something can be read or written on one of these connections.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, token: usize) {
+        if self.fetch.as_ref().is_some_and(|call| call.token == token) {
+            let Some(mut call) = self.fetch.take() else { return };
+            match fetched(&mut call) {
+                Ok(None) => self.fetch = Some(call),
+                Ok(Some(update)) => {
+                    hang_up(ctx, call);
+                    ctx.deadlines.clear(Due::Fetch);
+                    // A watch may have brought what is newer: then this list is one of the past, and tells nothing.
+                    if self.update(ctx, hops, update).is_err() {
+                        ctx.desk.members(Source::Listed, ListKind::Changes, Vec::new());
+                    }
+                }
+                Err(why) => self.lose(ctx, call, Due::Fetch, why),
+            }
+        } else if self.watch.as_ref().is_some_and(|call| call.token == token) {
+            let Some(mut call) = self.watch.take() else { return };
+            let mut updates = Vec::new();
+            let told = watched(&mut call, &mut updates);
+            // Before what it brought is taken in: an older list is told from a newer one by when that was had.
+            if told == Ok(true) {
+                self.clock.heard(ctx.now);
+            }
+            let fresh = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
+            match told.and(fresh) {
+                Ok(()) => {
+                    if call.open {
+                        self.leave_before(ctx);
+                    }
+                    self.watch = Some(call);
+                    self.keep_time(ctx);
+                }
+                Err(why) => self.lose(ctx, call, Due::Watch, why),
+            }
+        } else if let Some(mut call) = self.before.take_if(|call| call.token == token) {
+            let mut updates = Vec::new();
+            let told = watched(&mut call, &mut updates);
+            let fresh = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
+            match told.and(fresh) {
+                Ok(()) => self.before = Some(call),
+                // Nothing to tell the module: the call that takes its place has an outcome of its own.
+                Err(_) => hang_up(ctx, call),
+            }
+        }
+    }
+
+    /// Nothing has come for too long, or it is time for another call.
+    pub fn late(&mut self, ctx: &mut Ctx<'_>, due: Due) {
+        if due == Due::Fetch {
+            if let Some(call) = self.fetch.take() {
+                self.lose(ctx, call, due, "nothing came for too long");
+            }
+            return;
+        }
+        match self.clock.act(ctx.now) {
+            Some(Act::Open) => return self.watch(ctx, true),
+            Some(Act::Lose) => {
+                if let Some(call) = self.watch.take() {
+                    self.lose(ctx, call, due, "nothing came for too long");
+                }
+            }
+            None => {}
+        }
+        self.keep_time(ctx);
+    }
+
+    fn lose(&mut self, ctx: &mut Ctx<'_>, call: Call, due: Due, why: &str) {
+        note!("discovery: {why}");
+        hang_up(ctx, call);
+        if due == Due::Fetch {
+            ctx.deadlines.clear(due);
+        } else {
+            self.clock.broke(ctx.now);
+            self.keep_time(ctx);
+        }
+        self.tell_lost(ctx);
+    }
+
+    /// The module says when a service that all share is asked again. An agent is asked without it.
+    fn tell_lost(&self, ctx: &mut Ctx<'_>) {
+        if self.clock.mode() == Mode::Asked {
+            ctx.desk.members(Source::Listed, ListKind::Lost, Vec::new());
+        }
+    }
+
+    /// Takes in a version or changes. One older than what is known is not taken: it would bring back what has gone
+    /// since. Should nothing newer be had for as long as discovery may take to tell, it has begun anew, and is believed.
+    fn update(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update) -> Result<(), &'static str> {
+        if update.seq < self.seq && ctx.now < self.seq_at + MISSED {
+            return Err("the list is older than the one that is known");
+        }
+        self.seq_at = ctx.now;
+        let kind = if update.whole { ListKind::Full } else { ListKind::Changes };
+        self.take(ctx, hops, update, kind);
+        Ok(())
+    }
+
+    fn take(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update, kind: ListKind) {
+        self.seq = update.seq;
+        let mut members = Vec::with_capacity(update.hosts.len());
+        for value in update.hosts {
+            match self.read_line(ctx, hops, value) {
+                Ok(member) => members.push(member),
+                Err(error) => note!("a line of the list is dropped: {error}"),
+            }
+        }
+        if kind != ListKind::Changes {
+            let gone: Vec<WorkerId> = self
+                .listed
+                .keys()
+                .copied()
+                .filter(|id| members.iter().all(|member| member.worker != *id))
+                .collect();
+            for id in gone {
+                self.listed.remove(&id);
+                hops.forget(ctx, id);
+            }
+        }
+        for member in members.iter().filter(|member| member.standing == Standing::Gone) {
+            self.listed.remove(&member.worker);
+            hops.forget(ctx, member.worker);
+        }
+        ctx.desk.members(Source::Listed, kind, members);
+    }
+
+    fn read_line(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        hops: &mut NextHops,
+        value: Value,
+    ) -> Result<Member, WireError> {
+        let line: Line = serde_json::from_value(value).map_err(|error| WireError(error.to_string()))?;
+        let dial: SocketAddr =
+            line.dial.parse().map_err(|_| WireError(format!("'{}' is no address", line.dial)))?;
+        let member = read_member(ctx.names, &line)?;
+        if ctx.desk.foreign(member.worker, Source::Listed) {
+            return Err(WireError(format!("'{}' has the number of a hop that is no host", line.host)));
+        }
+        match self.listed.get(&member.worker) {
+            Some(known) if known.host != line.host => {
+                return Err(WireError(format!("'{}' and '{}' have the same number", line.host, known.host)));
+            }
+            None if self.listed.len() >= HOPS_LIMIT => return Err(WireError("too many hosts".to_owned())),
+            _ => {}
+        }
+        hops.learn(ctx, member.worker, dial, line.born_ms);
+        self.listed.insert(member.worker, line);
+        Ok(member)
+    }
+}
+
+fn hang_up(ctx: &mut Ctx<'_>, mut call: Call) {
+    let _ = ctx.registry.deregister(&mut call.stream);
+}
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -135,6 +135,8 @@
             }
             None => None,
         };
+        let (asked, grace) = (config.settings.list_on_request, config.settings.rules.drain_grace);
+        let routes = RouteSet::new(config.discovery, asked, grace, clock.now());
         let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, 0);
         let patience = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let mut turn = Turn {
@@ -151,7 +153,7 @@
             http: Http { callers: Callers::new(listener, LISTENER), hops },
             others: Vec::new(),
             wishes: Vec::new(),
-            routes: RouteSet::new(config.discovery),
+            routes,
             fixed: config.fixed,
             peers: None,
             door,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,6 @@
 const START_NEWS: Micros = 100 * MILLI;
 /// Share of a cold worker's stated budget that is used: its true size is only estimated.
 const COLD_SHARE: f64 = 0.4;
-/// Timers of the list and of the hold queue.
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
 
@@ -70,6 +69,8 @@
     succeeded: bool,
     subscribed: bool,
     list_tries: u32,
+    /// The list may be acted on until then, if something of it may have been missed.
+    until: Option<Micros>,
     spill_from: usize,
     /// The zone, if it is known, and the ranks of each cohort.
     cohorts: Vec<(Option<u8>, Vec<u32>)>,
@@ -97,6 +98,7 @@
             succeeded: false,
             subscribed: false,
             list_tries: 0,
+            until: None,
             spill_from: 0,
             cohorts: Vec::new(),
             census,
@@ -118,6 +120,10 @@
                 }
             }
             Event::Timer(_) => self.ask_list(out),
+            Event::ListUntil(until) => {
+                self.until = until;
+                self.pump(now, out);
+            }
             Event::ListMoved => {
                 self.subscribed = false; // at once: whatever the list has to tell will soon count as told
                 self.ask_list(out);
@@ -128,7 +134,6 @@
                 (0..self.workers.len()).for_each(|at| self.tell_peers(now, at, None, out));
             }
             Event::Streaming { request, attempt } => {
-                // The attempt is the client's now: nothing is owed for the request any more.
                 self.on_started(now, request, attempt);
                 self.close(request);
             }
@@ -187,7 +192,6 @@
         let end = sent + self.run_time(at, size, now);
         // When it started is not known, so its time tells nothing of its size.
         self.workers[at].own.push(Own { request: id, slots, sent, start: sent, end, ..Own::default() });
-        // Told of as the other process's so far.
         self.workers[at].peers.retain(|peer| peer.from != self.settings.rank);
         self.tell_peers(now, at, None, out);
     }
@@ -562,8 +566,8 @@
 
     /// Asks workers for a report: of these, those of which nothing is known of late.
     fn probe(&mut self, now: Micros, among: &[usize], most: usize, out: &mut Vec<Action>) {
-        let due = |worker: &Worker| now >= worker.probed.max(worker.known) + PROBE_EVERY;
-        let due = |at: &&usize| self.workers[**at].standing == Standing::On && due(&self.workers[**at]);
+        let rested = |worker: &Worker| now >= worker.probed.max(worker.known) + PROBE_EVERY;
+        let due = |at: &&usize| self.workers[**at].standing == Standing::On && rested(&self.workers[**at]);
         let due: Vec<usize> =
             among.iter().filter(due).take(if self.asks() { most } else { 0 }).copied().collect();
         for at in due {
@@ -1048,8 +1052,9 @@
         if !harmless {
             return false;
         }
-        // Rule 3: nothing at all after being told, so the grace is never needed.
-        if worker.standing != Standing::On || worker.refuses(request.skill) {
+        // Rule 3: nothing at all after being told, so the grace is never needed; nor by a list that is too old.
+        let old = self.until.is_some_and(|until| now >= until);
+        if old || worker.standing != Standing::On || worker.refuses(request.skill) {
             return false;
         }
         // Rule 4. What a cold worker was sent counts on in the process that took over.
@@ -1108,8 +1113,7 @@
         true
     }
 
-    /// Every final answer of this dispatcher: a refusal where it is certain that nothing ran, else a
-    /// failure.
+    /// Every final answer of this dispatcher: a refusal where it is certain that nothing ran, else a failure.
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         self.unhold(id);
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
@@ -1161,10 +1165,7 @@
         let size = self.requests[&id].size;
         let end = now + self.run_time(at, size, now);
         let own = &mut self.workers[at].own[nr];
-        own.start = now;
-        own.end = end;
-        own.clean = true;
-        own.awaits_start = false;
+        (own.start, own.end, own.clean, own.awaits_start) = (now, end, true, false);
     }
 
     fn on_note(&mut self, now: Micros, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
@@ -1222,8 +1223,7 @@
             Ending::Full => {
                 self.step_lanes(at, own.slots, false);
                 let lanes = self.lanes(at) as f64;
-                // Full means that its waiting room is taken too, which is taken to hold half a lane's worth
-                // each.
+                // Its waiting room is taken too, which is taken to hold half a lane's worth each.
                 self.workers[at].foreign = Some((now, 1.5 * lanes));
                 self.workers[at].known = now;
                 self.on_zone_load(at, lanes);
@@ -1269,8 +1269,8 @@
 
     /// Whether this request is beyond its tenant's share, by this dispatcher's part of the quota.
     fn over_share(&mut self, now: Micros, tenant: Option<TenantIx>) -> bool {
-        let Some(TenantIx(nr)) = tenant else { return false };
-        let Some(spec) = self.settings.tenants.get(nr) else { return false };
+        let spec = tenant.and_then(|TenantIx(nr)| Some((nr, self.settings.tenants.get(nr)?)));
+        let Some((nr, spec)) = spec else { return false };
         if spec.quota_per_s <= 0.0 {
             return false;
         }
--- /dev/null
+++ b/tests/list.rs
@@ -0,0 +1,221 @@
+//! Lists that are pushed: the watch at the agent on the program's own machine, its silence, its end, and what may be sent
+//! meanwhile. In these settings a scheduler may go on for half a second after it was told of a drain.
+
+#[allow(dead_code, reason = "each test program uses a part of the language")]
+mod scenario;
+
+use scenario::play_pushed;
+
+#[test]
+fn a_list_pushed_before_the_start_counts_and_may_come_indented_in_pieces() {
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk {\n  "seq": 42,\n  "whole": false,\n  "hosts": [\n
+        send d chunk     {\n      "host": "h9", "dial": "nonsense"\n    },\n    {\n      "host": "h1", "dial": "127.0.0.1:9",\n
+        send d chunk       "site": "north", "class": "big", "block": 0, "health": "terminating",\n      "share": 1.0,
+        send d chunk  "born_ms": 0\n    }\n  ]\n}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect c1 503
+        "#,
+    );
+}
+
+#[test]
+fn a_watch_that_stays_silent_is_begun_anew_and_read_until_the_new_one_speaks() {
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk \n
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d chunk {"seq":42,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send d.2 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d.2 chunk \n
+        wait d
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        "#,
+    );
+}
+
+#[test]
+fn a_watch_that_ends_at_once_again_and_again_is_begun_again() {
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        close d
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        send d.3 raw nonsense\r\n\r\n
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        send d.4 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d.4 chunk {"seq":42,"whole":false,"hosts":[]}\n
+        close d.4
+        expect d.5 GET /discovery/hosts?watch=1&from=42
+        "#,
+    );
+}
+
+#[test]
+fn while_the_agent_is_silent_for_long_nothing_new_is_sent_and_its_return_counts_at_once() {
+    // The drain of h1 and the death of h2 fall into the silence: what was told is unknown, so nobody gets anything new,
+    // and what is out is waited for.
+    play_pushed(
+        2,
+        false,
+        r#"
+        close h2
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk \n
+        send c1 POST /book Request-Id:a1 Request-Timeout:900 Work-Hint:20000000
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
+        expect n1 200
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        expect d.5 GET /discovery/hosts?watch=1&from=41
+        expect d.6 GET /discovery/hosts?watch=1&from=41
+        send c2 POST /look Request-Id:a2 Request-Timeout:900
+        expect c2 503
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send d.6 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d.6 chunk {"seq":43,"whole":false,"hosts":[{"host":"h2","dial":"127.0.0.1:9","site":"north","class":"big","health":"terminated"}]}\n
+        send d.6 chunk {"seq":44,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send c2 POST /look Request-Id:a3 Request-Timeout:900
+        expect h1.2 POST /look Request-Id:a3
+        "#,
+    );
+}
+
+#[test]
+fn a_list_older_than_the_configurations_brings_nothing_back() {
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk {"seq":40,"whole":true,"hosts":[]}\n
+        expect program the list is older than the one that is known
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        "#,
+    );
+}
+
+#[test]
+fn of_two_processes_of_an_upgrade_each_keeps_the_time_of_its_own_watch() {
+    // The elder hears its agent; the heir, which takes what comes, does not: it sends nothing on an old list.
+    play_pushed(
+        1,
+        true,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk {"seq":42,"whole":false,"hosts":[]}\n
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        send h1 202
+        start heir
+        send o2 raw PING\n
+        expect o2 done
+        expect d.2 GET /discovery/hosts?watch=1&from=42
+        expect d.3 GET /discovery/hosts?watch=1&from=42
+        send d chunk \n
+        send c2 POST /look Request-Id:a2 Request-Timeout:900
+        expect c2 503
+        send d.3 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d.3 chunk {"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        send c2 POST /look Request-Id:a3 Request-Timeout:900
+        expect h1.2 POST /look Request-Id:a3
+        "#,
+    );
+}
+
+#[test]
+fn a_new_configuration_in_an_outage_gives_the_new_agent_4_s() {
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk \n
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send file d2
+        send program HUP
+        expect d2 GET /discovery/hosts?watch=1&from=41
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        send h1 202
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 | r1
+        expect d2.2 GET /discovery/hosts?watch=1&from=41
+        expect d2.3 GET /discovery/hosts?watch=1&from=41
+        expect d2.4 GET /discovery/hosts?watch=1&from=41
+        expect d2.5 GET /discovery/hosts?watch=1&from=41
+        expect d2.6 GET /discovery/hosts?watch=1&from=41
+        send c1 POST /look Request-Id:a2 Request-Timeout:900
+        expect c1 503
+        send d2.6 raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d2.6 chunk {"seq":50,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a3 Request-Timeout:900
+        expect h1.2 POST /look Request-Id:a3
+        "#,
+    );
+}
+
+#[test]
+fn a_client_that_sends_long_after_sigterm_is_served_or_its_connection_has_ended() {
+    // One at rest is parted with; one with a job in work is told so with its answer, however late that is.
+    play_pushed(
+        1,
+        false,
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        send d chunk \n
+        send c1 POST /look Request-Id:a1 Request-Timeout:900
+        expect h1 POST /look Request-Id:a1
+        send h1 202
+        send c2 GET /up
+        expect c2 200
+        send program TERM
+        send c3 GET /up
+        expect c3 503
+        send c2 POST /look Request-Id:a2 Request-Timeout:900
+        expect c2 503
+        wait c2
+        wait c3
+        send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
+        expect n1 200
+        expect c1 200 Connection:close | r1
+        wait c1
+        wait program
+        "#,
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -57,6 +57,8 @@
     kept: HashMap<String, Vec<u8>>,
     /// It is run under an operator file.
     appliance: bool,
+    /// Lists are pushed: `d` is the agent on its own machine.
+    pushed: bool,
     listeners: HashMap<String, TcpListener>,
     conns: HashMap<String, Conn>,
     peer: UdpSocket,
@@ -67,13 +69,14 @@
 }
 
 /// The configuration, with these next hops as the list last known.
-fn config(hops: &[(String, SocketAddr)], discovery: SocketAddr, peer: SocketAddr) -> String {
+fn config(hops: &[(String, SocketAddr)], discovery: SocketAddr, peer: SocketAddr, pushed: bool) -> String {
     let line = |(name, dial): &(String, SocketAddr)| {
         format!(
             r#"{{"host":"{name}","dial":"{dial}","site":"north","class":"big","block":0,"health":"in_service","share":1.0,"born_ms":0}}"#
         )
     };
     let hosts: Vec<String> = hops.iter().map(line).collect();
+    let mode = if pushed { "automatic" } else { "subscribe" };
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5eed","limits":{{"sockets":256}},
         "mgmt":"127.0.0.1:0","peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9","{peer}"],"peers_all":"{peer}",
@@ -81,7 +84,7 @@
         "ceilings":{{"cancelling":true,"connect_timeout_us":250000,"max_retry_after_us":2000000,"may_duplicate":true,
         "most_tries":4,"peers":true,"probes":true,"retry_after":false}},"counted_by":"work","extra":{{"class_kind":[-1,-1],
         "class_stretch":[2.0,2.0],"progress_us":1000000,"queue_order":"fifo","report_x0":"free slots","tells_start":true}},
-        "n_instances":2,"rank":0,"orgs":[{{"name":"acme","quota_rps":1000.0,"share":1.0}}],"registry_mode":"subscribe",
+        "n_instances":2,"rank":0,"orgs":[{{"name":"acme","quota_rps":1000.0,"share":1.0}}],"registry_mode":"{mode}",
         "report":{{"fields":["utilization","x0"],"how":"answers"}},"request_classes":[
         {{"name":"look","aim_us":900000,"deadline_us":20000000,"effect":"read_like","worth":1.0}},
         {{"name":"book","aim_us":900000,"deadline_us":20000000,"effect":"non_idempotent","worth":2.0}}],
@@ -121,22 +124,27 @@
 
 /// Starts the program under an operator file with so many HTTP workers and these lines, and plays the scenario.
 pub fn play_appliance(hops: usize, lines: &str, script: &str) {
-    World::start(hops, 1024, false, Some(lines)).play(script);
+    World::start(hops, 1024, (false, false), Some(lines)).play(script);
 }
 
 /// Starts the program with so many next hops, and plays the scenario.
 pub fn play(hops: usize, script: &str) {
-    World::start(hops, 1024, false, None).play(script);
+    World::start(hops, 1024, (false, false), None).play(script);
 }
 
 /// The same, where the system gives the program no more than so many descriptors.
 pub fn play_cramped(hops: usize, descriptors: u32, script: &str) {
-    World::start(hops, descriptors, false, None).play(script);
+    World::start(hops, descriptors, (false, false), None).play(script);
+}
+
+/// The same, where lists are pushed: `d` is the agent on the program's own machine. `pass`: the clients' socket is passed.
+pub fn play_pushed(hops: usize, pass: bool, script: &str) {
+    World::start(hops, 1024, (pass, true), None).play(script);
 }
 
 /// The same, where the clients' socket is passed to the program, and leftovers lie where two processes meet.
 pub fn play_passed(hops: usize, script: &str) {
-    World::start(hops, 1024, true, None).play(script);
+    World::start(hops, 1024, (true, false), None).play(script);
 }
 
 impl World {
@@ -149,7 +157,7 @@
         }
     }
 
-    fn start(hops: usize, descriptors: u32, pass: bool, operator: Option<&str>) -> World {
+    fn start(hops: usize, descriptors: u32, (pass, pushed): (bool, bool), operator: Option<&str>) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let mut listeners: HashMap<String, TcpListener> =
@@ -164,9 +172,10 @@
         peer.set_read_timeout(Some(LIMIT)).expect("a limit can be set");
         let (text, form) = match operator {
             Some(lines) => (operator_file(&listed, lines), "kdl"),
-            None => {
-                (config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound")), "json")
-            }
+            None => (
+                config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"), pushed),
+                "json",
+            ),
         };
         let nr = NEXT.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("calicolb-{}-{nr}.{form}", std::process::id()));
@@ -191,6 +200,7 @@
             gearman_at: nowhere,
             kept: HashMap::new(),
             appliance: operator.is_some(),
+            pushed,
             listeners,
             conns,
             peer,
@@ -271,7 +281,7 @@
                     None => {
                         let place = |at: std::io::Result<SocketAddr>| at.map_err(|error| error.to_string());
                         let discovery = self.listeners.get(rest).ok_or("nobody of this name")?.local_addr();
-                        config(&self.listed, place(discovery)?, place(self.peer.local_addr())?)
+                        config(&self.listed, place(discovery)?, place(self.peer.local_addr())?, self.pushed)
                     }
                 };
                 fs::write(&self.file, text).map_err(|error| error.to_string())
