Count a wait as others on the lanes that ours have not, and move unwanted jobs sooner

Change: a wait shows others on the lanes that ours have not. News of a start is due after 50 ms. A branch that is unwanted and untaken 100 ms after its last byte is ended by its connection, not only after 500 ms.

--- a/crates/decisions/src/rules/lanes.rs
+++ b/crates/decisions/src/rules/lanes.rs
@@ -16,14 +16,14 @@
         self.settings.tells_start && !self.settings.reports_free_slots
     }
 
-    /// A job has started there, after a wait or at once: that tells how many lanes there are, and others' use of them.
+    /// A job has started there, after a wait, in which others had the lanes that ours had not, or at once.
     pub(super) fn count_start(&mut self, now: Micros, at: usize, waited: bool) {
         let (running, kind) = (self.workers[at].running(), self.workers[at].kind);
         self.know.kinds[kind].counted.started(running, waited);
-        let lanes = self.lanes(at) as f64;
-        self.on_zone_load(at, if waited { lanes } else { 0.0 });
+        let others = self.lanes(at).saturating_sub(running) as f64;
+        self.on_zone_load(at, if waited { others } else { 0.0 });
         let part = if waited { 1.0 } else { self.know.mean_foreign[self.workers[at].zone.0] };
-        self.workers[at].foreign = Some((now, (lanes - running as f64).max(0.0) * part));
+        self.workers[at].foreign = Some((now, others * part));
         self.workers[at].known = now;
     }
 
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -46,7 +46,7 @@
 /// Workers outside the cohort's share that are looked at, and probed, for one job.
 const PROBES: usize = 4;
 /// News of a start takes this long at most; after that a job is taken to wait.
-const START_NEWS: Micros = 100 * MILLI;
+const START_NEWS: Micros = 50 * MILLI;
 /// Share of a cold worker's stated budget that is used: its true size is only estimated.
 const COLD_SHARE: f64 = 0.4;
 /// A planned job gives way to one that is worth so many times as much for its work.
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -11,6 +11,8 @@
     Timer(u64, u64),
     /// The time of a branch is up: request and attempt.
     Branch(u32, u32),
+    /// A branch that is unwanted should have been taken by now: request and attempt.
+    Unwanted(u32, u32),
     /// By now the end of the connection of a branch that was given up has come to its next hop: request and attempt.
     CalledOff(u32, u32),
     /// A time that a protocol set for one of its connections or listeners.
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -11,6 +11,9 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::mem;
 
+/// A next hop that is well takes a job at once. One that has not so long after the last byte was written is hardly just
+/// about to.
+const TAKES: Micros = 100_000;
 /// Names open elsewhere that are remembered at most.
 const ELSEWHERE: usize = 4096;
 
@@ -142,8 +145,8 @@
 struct Branch {
     hop: WorkerId,
     sent: Micros,
-    /// Its last byte has been written: from here on it may have run.
-    written: bool,
+    /// When its last byte was written: from then on it may have run.
+    written_at: Option<Micros>,
     /// The next hop has said that it took the job.
     taken: bool,
     /// It has not, though it would have done so long since.
@@ -249,9 +252,18 @@
         let number = self.enter(now, caller, job, Some((hop, sent)));
         if let Some(entry) = self.entries.get_mut(&number) {
             deadlines.set(Due::Branch(number, 0), entry.expires);
-            let (written, taken) = (true, true);
+            let (written_at, taken) = (Some(sent), true);
             let (silent, unwanted, over) = (false, false, false);
-            entry.branches.push(Branch { hop, sent, written, taken, silent, unwanted, over, ended_by: None });
+            entry.branches.push(Branch {
+                hop,
+                sent,
+                written_at,
+                taken,
+                silent,
+                unwanted,
+                over,
+                ended_by: None,
+            });
         }
     }
 
@@ -342,9 +354,9 @@
     }
 
     /// The last byte of a branch has been written.
-    pub fn written(&mut self, id: BranchId) {
+    pub fn written(&mut self, now: Micros, id: BranchId) {
         let Some(branch) = self.branch(id) else { return };
-        branch.written = true;
+        branch.written_at = Some(now);
         if let Some(entry) = self.entries.get(&id.request) {
             self.figures.of(entry.class).attempts += 1;
         }
@@ -362,8 +374,8 @@
     /// The next hop should have taken the job long since, and has not said so.
     pub fn silent(&mut self, id: BranchId) {
         if let Some(branch) = self.branch(id) {
-            branch.silent = true;
-            if branch.unwanted {
+            let first = !std::mem::replace(&mut branch.silent, true);
+            if branch.unwanted && first {
                 self.tell_off(id);
             }
             let note = Note::Silent;
@@ -424,13 +436,22 @@
             Some(branch) if branch.taken => {}
             Some(branch) => {
                 // The last byte decides: without it the next hop cannot have begun.
-                let ending = if branch.written { Ending::Broken } else { Ending::Unreachable };
+                let ending = if branch.written_at.is_some() { Ending::Broken } else { Ending::Unreachable };
                 self.end(now, id, ending, None);
             }
             None => {}
         }
     }
 
+    /// A branch that is unwanted should have been taken by now.
+    pub fn untaken(&mut self, id: BranchId) {
+        let Some(branch) = self.branch(id) else { return };
+        if branch.unwanted && !branch.taken && !branch.silent {
+            branch.silent = true;
+            self.tell_off(id);
+        }
+    }
+
     /// A next hop has heard that a branch is given up. Where it has not, whether it runs is not known, and the branch
     /// ends with what the hop tells, or with its time.
     pub fn called_off(&mut self, now: Micros, id: BranchId) {
@@ -457,7 +478,7 @@
         let Some(nr) = (0..entry.branches.len()).rev().find(here) else { return false };
         let branch = &entry.branches[nr];
         // Before its last byte is written nothing can be known of a branch: the news is of an older one.
-        if branch.over || !branch.written {
+        if branch.over || branch.written_at.is_none() {
             return false;
         }
         // The same news as ended an older branch there, before the hop has taken this one: a repeat, whose
@@ -526,7 +547,7 @@
     /// The time of a branch is up; tells whether it was still out.
     pub fn time_up(&mut self, now: Micros, id: BranchId) -> bool {
         let Some(branch) = self.branch(id) else { return false };
-        let ending = if branch.written { Ending::TimedOut } else { Ending::Unreachable };
+        let ending = if branch.written_at.is_some() { Ending::TimedOut } else { Ending::Unreachable };
         self.give_up(now, id, ending);
         true
     }
@@ -644,17 +665,19 @@
                 let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
                 let copies = self.copies;
                 let Some(branch) = self.branch(id) else { return };
-                let written = branch.written;
-                if written && !copies && !concluded {
-                    // It may run until its next hop has heard: the request may not go elsewhere before. One that may
-                    // just have taken it must be told in words: to end the connection says nothing then.
-                    branch.unwanted = true;
-                    if branch.taken || branch.silent {
-                        self.tell_off(id);
-                    }
-                    return;
+                let Some(written) = branch.written_at else { return self.give_up(now, id, Ending::Moot) };
+                if copies || concluded {
+                    return self.give_up(now, id, Ending::Cancelled);
+                }
+                // It may run until its next hop has heard: the request may not go elsewhere before. One that may just
+                // have taken it must be told in words: to end the connection says nothing then.
+                branch.unwanted = true;
+                branch.silent |= now >= written + TAKES;
+                if branch.taken || branch.silent {
+                    self.tell_off(id);
+                } else {
+                    deadlines.set(Due::Unwanted(id.request, id.attempt), written + TAKES);
                 }
-                self.give_up(now, id, if written { Ending::Cancelled } else { Ending::Moot });
             }
             Action::SetTimer { timer, after } => {
                 self.next_timer += 1;
@@ -697,7 +720,7 @@
         entry.branches.push(Branch {
             hop,
             sent: now,
-            written: false,
+            written_at: None,
             taken: false,
             silent: false,
             unwanted: false,
@@ -908,7 +931,7 @@
         // ... written: it may have run, and no refusal may say otherwise.
         let mut table = Table::new();
         let branch = table.arrive(1);
-        table.desk.written(branch);
+        table.desk.written(table.now, branch);
         table.desk.broke(table.now, branch);
         assert_eq!(table.turn(), [answer(Answer::Failed)]);
     }
@@ -917,7 +940,7 @@
     fn once_the_job_is_taken_its_connection_says_nothing_of_it() {
         let mut table = Table::new();
         let branch = table.arrive(1);
-        table.desk.written(branch);
+        table.desk.written(table.now, branch);
         table.desk.taken(branch);
         table.desk.broke(table.now, branch);
         assert_eq!(table.turn(), []);
@@ -932,11 +955,11 @@
         let mut table = Table::new();
         let first = table.arrive(1);
         assert!(!table.news(News::Over(Ending::Full)), "its last byte is not written yet");
-        table.desk.written(first);
+        table.desk.written(table.now, first);
         assert!(!table.desk.news(table.now, "a1", WorkerId(8), News::Over(Ending::Broken), None));
         assert!(table.news(News::Over(Ending::Full)));
         let second = sent(&table.later());
-        table.desk.written(second);
+        table.desk.written(table.now, second);
         assert!(!table.news(News::Over(Ending::Full)), "the same again, before the hop took the new one");
         table.desk.taken(second);
         assert!(table.news(News::Over(Ending::Full)));
@@ -946,7 +969,7 @@
     fn a_branch_whose_time_is_up_is_given_up_and_answered_for() {
         let mut table = Table::new();
         let branch = table.arrive(1);
-        table.desk.written(branch);
+        table.desk.written(table.now, branch);
         let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
         assert_eq!(table.later(), [given_up, answer(Answer::Failed)]);
     }
@@ -955,7 +978,7 @@
     fn where_copies_are_barred_a_branch_ends_only_once_its_hop_has_heard_that_it_is_given_up() {
         let mut table = Table::with(false);
         let branch = table.arrive(0);
-        table.desk.written(branch);
+        table.desk.written(table.now, branch);
         table.desk.taken(branch);
         let cancel = Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
         table.desk.carry_out(table.now, cancel, &mut table.deadlines);
@@ -967,12 +990,14 @@
         assert_eq!(sent(&table.later()).attempt, 1);
         // Before its hop has said that it took the job nothing is ended: it may just have taken it.
         let second = BranchId { request: branch.request, attempt: 1 };
-        table.desk.written(second);
+        table.desk.written(table.now, second);
         let cancel = Action::Cancel { request: RequestId(second.request), attempt: 1 };
         table.desk.carry_out(table.now, cancel, &mut table.deadlines);
         assert_eq!(table.turn(), []);
         table.desk.taken(second);
         assert!(matches!(table.turn()[..], [Work::GiveUp { .. }]));
+        table.desk.untaken(second);
+        assert_eq!(table.turn(), [], "it was told in words");
         // Where its result comes before the word has got there, that is the answer.
         assert!(table.news(News::Served(b"r".to_vec())));
         assert!(table.turn().contains(&answer(Answer::Served(b"r".to_vec()))));
@@ -984,7 +1009,7 @@
     fn who_has_left_is_owed_nothing() {
         let mut table = Table::new();
         let branch = table.arrive(0);
-        table.desk.written(branch);
+        table.desk.written(table.now, branch);
         table.desk.leave(99);
         assert!(table.news(News::Served(b"r".to_vec())));
         assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -161,7 +161,7 @@
         match conn.buffer.flush(&mut conn.stream) {
             Ok(true) => {
                 if let Some((branch, limit)) = conn.assigning.take() {
-                    ctx.desk.written(branch);
+                    ctx.desk.written(ctx.now, branch);
                     ctx.desk.note(branch, Note::Started);
                     if limit > 0 {
                         let ends = ctx.now + Micros::from(limit) * SECOND;
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -383,7 +383,7 @@
         match link.buffer.flush(&mut link.stream) {
             Ok(true) => {
                 if let Task::Branch(branch) = link.task {
-                    ctx.desk.written(branch);
+                    ctx.desk.written(ctx.now, branch);
                     ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SILENCE);
                 }
                 true
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -553,6 +553,7 @@
                     parts.protocols().for_each(|protocol| protocol.release(&mut ctx, branch));
                 }
             }
+            Due::Unwanted(request, attempt) => ctx.desk.untaken(BranchId { request, attempt }),
             Due::CalledOff(request, attempt) => ctx.desk.called_off(now, BranchId { request, attempt }),
             Due::Conn(token, alarm) => {
                 if let Some(protocol) = parts.protocols().find(|protocol| protocol.has(token)) {
