Where loads are told a job moves on only if it would be late where it is

At fault: move_on moved whatever had not started 50 ms after it was sent, also where reports tell that the worker is about to be free.

Change: who hears of loads moves a job only when it would miss its aim where it waits.

--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -237,7 +237,6 @@
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
         if ending == Ending::Unusable {
-            // No other worker can use it either, and the caller need not come again with it.
             self.out.push(Action::Fail(id));
             self.close(id);
         } else if once || spent || over || ending == Ending::Moot {
--- a/crates/decisions/src/rules/release.rs
+++ b/crates/decisions/src/rules/release.rs
@@ -116,14 +116,15 @@
             let open = self.requests.get(&id).filter(|request| !request.done);
             let Some(last) = open.and_then(|request| request.attempts.len().checked_sub(1)) else { continue };
             let own = self.own(id, last as u32).filter(|_| last + 2 < self.settings.limits.tries as usize);
-            // What is due may be of an earlier try: this one has its own time.
             let waits = |of: &Own| of.awaits_start && now >= of.sent + START_NEWS;
             let Some((at, _)) = own.filter(|&(at, nr)| waits(&self.workers[at].own[nr])) else { continue };
-            // As if a copy could go out: where would it go?
+            // A new connection has its price: who hears of loads moves a job only if it would be late where it is.
+            let job = &self.requests[&id];
+            let urgent = now + 2 * START_NEWS + self.run_time(at, job.size, now) >= job.deadline;
             let copies = std::mem::replace(&mut self.settings.limits.copies, true);
             let better = self.choose(now, id).is_some_and(|(there, start, _)| start <= now && there != at);
             self.settings.limits.copies = copies;
-            if better {
+            if better && (urgent || !self.settings.limits.peers) {
                 let running = self.workers[at].running();
                 self.workers[at].foreign = Some((now, self.lanes(at).saturating_sub(running) as f64));
                 self.out.push(Action::Cancel { request: id, attempt: last as u32 });
