--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,11 +1,12 @@
 //! The configuration: the one place where anything is read, checked and given defaults, from the platform's JSON and
 //! variables or from an operator file. Every message names the key at fault.
 
+pub mod list;
 pub mod operator;
 mod platform;
 mod sheet;
 
-use crate::net::platform::route_set::Update;
+use self::list::Update;
 use calicolb::api::{ClassIx, KindIx, Member, Micros, Settings, ZoneIx};
 use calicolb::wire::Names;
 use std::net::SocketAddr;
--- a/src/net/core/roster.rs
+++ b/src/net/core/roster.rs
@@ -2,7 +2,6 @@
 //! The module knows one list only, in which a whole list from one source must not remove what another brought.
 
 use calicolb::api::{ListKind, Member, Standing, WorkerId};
-use calicolb::wire::hash_text;
 use std::collections::HashMap;
 
 /// Who names a next hop.
@@ -16,12 +15,6 @@
     Arrived(&'static str),
 }
 
-/// The number of a next hop: the same at every scheduler, since they speak of hops to each other by it.
-pub fn hop_id(name: &str) -> WorkerId {
-    let hash = hash_text(name);
-    WorkerId((hash ^ (hash >> 32)) as u32)
-}
-
 /// See the head of this file.
 #[derive(Default)]
 pub struct Roster(HashMap<WorkerId, (Source, Member)>);
--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -38,8 +38,6 @@
 const FILLS: usize = 8;
 /// Bytes of a packet apart from its workload: names, ids and handles.
 const NAMES: usize = 2 * 1024;
-/// The longest function name, unique id and client id that are taken.
-pub(super) const NAME: usize = 256;
 /// Bytes that may wait to go out to one peer. Beyond that it does not read, and is let go.
 const OUTPUT: usize = 512 * 1024;
 /// Bytes that may wait to go out to all peers together; one that has less than a fair share waiting is let be.
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -15,7 +15,7 @@
 use crate::net::core::deadlines::{Alarm, Due};
 use crate::net::core::desk::{Answer, BranchId, CallerId, Part};
 use crate::net::core::envelope::Payload;
-use crate::net::core::roster::{Source, hop_id};
+use crate::net::core::roster::Source;
 use crate::net::protocol::{Protocol, Shares, Spare};
 use calicolb::api::{Ending, ListKind, Member, Micros, Report, Standing, WorkerId};
 use calicolb_gearman::ConnId;
@@ -227,7 +227,7 @@
     fn gathered(&mut self, ctx: &mut Ctx<'_>) {
         let mut members = Vec::new();
         for change in self.fleet.changes() {
-            let worker = hop_id(&format!("gearman worker {}", change.nr));
+            let worker = calicolb::wire::hop_id(&format!("gearman worker {}", change.nr));
             self.hops.insert(worker, change.nr);
             // Without a lane there is nothing that it could take.
             let can = |name: &str| change.lanes > 0 && change.functions.contains(name);
--- a/src/net/gearman/packets.rs
+++ b/src/net/gearman/packets.rs
@@ -1,7 +1,6 @@
 //! What packets mean: submissions of clients, abilities and reports of workers, and who asks how a job is.
 
 use super::Gearman;
-use super::conns::NAME;
 use crate::config::Function;
 use crate::log::note;
 use crate::net::Ctx;
@@ -16,6 +15,9 @@
 use std::hash::BuildHasher;
 use std::rc::Rc;
 
+/// The longest function name, unique id and client id that are taken.
+pub(super) const NAME: usize = 256;
+
 /// The largest result that is put together for a caller that takes it in one piece only.
 const RESULT: usize = 64 * 1024;
 
--- a/src/net/http/call_back.rs
+++ b/src/net/http/call_back.rs
@@ -3,10 +3,10 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::desk::News;
-use crate::net::core::roster::hop_id;
 use crate::net::http::framing::Reject;
 use calicolb::api::{Ending, Note, Report};
 use calicolb::wire::Names;
+use calicolb::wire::hop_id;
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/kin.rs
@@ -4,11 +4,11 @@
 //!
 //! Nothing here decides anything: what a message means is the turn's business.
 
+use crate::config::list::Update;
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::core::envelope::Envelope;
-use crate::net::platform::route_set::Update;
 use calicolb::api::Micros;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
--- a/src/net/platform/route_set/call.rs
+++ b/src/net/platform/route_set/call.rs
@@ -1,6 +1,6 @@
 //! One connection to discovery: what goes out on it, and how what comes back is read.
 
-use super::entry::Update;
+use crate::config::list::Update;
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::http::framing;
 use mio::net::TcpStream;
--- a/src/net/platform/route_set/entry.rs
+++ b/src/net/platform/route_set/entry.rs
@@ -1,20 +1,9 @@
 //! The list as discovery writes it: versions, changes and their lines.
 
-use crate::net::core::roster::hop_id;
 use calicolb::api::{Member, Standing};
+use calicolb::wire::hop_id;
 use calicolb::wire::{Names, WireError};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
-
-/// A version of the list, or the changes since another.
-#[derive(Serialize, Deserialize)]
-pub struct Update {
-    pub(super) seq: u64,
-    #[serde(default)]
-    pub(super) whole: bool,
-    #[serde(default)]
-    pub(super) hosts: Vec<Value>,
-}
 
 /// One line of the list.
 #[derive(Serialize, Deserialize)]
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -5,10 +5,9 @@
 mod call;
 mod entry;
 
-pub use self::entry::Update;
-
 use self::call::{Call, fetched, watched};
 use self::entry::{Line, read_member};
+use crate::config::list::Update;
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::buffer::Buffer;
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -1,6 +1,7 @@
 //! The loop. Each turn gathers what is ready and what is due, hands it to the module in one go, and carries
 //! out what came back.
 
+use crate::config::list::Update;
 use crate::config::{Config, Fixed, PeerConfig};
 use crate::log::note;
 use crate::net::Ctx;
@@ -19,7 +20,7 @@
 use crate::net::platform::inherit;
 use crate::net::platform::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
-use crate::net::platform::route_set::{RouteSet, Update};
+use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
 use calicolb::api::{ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -321,6 +321,12 @@
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
 }
 
+/// The number of a next hop: the same at every scheduler, since they speak of hops to each other by it.
+pub fn hop_id(name: &str) -> WorkerId {
+    let hash = hash_text(name);
+    WorkerId((hash ^ (hash >> 32)) as u32)
+}
+
 fn attempt_event(fields: Fields<'_>, names: &Names) -> Result<Event, WireError> {
     let (mut request, mut attempt, mut worker, mut elapsed) = (None, None, None, 0);
     let (mut ending, mut concluded, mut report, mut topic, mut level) = (None, false, None, None, None);
