Wait for the end of an attempt as long as the settings' network may take, not 150 ms

Ruled out: a second send on one connection (each attempt had its own), a call-back of the first attempt (none came), a cancel in words (the job was never taken).

A first request waits for its connection's handshake; with 20 ms each way and three round trips it comes after 140 ms and more, and the end of the connection behind it.

Change: src/net/core/journey.rs reckons by the one figure of the network that the settings have, connect_timeout_us: what is written has arrived one such time later, and who has not answered after two of them, half a second at least, is silent. An attempt is told off once only: a DELETE behind the end of the connection could be answered before it.

The desk's tests moved to a file of their own, unchanged but for the connect timeout that their table knows.

--- /dev/null
+++ b/src/net/core/desk/tests.rs
@@ -0,0 +1,237 @@
+//! The desk with the decision module behind it, and a turn's facts in every order that matters.
+
+use super::*;
+use calicolb::wire;
+
+const HOP: WorkerId = WorkerId(7);
+const SECOND: Micros = 1_000_000;
+
+struct Table {
+    desk: Desk<&'static str>,
+    deadlines: Deadlines,
+    now: Micros,
+    connect_timeout: Micros,
+}
+
+impl Table {
+    /// A desk with one next hop, where two branches of a request may be out at once.
+    fn new() -> Table {
+        Table::with(true)
+    }
+
+    fn with(copies: bool) -> Table {
+        let info = r#"{"azs":["a"],"kinds":["k"],"ceilings":{"cancelling":true,"may_duplicate":true,"most_tries":4},
+            "request_classes":[{"name":"look","aim_us":900000,"deadline_us":9000000,"effect":"read_like"},
+            {"name":"book","aim_us":900000,"deadline_us":9000000,"effect":"non_idempotent"}],
+            "extra":{"class_stretch":[2.0,2.0]}}"#;
+        let (mut settings, _) = wire::settings(info).expect("the settings are sound");
+        settings.limits.copies = copies;
+        let (now, connect_timeout) = (50 * SECOND, settings.limits.connect_timeout);
+        let mut table = Table {
+            connect_timeout,
+            desk: Desk::new(settings, 1, now, 100),
+            deadlines: Deadlines::default(),
+            now,
+        };
+        let member = Member {
+            worker: HOP,
+            zone: ZoneIx(0),
+            kind: KindIx(0),
+            cell: 0,
+            standing: Standing::On,
+            weight: 1.0,
+            ..Member::default()
+        };
+        table.desk.members(Source::Listed, ListKind::Saved, vec![member]);
+        table.turn();
+        table
+    }
+
+    fn turn(&mut self) -> Vec<Work<&'static str>> {
+        self.desk.settle(self.now, &mut self.deadlines)
+    }
+
+    /// Lets time pass, timers and all, until there is something to do.
+    fn later(&mut self) -> Vec<Work<&'static str>> {
+        for _ in 0..10_000 {
+            self.now += 1_000;
+            while let Some(due) = self.deadlines.next_due(self.now) {
+                match due {
+                    Due::Timer(timer, _) => self.desk.timer(timer),
+                    Due::Branch(request, attempt) => {
+                        self.desk.time_up(self.now, BranchId { request, attempt });
+                    }
+                    other => panic!("the desk never sets {other:?}"),
+                }
+            }
+            let work = self.turn();
+            if !work.is_empty() {
+                return work;
+            }
+        }
+        panic!("nothing is ever done");
+    }
+
+    fn job(&self, class: usize, name: &str) -> Job<&'static str> {
+        Job {
+            name: name.to_owned(),
+            class: ClassIx(class),
+            tenant: None,
+            hint: None,
+            patience: 9 * SECOND,
+            slots: Some(1),
+            memory: 0.0,
+            key: None,
+            retry: false,
+            skill: 0,
+            hears: Hears::Nothing,
+            payload: "job",
+        }
+    }
+
+    fn arrive(&mut self, class: usize) -> BranchId {
+        self.desk.arrive(self.now, 99, self.job(class, "a1")).expect("there is room");
+        sent(&self.turn())
+    }
+
+    fn news(&mut self, news: News) -> bool {
+        self.desk.news(self.now, "a1", HOP, news, None)
+    }
+}
+
+fn sent(work: &[Work<&'static str>]) -> BranchId {
+    match work {
+        [Work::Send { branch, hop: HOP, payload: "job", .. }] => *branch,
+        other => panic!("one branch was due, not {other:?}"),
+    }
+}
+
+fn answer(answer: Answer) -> Work<&'static str> {
+    Work::Answer { caller: 99, answer }
+}
+
+#[test]
+fn the_last_byte_decides_what_a_break_means() {
+    // Not written: the job, which must not run twice, may be refused as never run ...
+    let mut table = Table::new();
+    let branch = table.arrive(1);
+    table.desk.broke(table.now, branch);
+    assert_eq!(table.later(), [answer(Answer::Busy { come_back: None })]);
+    // ... written: it may have run, and no refusal may say otherwise.
+    let mut table = Table::new();
+    let branch = table.arrive(1);
+    table.desk.written(table.now, branch);
+    table.desk.broke(table.now, branch);
+    assert_eq!(table.turn(), [answer(Answer::Failed)]);
+}
+
+#[test]
+fn once_the_job_is_taken_its_connection_says_nothing_of_it() {
+    let mut table = Table::new();
+    let branch = table.arrive(1);
+    table.desk.written(table.now, branch);
+    table.desk.taken(branch);
+    table.desk.broke(table.now, branch);
+    assert_eq!(table.turn(), []);
+    assert!(table.news(News::Served(b"r".to_vec())));
+    assert_eq!(table.turn(), [answer(Answer::Served(b"r".to_vec()))]);
+    assert!(!table.news(News::Served(b"r".to_vec())), "a repeat meets nothing");
+    assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+}
+
+#[test]
+fn stale_news_does_not_end_a_newer_branch() {
+    let mut table = Table::new();
+    let first = table.arrive(1);
+    assert!(!table.news(News::Over(Ending::Full)), "its last byte is not written yet");
+    table.desk.written(table.now, first);
+    assert!(!table.desk.news(table.now, "a1", WorkerId(8), News::Over(Ending::Broken), None));
+    assert!(table.news(News::Over(Ending::Full)));
+    let second = sent(&table.later());
+    table.desk.written(table.now, second);
+    assert!(!table.news(News::Over(Ending::Full)), "the same again, before the hop took the new one");
+    table.desk.taken(second);
+    assert!(table.news(News::Over(Ending::Full)));
+}
+
+#[test]
+fn a_branch_whose_time_is_up_is_given_up_and_answered_for() {
+    let mut table = Table::new();
+    let branch = table.arrive(1);
+    table.desk.written(table.now, branch);
+    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    assert_eq!(table.later(), [given_up, answer(Answer::Failed)]);
+}
+
+#[test]
+fn where_copies_are_barred_a_branch_ends_only_once_its_hop_has_heard_that_it_is_given_up() {
+    let mut table = Table::with(false);
+    let branch = table.arrive(0);
+    table.desk.written(table.now, branch);
+    table.desk.taken(branch);
+    let cancel = Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
+    table.desk.carry_out(table.now, cancel, &mut table.deadlines);
+    // The word is on its way, and may be lost: nothing has ended, and no other branch may go out.
+    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    assert_eq!(table.turn(), [given_up]);
+    assert!(!table.desk.has_news());
+    table.desk.called_off(table.now, branch);
+    assert_eq!(sent(&table.later()).attempt, 1);
+    // Before its hop has said that it took the job nothing is ended: it may just have taken it.
+    let second = BranchId { request: branch.request, attempt: 1 };
+    table.desk.written(table.now, second);
+    let cancel = Action::Cancel { request: RequestId(second.request), attempt: 1 };
+    table.desk.carry_out(table.now, cancel, &mut table.deadlines);
+    assert_eq!(table.turn(), []);
+    table.desk.taken(second);
+    assert!(matches!(table.turn()[..], [Work::GiveUp { .. }]));
+    table.desk.untaken(second);
+    assert_eq!(table.turn(), [], "it was told in words");
+    // Where its result comes before the word has got there, that is the answer.
+    assert!(table.news(News::Served(b"r".to_vec())));
+    assert!(table.turn().contains(&answer(Answer::Served(b"r".to_vec()))));
+    table.desk.called_off(table.now, second);
+    assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+}
+
+#[test]
+fn who_has_left_is_owed_nothing() {
+    let mut table = Table::new();
+    let branch = table.arrive(0);
+    table.desk.written(table.now, branch);
+    table.desk.leave(99);
+    assert!(table.news(News::Served(b"r".to_vec())));
+    assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
+    assert!(table.desk.entries.is_empty() && table.desk.names.is_empty());
+}
+
+#[test]
+fn who_comes_and_goes_in_one_batch_holds_no_lane() {
+    // The module sends on the arrival, before it hears of the leaving: that branch is never sent, and the
+    // module must be told so, or the hop's only lane stays taken.
+    let mut table = Table::new();
+    for _ in 0..5 {
+        table.desk.arrive(table.now, 98, table.job(0, "b1")).expect("there is room");
+        table.desk.leave(98);
+        assert_eq!(table.turn(), []);
+        assert_eq!(table.turn(), []);
+    }
+    assert_eq!(table.arrive(1).attempt, 0);
+}
+
+#[test]
+fn an_attempt_that_was_not_taken_is_called_off_by_one_word_only() {
+    // The end of its connection may be on its way when the module, told of the silence, calls it off once more.
+    let mut table = Table::with(false);
+    let branch = table.arrive(0);
+    table.desk.written(table.now, branch);
+    let cancel = || Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
+    table.desk.carry_out(table.now, cancel(), &mut table.deadlines);
+    assert_eq!(table.turn(), [], "it may yet be taken");
+    table.now += journey::silence(table.connect_timeout);
+    table.desk.untaken(branch);
+    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    assert_eq!(table.turn(), [given_up]);
+    table.desk.carry_out(table.now, cancel(), &mut table.deadlines);
+    assert_eq!(table.turn(), []);
+}
--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -6,4 +6,5 @@
 pub mod desk;
 pub mod envelope;
 pub mod figures;
+pub mod journey;
 pub mod roster;
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -9,6 +9,7 @@
 use crate::net::core::deadlines::{Alarm, Due};
 use crate::net::core::desk::BranchId;
 use crate::net::core::envelope::Payload;
+use crate::net::core::journey;
 use crate::net::http::call_back::report_of;
 use crate::net::http::framing;
 use crate::net::protocol::Spare;
@@ -30,12 +31,6 @@
 /// So many of the kept connections must break, by the weight of the last ten or so, before their rest is blamed:
 /// other breaks come now and then, and a new connection for every request would cost more than these.
 const BLAMED: f64 = 0.25;
-/// A next hop says at once that it takes a job. One that has not after this time, longer than any of their
-/// pauses, or the way to it, has fallen silent: the connection would show nothing of that.
-const SILENCE: Micros = 500 * MILLI;
-/// The end of a connection is taken to have come to its next hop after this time, longer than a request takes to come
-/// to another: it must not be there before.
-const ARRIVES: Micros = 50 * MILLI;
 /// A probe or a give-up that is not answered by then is dropped.
 const SIDE_CALL: Micros = 1_000 * MILLI;
 
@@ -225,7 +220,10 @@
         match self.out.get(&branch).copied() {
             Some(token) => {
                 self.drop_link(ctx, token);
-                ctx.deadlines.set(Due::CalledOff(branch.request, branch.attempt), ctx.now + ARRIVES);
+                ctx.deadlines.set(
+                    Due::CalledOff(branch.request, branch.attempt),
+                    ctx.now + journey::arrives(self.connect_timeout),
+                );
             }
             None => {
                 let bytes = framing::write_request(
@@ -376,6 +374,9 @@
 
     /// Writes what waits; tells whether the connection lives and has nothing more to write.
     fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
+        // A next hop says at once that it takes a job. One that has not after this time has fallen silent, or the way to
+        // it has: the connection would show nothing of that.
+        let silence = journey::silence(self.connect_timeout);
         let Some(link) = self.links.get_mut(&token) else { return false };
         if !link.buffer.has_output() {
             return true;
@@ -384,7 +385,7 @@
             Ok(true) => {
                 if let Task::Branch(branch) = link.task {
                     ctx.desk.written(ctx.now, branch);
-                    ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SILENCE);
+                    ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + silence);
                 }
                 true
             }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -8,6 +8,7 @@
 //! * `close WHO` closes a connection, or the listener of a next hop that has none of this name.
 //! * `start heir` starts the program again beside itself, where the clients' socket was passed to it: then `program`
 //!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`).
+//! * `mark` begins to count; `after MS` says that so much has passed since at least, `within MS` at most.
 //! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
 //!
 //! Under an operator file `g…` and `w…` are connections to the Gearman port, of clients and workers. Their messages are
@@ -18,8 +19,8 @@
 //!
 //! A message is `METHOD TARGET` or `STATUS`, then `Header:value` words, then `| body`. In an expectation `*`
 //! stands for any value, and what is not named is not compared. `watch` is the head of a watch that opens. `raw TEXT` and `chunk TEXT` are written as they
-//! are, the latter as one chunk; `\r`, `\n`, `\0`, `\t` and `\xHH` in them are those bytes. `#N` is N bytes of padding. `TERM` or
-//! `HUP` to `program` is the signal; `send file d2` rewrites the configuration with discovery at the listener `d2`,
+//! are, the latter as one chunk; `\r`, `\n`, `\0`, `\t` and `\xHH` in them are those bytes. `#N` is N bytes of padding. `TERM`,
+//! `HUP`, `STOP` or `CONT` to `program` is the signal; `send file d2` rewrites the configuration with discovery at the listener `d2`,
 //! `send file raw TEXT` puts that text in its place. Every wait is for a condition, with one generous limit.
 
 use calicolb_gearman::packet::{From, Kind, Read as Found, read, write};
@@ -66,6 +67,24 @@
     listed: Vec<(String, SocketAddr)>,
     /// The clients' socket, where it is passed, and the folder where two processes meet.
     passed: Option<(TcpListener, PathBuf)>,
+    /// What differs from the usual configuration.
+    settings: Vec<(String, String)>,
+    /// When `mark` was last said.
+    marked: Instant,
+}
+
+/// The configuration with other values at some places.
+fn with<T: AsRef<str>>(text: &str, settings: &[(T, T)]) -> String {
+    let mut all: serde_json::Value = serde_json::from_str(text).expect("the configuration is JSON");
+    for (at, value) in settings {
+        let (parent, name) = at.as_ref().rsplit_once('/').expect("a JSON pointer");
+        let value = serde_json::from_str(value.as_ref()).expect("a value in JSON");
+        match all.pointer_mut(parent).expect("a place in the configuration") {
+            serde_json::Value::Array(list) => list[name.parse::<usize>().expect("a place in a list")] = value,
+            other => other[name] = value,
+        }
+    }
+    all.to_string()
 }
 
 /// The configuration, with these next hops as the list last known.
@@ -122,29 +141,59 @@
     text + lines
 }
 
+/// How the program is started.
+#[derive(Clone, Copy)]
+pub struct Setup<'a> {
+    /// Workers that the list has to begin with.
+    pub hops: usize,
+    /// The system gives the program no more descriptors.
+    pub descriptors: u32,
+    /// The clients' socket is passed, and leftovers lie where two processes meet.
+    pub pass: bool,
+    /// Lists are pushed: `d` is the agent on the program's own machine.
+    pub pushed: bool,
+    /// It runs under an operator file with these lines of its own.
+    pub operator: Option<&'a str>,
+    /// What differs from the usual configuration: where it stands, as a JSON pointer, and what stands there, as JSON.
+    pub settings: &'a [(&'a str, &'a str)],
+}
+
+impl Default for Setup<'_> {
+    fn default() -> Self {
+        Setup { hops: 1, descriptors: 1024, pass: false, pushed: false, operator: None, settings: &[] }
+    }
+}
+
+impl Setup<'_> {
+    /// Starts the program, and plays the scenario.
+    pub fn play(self, script: &str) {
+        World::start(self).play(script);
+    }
+}
+
 /// Starts the program under an operator file with so many HTTP workers and these lines, and plays the scenario.
 pub fn play_appliance(hops: usize, lines: &str, script: &str) {
-    World::start(hops, 1024, (false, false), Some(lines)).play(script);
+    Setup { hops, operator: Some(lines), ..Setup::default() }.play(script);
 }
 
 /// Starts the program with so many next hops, and plays the scenario.
 pub fn play(hops: usize, script: &str) {
-    World::start(hops, 1024, (false, false), None).play(script);
+    Setup { hops, ..Setup::default() }.play(script);
 }
 
 /// The same, where the system gives the program no more than so many descriptors.
 pub fn play_cramped(hops: usize, descriptors: u32, script: &str) {
-    World::start(hops, descriptors, (false, false), None).play(script);
+    Setup { hops, descriptors, ..Setup::default() }.play(script);
 }
 
 /// The same, where lists are pushed: `d` is the agent on the program's own machine. `pass`: the clients' socket is passed.
 pub fn play_pushed(hops: usize, pass: bool, script: &str) {
-    World::start(hops, 1024, (pass, true), None).play(script);
+    Setup { hops, pass, pushed: true, ..Setup::default() }.play(script);
 }
 
 /// The same, where the clients' socket is passed to the program, and leftovers lie where two processes meet.
 pub fn play_passed(hops: usize, script: &str) {
-    World::start(hops, 1024, (true, false), None).play(script);
+    Setup { hops, pass: true, ..Setup::default() }.play(script);
 }
 
 impl World {
@@ -157,7 +206,8 @@
         }
     }
 
-    fn start(hops: usize, descriptors: u32, (pass, pushed): (bool, bool), operator: Option<&str>) -> World {
+    fn start(setup: Setup<'_>) -> World {
+        let Setup { hops, descriptors, pass, pushed, operator, settings } = setup;
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let mut listeners: HashMap<String, TcpListener> =
@@ -173,7 +223,10 @@
         let (text, form) = match operator {
             Some(lines) => (operator_file(&listed, lines), "kdl"),
             None => (
-                config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"), pushed),
+                with(
+                    &config(&listed, place(&listeners["d"]), peer.local_addr().expect("it is bound"), pushed),
+                    settings,
+                ),
                 "json",
             ),
         };
@@ -207,6 +260,8 @@
             file,
             listed,
             passed,
+            settings: settings.iter().map(|(at, value)| (at.to_string(), value.to_string())).collect(),
+            marked: Instant::now(),
         };
         world.find().expect("it tells where it is");
         world
@@ -281,7 +336,13 @@
                     None => {
                         let place = |at: std::io::Result<SocketAddr>| at.map_err(|error| error.to_string());
                         let discovery = self.listeners.get(rest).ok_or("nobody of this name")?.local_addr();
-                        config(&self.listed, place(discovery)?, place(self.peer.local_addr())?, self.pushed)
+                        let text = config(
+                            &self.listed,
+                            place(discovery)?,
+                            place(self.peer.local_addr())?,
+                            self.pushed,
+                        );
+                        with(&text, &self.settings)
                     }
                 };
                 fs::write(&self.file, text).map_err(|error| error.to_string())
@@ -294,6 +355,16 @@
                 thread::spawn(move || old.iter().for_each(drop));
                 self.find()
             }
+            ("mark", _) => {
+                self.marked = Instant::now();
+                Ok(())
+            }
+            ("after" | "within", span) => {
+                let span = Duration::from_millis(span.parse().map_err(|_| format!("'{span}' is no span"))?);
+                let passed = self.marked.elapsed();
+                let right = if verb == "after" { passed >= span } else { passed <= span };
+                if right { Ok(()) } else { Err(format!("{passed:?} have passed")) }
+            }
             ("expect", "program") => self.hear(rest).map(drop),
             ("wait", "program" | "elder") => {
                 let since = Instant::now();
