Let a list that is asked for age by the one clock, and call again within 1.5 s of a failure

The operators' newer term: a change counts 6 s after discovery had it and could be reached, whatever failed, was refused or given up. With rests of up to 8 s between calls and 4.5 s of waiting a whole such time passes unheard.

Ruled out: that a 503 of an outage could be told from that of a crowded service (both after 2 s), so that only what was refused at once would count as out of reach.

Wrong: decisions/rules/list.rs, ListKind::Lost, which doubled its rest up to 4 to 8 s; ListClock::until, which bounded nothing where lists are asked for; TURN, 4.5 s where such a service answers or refuses within 2 s.

Change: rests of 0.5 to 1.5 s; TURN 3 s; what is missed counts for both modes.

Tests, seen to fail without it: decisions "however often a call fails" (3.4 s after the first), list "calls that are refused again and again" (37 s for what now takes under 12.5), list "after a silent watch and silent calls" (the worker got the job); clock: all orders of events for asked lists by proptest. The socket test of a watch reset before a drain passed before as well.

--- a/crates/decisions/src/rules/list.rs
+++ b/crates/decisions/src/rules/list.rs
@@ -5,11 +5,11 @@
 impl Dispatcher {
     pub(super) fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>) {
         let after = match kind {
+            // Soon, and again soon: what is missed counts a few seconds after discovery can be reached.
             ListKind::Lost => {
                 self.list.subscribed = false;
-                self.list.tries += 1;
-                let base = (SECOND << self.list.tries.min(3)) / 2;
-                Some(base + self.rng.u64(0..base))
+                let rest = if std::mem::replace(&mut self.list.lost, true) { SECOND / 2 } else { 1 };
+                Some(rest + self.rng.u64(0..SECOND))
             }
             // Spread over time, so that dispatchers which start together do not swamp the list.
             ListKind::Saved if self.settings.list_on_request && !self.list.subscribed => {
@@ -21,7 +21,7 @@
         if kind == ListKind::Lost {
             return;
         } else if kind != ListKind::Saved {
-            self.list.tries = 0;
+            self.list.lost = false;
         }
         if kind != ListKind::Changes {
             let gone = |of: &&mut Worker| members.iter().all(|member| member.worker != of.id);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -278,8 +278,8 @@
 #[derive(Default)]
 pub(crate) struct Listing {
     pub(crate) subscribed: bool,
-    /// Calls that failed in a row.
-    pub(crate) tries: u32,
+    /// A call failed, or the watch broke, and nothing has come since.
+    pub(crate) lost: bool,
     /// The list may be acted on until then, if something of it may have been missed.
     pub(crate) until: Option<Micros>,
 }
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -12,6 +12,10 @@
 //! | [`State::Told`] | with any word of the watch, an empty line too | when nothing came for [`SILENCE`], or it broke |
 //! | [`State::Broken`] | with the end, or the silence, of what was open | with the next call |
 //!
+//! What was missed counts as told [`MISSED`] after discovery had it and could be reached. A call that it refuses or ends tells
+//! that it could not be reached when the call was made, so that the time runs anew from there; silence, of a watch or of a
+//! call, tells nothing of the kind, and after it the time runs on until a word comes.
+//!
 //! Where the list is *pushed*, an agent on the scheduler's own machine answers at once and at no cost: the clock itself
 //! asks for each call ([`Act::Open`]), again and again while nobody answers. Where it is *asked for*, one service serves
 //! the whole fleet and calls have a price: when to ask is the decision module's, and the clock only tells that a watch
@@ -33,8 +37,9 @@
 pub const MOVED: Micros = 4 * SECOND;
 /// An agent answers at once: a call that brought no word for this long meets one that is silent.
 pub const ANSWER: Micros = SECOND;
-/// A call that waits its turn at a service that is asked has this long.
-pub const TURN: Micros = 9 * SECOND / 2;
+/// A call that waits its turn at a service that is asked has this long: such a service answers, or refuses, within 2 s, and
+/// a second call has to fit in before what the first one missed counts.
+pub const TURN: Micros = 3 * SECOND;
 /// Calls to an agent follow each other at this distance at the soonest.
 pub const PACE: Micros = 250 * MILLI;
 
@@ -75,8 +80,16 @@
     state: State,
     /// The time of the last call.
     called: Option<Micros>,
-    /// Since this time something may have been told that was not heard, and by this time it counts as told.
-    missed: Option<(Micros, Micros)>,
+    missed: Option<Missed>,
+}
+
+/// Something may have been told that was not heard.
+#[derive(Clone, Copy, Debug)]
+struct Missed {
+    /// By this time it counts as told.
+    told: Micros,
+    /// There was a silence in it: a call that is refused after that proves nothing of the time before.
+    silent: bool,
 }
 
 impl ListClock {
@@ -84,7 +97,7 @@
     /// as before.
     pub fn new(mode: Mode, grace: Micros, now: Micros) -> Self {
         // What an agent holds counts as told from the first moment of a process.
-        let missed = (mode == Mode::Pushed).then_some((now, now));
+        let missed = (mode == Mode::Pushed).then_some(Missed { told: now, silent: true });
         ListClock { mode, grace, state: State::Broken(now), called: None, missed }
     }
 
@@ -111,30 +124,39 @@
         self.missed = None;
     }
 
-    /// The call or the watch has ended without having been ended here.
+    /// The call or the watch has been refused or ended from outside.
     pub fn broke(&mut self, now: Micros) {
-        self.miss(now);
+        self.miss(now, false);
+        if let (State::Anew(called), Mode::Asked, Some(missed)) = (self.state, self.mode, &mut self.missed)
+            && !missed.silent
+        {
+            missed.told = missed.told.max(called + MISSED);
+        }
         self.state = State::Broken(now);
     }
 
-    /// The watch was ended here, or is not wanted.
+    /// The watch was ended here, is not wanted, or could not be asked for.
     pub fn closed(&mut self, now: Micros) {
-        self.broke(now);
+        self.miss(now, true);
+        self.state = State::Broken(now);
     }
 
     /// Discovery is to be had elsewhere from now on.
     pub fn moved(&mut self, now: Micros) {
-        self.missed = Some((now, now + MOVED));
+        self.missed = Some(Missed { told: now + MOVED, silent: false });
         self.state = State::Broken(now);
         self.called = None;
     }
 
-    /// From the last word on something may have been missed.
-    fn miss(&mut self, now: Micros) {
-        if let State::Told(heard) = self.state {
-            let since = heard.min(now);
-            self.missed.get_or_insert((since, since + MISSED));
-        }
+    /// From the last word on, or from a call that brought none, something may have been missed.
+    fn miss(&mut self, now: Micros, silent: bool) {
+        let since = match (self.state, self.mode) {
+            (State::Told(heard), _) => heard.min(now),
+            (State::Anew(called), Mode::Asked) => called.min(now),
+            _ => return,
+        };
+        let missed = self.missed.get_or_insert(Missed { told: since + MISSED, silent });
+        missed.silent |= silent;
     }
 
     /// When [`ListClock::act`] is to be asked next, if nothing happens before.
@@ -156,7 +178,7 @@
         if self.due().is_none_or(|due| due > now) {
             return None;
         }
-        self.miss(now);
+        self.miss(now, true);
         match self.mode {
             Mode::Pushed => Some(Act::Open),
             Mode::Asked => {
@@ -167,10 +189,8 @@
     }
 
     /// Until when the list may be acted on: from then on, what was not heard counts as told for longer than the grace.
-    /// `None` while nothing can have been missed. Where the list is asked for, discovery's own figures for that are in
-    /// the settings, and the decision module keeps to them by asking in time.
+    /// `None` while nothing can have been missed.
     pub fn until(&self) -> Option<Micros> {
-        let (_, told) = self.missed.filter(|_| self.mode == Mode::Pushed)?;
-        Some(told + self.grace)
+        self.missed.map(|missed| missed.told + self.grace)
     }
 }
--- a/crates/freshness/tests/clock.rs
+++ b/crates/freshness/tests/clock.rs
@@ -111,13 +111,122 @@
     assert_eq!(clock.act(START + TURN), Some(Act::Lose));
     clock.broke(START + TURN);
     assert_eq!((clock.due(), clock.act(START + 100 * SECOND)), (None, None));
+    assert_eq!(clock.until(), Some(START + MISSED + GRACE), "a call that was given up tells nothing");
     clock.opened(START + 100 * SECOND);
     clock.heard(START + 101 * SECOND);
     // Noticed in time to ask again: the call may wait its turn before what was missed has counted for too long.
-    const { assert!(SILENCE + TURN < MISSED + GRACE) };
+    const { assert!(SILENCE + TURN + SECOND < MISSED + GRACE) };
     assert_eq!(clock.act(START + 101 * SECOND + SILENCE), Some(Act::Lose));
 }
 
+fn asked() -> ListClock {
+    let mut clock = ListClock::new(Mode::Asked, GRACE, START);
+    clock.opened(START);
+    clock.heard(START);
+    clock
+}
+
+#[test]
+fn while_a_service_refuses_each_call_the_time_runs_from_the_last_of_them() {
+    // Down from 1 s on: what it has at its return counts 6 s after that, and the last refused call was made before it.
+    let mut clock = asked();
+    clock.broke(START + SECOND);
+    assert_eq!(clock.until(), Some(START + MISSED + GRACE));
+    let mut at = START + SECOND;
+    for _ in 0..10 {
+        at += SECOND;
+        clock.opened(at);
+        clock.broke(at + 2 * SECOND);
+        assert_eq!(clock.until(), Some(at + MISSED + GRACE));
+        at += 2 * SECOND;
+    }
+    clock.opened(at);
+    assert_eq!(clock.until(), Some(at - 2 * SECOND + MISSED + GRACE), "a call alone tells nothing");
+    clock.heard(at + 1);
+    assert_eq!(clock.until(), None);
+}
+
+#[test]
+fn after_a_silence_no_refused_call_gives_more_time() {
+    let mut clock = asked();
+    assert_eq!(clock.act(START + SILENCE), Some(Act::Lose));
+    let strict = Some(START + MISSED + GRACE);
+    for at in [START + 3 * SECOND, START + 6 * SECOND] {
+        clock.opened(at);
+        clock.broke(at + SECOND);
+        assert_eq!(clock.until(), strict);
+    }
+    // One that was given up, or could not be made for want of a descriptor, is such a silence too.
+    for give_up in [true, false] {
+        let mut clock = asked();
+        clock.broke(START + SECOND);
+        clock.opened(START + 2 * SECOND);
+        if give_up {
+            assert_eq!(clock.act(START + 2 * SECOND + TURN), Some(Act::Lose));
+        } else {
+            clock.closed(START + 2 * SECOND);
+        }
+        clock.opened(START + 6 * SECOND);
+        clock.broke(START + 7 * SECOND);
+        assert_eq!(clock.until(), strict);
+    }
+}
+
+#[test]
+fn a_move_begins_a_new_time_and_refusals_there_count_again() {
+    let mut clock = asked();
+    assert_eq!(clock.act(START + SILENCE), Some(Act::Lose));
+    clock.moved(START + 5 * SECOND);
+    assert_eq!(clock.until(), Some(START + 5 * SECOND + MOVED + GRACE));
+    clock.opened(START + 5 * SECOND);
+    clock.broke(START + 7 * SECOND);
+    assert_eq!(clock.until(), Some(START + 5 * SECOND + MISSED + GRACE));
+}
+
+proptest! {
+    /// Whatever happens, in any order: where the list is asked for, nothing is acted on for longer than the last word, or
+    /// the last call that was refused with no silence before it, allows; and never without a bound once a word is missing.
+    #[test]
+    fn an_asked_list_is_held_no_longer_than_is_known(steps in prop::collection::vec((0_u8..6, 0_u64..3 * SECOND), 1..200)) {
+        let mut clock = asked();
+        let (mut now, mut allowed, mut silent) = (START, START + MISSED + GRACE, false);
+        for (what, later) in steps {
+            now += later;
+            match (what, clock.state()) {
+                (0, State::Anew(_) | State::Told(_)) => {
+                    clock.heard(now);
+                    (allowed, silent) = (now + MISSED + GRACE, false);
+                }
+                (1, state) => {
+                    if let State::Anew(called) = state && !silent {
+                        allowed = allowed.max(called + MISSED + GRACE);
+                    }
+                    clock.broke(now);
+                }
+                (2, State::Broken(_)) => clock.opened(now),
+                (3, State::Anew(_) | State::Told(_)) => {
+                    clock.closed(now);
+                    silent = true;
+                }
+                (4, _) => {
+                    clock.moved(now);
+                    (allowed, silent) = (now + MOVED + GRACE, false);
+                }
+                _ => {
+                    if let Some(due) = clock.due() {
+                        now = now.max(due);
+                        prop_assert_eq!(clock.act(now), Some(Act::Lose));
+                        silent = true;
+                    }
+                }
+            }
+            prop_assert!(clock.until().is_none_or(|until| until <= allowed));
+            let told = matches!(clock.state(), State::Told(_));
+            prop_assert!(clock.until().is_some() || told || matches!(clock.state(), State::Anew(_)));
+        }
+    }
+}
+
 proptest! {
     /// Whatever happens, in any order: an agent is always asked again, never faster than the pace, and the list is held
     /// to no later time than its last word allows.
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -102,7 +102,7 @@
             self.clock.opened(ctx.now);
             self.watch = self.call(ctx, &target);
             if self.watch.is_none() {
-                self.clock.broke(ctx.now);
+                self.clock.closed(ctx.now);
             }
         } else {
             self.leave_before(ctx);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -308,6 +308,23 @@
     assert_eq!(sends(&bench.arrive(1, 0, MS)).len(), 1);
 }
 
+#[test]
+fn however_often_a_call_for_the_list_fails_the_next_follows_within_a_second_and_a_half() {
+    let mut settings = settings();
+    settings.list_on_request = true;
+    let mut bench = Bench::with_workers(settings, &[11]);
+    bench.wait(10 * SECOND);
+    for nr in 0..20 {
+        let rests = bench.members(ListKind::Lost, Vec::new()).into_iter().filter_map(|action| match action {
+            Action::SetTimer { timer: TimerId(2), after } => Some(after),
+            _ => None,
+        });
+        let rests: Vec<Micros> = rests.collect();
+        assert!(rests.len() == 1 && rests[0] <= 3 * SECOND / 2, "after {nr} failures: {rests:?}");
+        bench.wait(2 * SECOND);
+    }
+}
+
 #[test]
 fn dispatchers_that_start_together_do_not_call_the_list_together() {
     let mut calls = Vec::new();
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "each test program uses a part of the language")]
 mod scenario;
 
-use scenario::play_pushed;
+use scenario::{Setup, play_pushed};
 
 #[test]
 fn a_list_pushed_before_the_start_counts_and_may_come_indented_in_pieces() {
@@ -219,3 +219,88 @@
         "#,
     );
 }
+
+/// A list that is asked for, where the class's aim leaves a job time to wait.
+fn play_asked(script: &str) {
+    Setup { hops: 1, settings: &[("/settings/request_classes/0/aim_us", "15000000")], ..Setup::default() }
+        .play(script);
+}
+
+#[test]
+fn calls_that_are_refused_again_and_again_follow_each_other_soon_and_the_list_stays_in_force() {
+    // Nothing counts as told while discovery cannot be reached; and at its return it is called at once.
+    play_asked(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close d
+        mark
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        close d.3
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        send d.4 503
+        expect d.5 GET /discovery/hosts?watch=1&from=41
+        close d.5
+        expect d.6 GET /discovery/hosts?watch=1&from=41
+        send d.6 503
+        expect d.7 GET /discovery/hosts?watch=1&from=41
+        send d.7 503
+        expect d.8 GET /discovery/hosts?watch=1&from=41
+        send d.8 503
+        expect d.9 GET /discovery/hosts?watch=1&from=41
+        within 12500
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect h1 POST /look Request-Id:a1
+        "#,
+    );
+}
+
+#[test]
+fn after_a_silent_watch_and_silent_calls_nothing_is_sent_to_who_may_have_begun_to_drain() {
+    // The watch falls silent, and what takes its place is never answered: a drain that was missed counts 6 s after the
+    // silence began, and these settings give half a second more. The worker gets nothing, the next word opens all again.
+    play_asked(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        wait d.2
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        wait d.3
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        send d.4 watch
+        send d.4 chunk {"seq":42,"whole":false,"hosts":[]}\n
+        send d.4 chunk {"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a2 Request-Timeout:20
+        expect h1 POST /look Request-Id:a2
+        "#,
+    );
+}
+
+#[test]
+fn a_watch_that_is_reset_before_a_drain_is_begun_anew_and_the_drain_heard_in_time() {
+    play_asked(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close d
+        mark
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        within 2000
+        send d.2 watch
+        send d.2 chunk {"seq":42,"whole":false,"hosts":[{"host":"h1","dial":"127.0.0.1:9","site":"north","class":"big","health":"terminating"}]}\n
+        send d.2 chunk {"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        "#,
+    );
+}
