Begin an attempt only when all facts of a turn are in, and ask once more whether it may

Suspected by reading, confirmed by three tests on real sockets with the crossing forced (the program held still by SIGSTOP while connection, close and change are laid in place): one poll finds that a worker's connection is up and, behind it, that the client has gone, that the worker drains, or that the connect timeout is over. The request was written all the same (the stand-in read 64 bytes and more of it in each of the three).

Ruled out: the way by which a kept connection is used; there the module has heard all of the turn before anything is sent.

Wrong: next_hop.rs, ready: a connection that came up was written to at once, in the order of the poll's events and before the module heard of the others; its timeout was looked at only when no event came first. Where attempts may not be called off (cancelling false) the desk never ended one whose client had left.

Change: connections that come up wait for the end of the turn.

Tests, each seen to fail without the change: tests/rare.rs, "a connection that comes up as its client leaves", "as its worker begins to drain" (asked for, pushed, and gone), "later than the settings allow".

--- a/crates/decisions/src/rules/admission.rs
+++ b/crates/decisions/src/rules/admission.rs
@@ -5,13 +5,7 @@
 impl Dispatcher {
     /// The EDF demand test: with the jobs planned for the worker and this one, in deadline order, each ends
     /// by its deadline. Gives the job's start, and its end.
-    pub(super) fn demand(
-        &self,
-        at: usize,
-        now: Micros,
-        id: RequestId,
-        scratch: &mut Vec<Micros>,
-    ) -> Option<Span> {
+    pub(super) fn demand(&self, at: usize, now: Micros, id: RequestId, scratch: &mut Ends) -> Option<Span> {
         let request = &self.requests[&id];
         self.lane_ends(at, now, scratch);
         if request.slots > scratch.len() {
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -3,15 +3,23 @@
 use super::*;
 
 impl Dispatcher {
-    /// Every rule on where a job may go, in one place: attempts left, no second effect, drains, cold workers. That none
-    /// of its attempts is out any more is asked when it goes.
-    pub(super) fn may_send(&self, now: Micros, request: &Request, at: usize) -> bool {
+    /// What was decided of an attempt holds still. Asked right before its first byte: its connection may have come up
+    /// after its client left, its worker began to drain, or an earlier attempt's repeats ceased to be dropped.
+    pub fn may_begin(&self, now: Micros, id: RequestId, attempt: u32) -> bool {
+        let (request, nr) = (self.requests.get(&id), attempt as usize);
+        let at = request.and_then(|request| request.attempts.get(nr)).map(|own| own.worker);
+        request.zip(at).is_some_and(|(request, at)| self.may_go(now, request, nr, at))
+    }
+
+    /// The rules on where the attempt of this number may go that hold up to its first byte.
+    fn may_go(&self, now: Micros, request: &Request, attempt: usize, at: usize) -> bool {
         let worker = &self.workers[at];
-        if request.done || request.attempts.len() >= self.settings.limits.tries as usize {
+        if request.done || attempt >= self.settings.limits.tries as usize {
             return false;
         }
         // Rule 2.
-        let mut risky = request.attempts.iter().filter(|attempt| attempt.state != State::NeverRan);
+        let before = &request.attempts[..attempt];
+        let mut risky = before.iter().filter(|attempt| attempt.state != State::NeverRan);
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => risky.next().is_none(),
@@ -23,7 +31,12 @@
         };
         // Rule 3: nothing at all after being told, so the grace is never needed; nor by a list that is too old.
         let old = self.list.until.is_some_and(|until| now >= until);
-        if !harmless || old || worker.standing != Standing::On || worker.refuses(request.skill) {
+        harmless && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
+    }
+
+    /// Every rule on where a job may go now; that none of its attempts is out any more is asked when it goes.
+    pub(super) fn may_send(&self, now: Micros, request: &Request, at: usize) -> bool {
+        if !self.may_go(now, request, request.attempts.len(), at) {
             return false;
         }
         // Rule 4. What a cold worker was sent counts on in the process that took over.
--- a/crates/decisions/src/rules/estimates.rs
+++ b/crates/decisions/src/rules/estimates.rs
@@ -15,19 +15,13 @@
 
     /// Learns from a job's measured time: its class's ratio to the hint, and the worker's and kind's speed. Gives the
     /// logarithm of the worker's speed as this job shows it.
-    pub(super) fn learn(
-        &mut self,
-        now: Micros,
-        at: usize,
-        (class, hint): (usize, Option<f64>),
-        time: Micros,
-    ) -> Option<f64> {
+    pub(super) fn learn(&mut self, now: Micros, at: usize, of: Told, time: Micros) -> Option<f64> {
         if self.warmth(at, now) < 1.0 || time == 0 {
             return None;
         }
         let speed = self.speed(at);
         self.know.mean_time += (time as f64 - self.know.mean_time) * 0.05;
-        let error = self.know.classes[class].learn(time as f64 * speed, hint)?;
+        let error = self.know.classes[of.0].learn(time as f64 * speed, of.1)?;
         self.learn_speed(at, error);
         Some(speed.ln() - error)
     }
--- a/crates/decisions/src/rules/list.rs
+++ b/crates/decisions/src/rules/list.rs
@@ -20,9 +20,8 @@
         self.out.extend(after.map(|after| Action::SetTimer { timer: TIMER_LIST, after }));
         if kind == ListKind::Lost {
             return;
-        } else if kind != ListKind::Saved {
-            self.list.lost = false;
         }
+        self.list.lost &= kind == ListKind::Saved;
         if kind != ListKind::Changes {
             let gone = |of: &&mut Worker| members.iter().all(|member| member.worker != of.id);
             self.workers.iter_mut().filter(gone).for_each(|worker| worker.standing = Standing::Gone);
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -55,9 +55,11 @@
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
 
-/// When a job starts, and when it ends; the same, and at which worker.
+/// A job's start and end; the same, and at which worker; when lanes come free; a job's class and hint.
 type Span = (Micros, Micros);
 type Choice = (usize, Micros, Micros);
+type Ends = Vec<Micros>;
+type Told = (usize, Option<f64>);
 
 /// One dispatcher's decisions.
 pub struct Dispatcher {
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -358,6 +358,22 @@
         }
     }
 
+    /// Whether a branch whose connection has come up may still begin, and if not, what it ends with: its caller may have
+    /// left meanwhile or its time be over, or the module may no longer want it there.
+    pub fn begins(&mut self, now: Micros, id: BranchId) -> Result<(), Ending> {
+        let entry = self.entries.get(&id.request).filter(|entry| !entry.concluded && now < entry.expires);
+        if entry.is_none() {
+            return Err(Ending::Moot);
+        }
+        let may = self.dispatcher.may_begin(now, RequestId(id.request), id.attempt);
+        if may { Ok(()) } else { Err(Ending::Unreachable) }
+    }
+
+    /// A branch has ended before its first byte, with this.
+    pub fn unbegun(&mut self, now: Micros, id: BranchId, ending: Ending) {
+        self.end(now, id, ending, None);
+    }
+
     /// The last byte of a branch has been written.
     pub fn written(&mut self, now: Micros, id: BranchId) {
         let Some(branch) = self.branch(id) else { return };
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -76,6 +76,10 @@
         self.hops.close_idle(ctx, hop);
     }
 
+    fn settled(&mut self, ctx: &mut Ctx<'_>) {
+        self.hops.begin(ctx);
+    }
+
     fn listen(&mut self, ctx: &mut Ctx<'_>) -> io::Result<()> {
         self.callers.listen(ctx)
     }
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -47,6 +47,7 @@
     stream: TcpStream,
     buffer: Buffer,
     hop: WorkerId,
+    opened: Micros,
     up: bool,
     task: Task,
     /// When it last came to rest; `None` on its first request.
@@ -111,6 +112,8 @@
     links: HashMap<usize, Link>,
     /// Branches whose connection has not brought an answer yet.
     out: HashMap<BranchId, usize>,
+    /// Connections that have come up for a branch in this turn. It begins when all facts of the turn are in.
+    risen: Vec<usize>,
     connect_timeout: Micros,
     rest: Rest,
     most: usize,
@@ -126,6 +129,7 @@
             hops: HashMap::new(),
             links: HashMap::new(),
             out: HashMap::new(),
+            risen: Vec::new(),
             connect_timeout,
             rest: Rest::new(idle.saturating_sub(IDLE_MARGIN).max(idle / 2)),
             most,
@@ -339,6 +343,7 @@
             stream,
             buffer: Buffer::default(),
             hop,
+            opened: ctx.now,
             up: false,
             task: Task::Idle,
             rested: None,
@@ -360,18 +365,41 @@
             if link.stream.peer_addr().is_err() {
                 return;
             }
+            if ctx.now >= link.opened + self.connect_timeout {
+                return self.fail(ctx, token);
+            }
             link.up = true;
             let _ = link.stream.set_nodelay(true);
-            match link.task {
-                Task::Branch(_) => ctx.deadlines.clear(Due::Conn(token, Alarm::Late)),
-                _ => ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SIDE_CALL),
+            if let Task::Branch(_) = link.task {
+                ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
+                return self.risen.push(token);
             }
+            ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SIDE_CALL);
         }
+        self.go_on(ctx, token);
+    }
+
+    fn go_on(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         if self.flush(ctx, token) {
             self.read(ctx, token);
         }
     }
 
+    /// Begins the branches whose connections have come up. The module has heard all that came with them: what it no longer
+    /// wants is gone by now, or is asked for here.
+    pub fn begin(&mut self, ctx: &mut Ctx<'_>) {
+        for token in std::mem::take(&mut self.risen) {
+            let Some(&Link { task: Task::Branch(branch), .. }) = self.links.get(&token) else { continue };
+            match ctx.desk.begins(ctx.now, branch) {
+                Ok(()) => self.go_on(ctx, token),
+                Err(ending) => {
+                    self.drop_link(ctx, token);
+                    ctx.desk.unbegun(ctx.now, branch, ending);
+                }
+            }
+        }
+    }
+
     /// Writes what waits; tells whether the connection lives and has nothing more to write.
     fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
         // A next hop says at once that it takes a job. One that has not after this time has fallen silent, or the way to
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -25,3 +25,78 @@
         "#,
     );
 }
+
+/// Connections to workers may take 20 s, and there is time for it.
+const LATE: [(&str, &str); 2] = [
+    ("/settings/ceilings/connect_timeout_us", "20000000"),
+    ("/settings/request_classes/0/aim_us", "15000000"),
+];
+
+#[test]
+fn a_connection_that_comes_up_as_its_client_leaves_is_not_written_to() {
+    // Held still, the program finds in one poll that the connection is up, and then that the client has gone.
+    for effect in ["look", "book"] {
+        Setup { settings: &LATE, ..Setup::default() }.play(&format!(
+            r#"
+            crowd h1
+            send c1 POST /{effect} Request-Id:a1 Request-Timeout:20
+            info scheduler.in_flight=1
+            send program STOP
+            room h1
+            take h1
+            close c1
+            send program CONT
+            wait h1
+            send c2 POST /{effect} Request-Id:a2 Request-Timeout:20
+            expect h1.2 POST /{effect} Request-Id:a2
+            "#
+        ));
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_as_its_worker_begins_to_drain_is_not_written_to() {
+    for (pushed, told) in [(true, "terminating"), (false, "terminating"), (true, "terminated")] {
+        Setup { pushed, settings: &LATE, ..Setup::default() }.play(&format!(
+            r#"
+            expect d GET /discovery/hosts?watch=1&from=41
+            send d watch
+            send d chunk \n
+            crowd h1
+            send c1 POST /book Request-Id:a1 Request-Timeout:20
+            info scheduler.in_flight=1
+            send program STOP
+            room h1
+            take h1
+            send d chunk {{"seq":42,"whole":false,"hosts":[{{"host":"h1","dial":"127.0.0.1:9","site":"north","class":"big","health":"{told}"}}]}}\n
+            send program CONT
+            wait h1
+            expect c1 503
+            "#
+        ));
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_later_than_the_settings_allow_is_not_written_to() {
+    // It counts as never made, so that a job which must not run twice is refused as harmless to try again.
+    let settings = [
+        ("/settings/ceilings/connect_timeout_us", "3000000"),
+        ("/settings/request_classes/1/aim_us", "15000000"),
+    ];
+    Setup { settings: &settings, ..Setup::default() }.play(
+        r#"
+        crowd h1
+        mark
+        send c1 POST /book Request-Id:a1 Request-Timeout:20
+        info scheduler.in_flight=1
+        send program STOP
+        room h1
+        take h1
+        until 4000
+        send program CONT
+        wait h1
+        expect c1 503
+        "#,
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,6 +9,10 @@
 //! * `start heir` starts the program again beside itself, where the clients' socket was passed to it: then `program`
 //!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`).
 //! * `mark` begins to count; `after MS` says that so much has passed since at least, `within MS` at most.
+//!   `until MS` lets so much pass.
+//! * `crowd h1` lets nobody connect to a worker until there is `room h1`; who tries meanwhile is let in some time later.
+//! * `info LINE` waits until operators are told this line.
+//! * `take h1` takes the next connection made to it, and reads nothing.
 //! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
 //!
 //! Under an operator file `g…` and `w…` are connections to the Gearman port, of clients and workers. Their messages are
@@ -323,6 +327,23 @@
         self.conns.get_mut(who).ok_or_else(|| "no connection".to_owned())
     }
 
+    /// Nobody can connect to this worker until there is `room`: one connection waits to be accepted, and there is space for
+    /// no other. Who tries is let in some time, a second or so, after that.
+    fn crowd(&mut self, name: &str) -> std::io::Result<()> {
+        let listener = self.listeners.remove(name).ok_or(ErrorKind::NotFound)?;
+        let at = listener.local_addr()?;
+        drop(listener);
+        let socket =
+            rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None)?;
+        rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
+        rustix::net::bind(&socket, &at)?;
+        rustix::net::listen(&socket, 0)?;
+        self.listeners.insert(name.to_owned(), TcpListener::from(socket));
+        let stream = TcpStream::connect(at)?;
+        self.conns.insert(format!("crowd {name}"), Conn { stream, held: Vec::new() });
+        Ok(())
+    }
+
     fn step(&mut self, verb: &str, who: &str, rest: &str) -> Result<(), String> {
         match (verb, who) {
             ("send", "program" | "elder") => {
@@ -365,6 +386,31 @@
                 let right = if verb == "after" { passed >= span } else { passed <= span };
                 if right { Ok(()) } else { Err(format!("{passed:?} have passed")) }
             }
+            ("until", span) => {
+                let span = Duration::from_millis(span.parse().map_err(|_| format!("'{span}' is no span"))?);
+                thread::sleep(span.saturating_sub(self.marked.elapsed()));
+                Ok(())
+            }
+            ("info", line) => {
+                let since = Instant::now();
+                while since.elapsed() < LIMIT {
+                    let mut door = TcpStream::connect(self.door_at).map_err(|error| error.to_string())?;
+                    door.write_all(b"INFO\n").map_err(|error| error.to_string())?;
+                    let mut told = String::new();
+                    door.read_to_string(&mut told).map_err(|error| error.to_string())?;
+                    if told.lines().any(|told| told == line) {
+                        return Ok(());
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+                Err("operators were never told so".to_owned())
+            }
+            ("take", _) => self.conn(who).map(drop),
+            ("crowd", name) => self.crowd(name).map_err(|error| error.to_string()),
+            ("room", name) => {
+                let listener = self.listeners.get(name).ok_or("nobody of this name")?;
+                accept(listener).map(drop)
+            }
             ("expect", "program") => self.hear(rest).map(drop),
             ("wait", "program" | "elder") => {
                 let since = Instant::now();
