Make room for a call to discovery when descriptors have run out

Suspected by reading, confirmed by a test on real sockets: 40 descriptors, filled by clients at rest and two jobs in work while discovery is away. Its return was not noticed at the first call ("calling discovery: Too many open files"); each further one is left to chance, a list that ages meanwhile.

Ruled out: that accepting alone could fill the table; it lets go of one connection when none is left, so that one is free until a worker's connection takes it. The test does just that.

Wrong: route_set, call: where workers' connections make room (next_hop.rs, open), it gave up.

Change: it lets go of the client's connection that is needed least, and tries once more.

--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -15,6 +15,7 @@
 use crate::net::core::roster::Source;
 use crate::net::http::framing;
 use crate::net::http::next_hop::NextHops;
+use crate::net::protocol::Spare;
 use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
 use calicolb::wire::WireError;
 use calicolb_freshness::{Act, ListClock, MISSED, Mode, TURN};
@@ -77,10 +78,10 @@
     }
 
     /// Asks for the whole list once.
-    pub fn fetch(&mut self, ctx: &mut Ctx<'_>) {
+    pub fn fetch(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare) {
         // One that is under way brings the same.
         if self.fetch.is_none() {
-            self.fetch = self.call(ctx, "/discovery/hosts");
+            self.fetch = self.call(ctx, spare, "/discovery/hosts");
             if self.fetch.is_some() {
                 ctx.deadlines.set(Due::Fetch, ctx.now + TURN);
             }
@@ -88,7 +89,7 @@
     }
 
     /// Begins the watch, or ends it.
-    pub fn watch(&mut self, ctx: &mut Ctx<'_>, want: bool) {
+    pub fn watch(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, want: bool) {
         if let Some(call) = self.watch.take() {
             if want && call.open {
                 self.leave_before(ctx);
@@ -100,7 +101,7 @@
         if want {
             let target = format!("/discovery/hosts?watch=1&from={}", self.seq);
             self.clock.opened(ctx.now);
-            self.watch = self.call(ctx, &target);
+            self.watch = self.call(ctx, spare, &target);
             if self.watch.is_none() {
                 self.clock.closed(ctx.now);
             }
@@ -140,8 +141,13 @@
         }
     }
 
-    fn call(&mut self, ctx: &mut Ctx<'_>, target: &str) -> Option<Call> {
-        let mut made = TcpStream::connect(self.discovery?);
+    fn call(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, target: &str) -> Option<Call> {
+        let discovery = self.discovery?;
+        let mut made = TcpStream::connect(discovery);
+        // Out of descriptors, say: without the list nothing can be sent at all, so that callers at rest make room.
+        if made.is_err() && spare.shed(ctx) {
+            made = TcpStream::connect(discovery);
+        }
         let token = ctx.next_token();
         if let Ok(stream) = &mut made
             && let Err(error) =
@@ -216,7 +222,7 @@
     }
 
     /// Nothing has come for too long, or it is time for another call.
-    pub fn late(&mut self, ctx: &mut Ctx<'_>, due: Due) {
+    pub fn late(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, due: Due) {
         if due == Due::Fetch {
             if let Some(call) = self.fetch.take() {
                 self.lose(ctx, call, due, "nothing came for too long");
@@ -224,7 +230,7 @@
             return;
         }
         match self.clock.act(ctx.now) {
-            Some(Act::Open) => return self.watch(ctx, true),
+            Some(Act::Open) => return self.watch(ctx, spare, true),
             Some(Act::Lose) => {
                 if let Some(call) = self.watch.take() {
                     self.lose(ctx, call, due, "nothing came for too long");
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -566,7 +566,7 @@
                     peers.ready(&mut ctx);
                 }
             }
-            Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, due),
+            Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, parts.http, due),
             Due::Farewell => {
                 parts.protocols().for_each(|protocol| protocol.farewell(&mut ctx));
                 self.drain.part();
@@ -618,8 +618,8 @@
                     peers.tell(to, &body);
                 }
             }
-            Work::FetchList => parts.routes.fetch(&mut ctx),
-            Work::Watch(want) => parts.routes.watch(&mut ctx, want),
+            Work::FetchList => parts.routes.fetch(&mut ctx, parts.http),
+            Work::Watch(want) => parts.routes.watch(&mut ctx, parts.http, want),
             Work::CloseIdle(hop) => parts.driver(hop).close_idle(&mut ctx, hop),
         }
     }
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -100,3 +100,34 @@
         "#,
     );
 }
+
+#[test]
+fn discovery_is_called_though_clients_at_rest_hold_all_descriptors() {
+    // They come while it is down; at its return the drain that it has must be heard. The program has 40 descriptors, and its
+    // configuration knows nothing of that.
+    let idle = (1..=60).map(|nr| format!("send c{nr} GET /up\nexpect c{nr} 200\n")).collect::<String>();
+    let script = format!(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        {idle}
+        mark
+        until 200
+        close d
+        mark
+        expect program discovery: the
+        send c59 POST /look Request-Id:a8 Request-Timeout:900
+        expect h2 POST /look Request-Id:a8
+        send c60 POST /look Request-Id:a9 Request-Timeout:900
+        expect h1 POST /look Request-Id:a9
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        info scheduler.fleet.list_calls=2
+        send d.2 watch
+        send d.2 chunk {{"seq":42,"whole":false,"hosts":[{{"host":"h1","dial":"127.0.0.1:9","site":"north","class":"big","health":"terminating"}}]}}\n
+        send d.2 chunk {{"seq":43,"whole":false,"hosts":[{{"host":"h9","dial":"nonsense"}}]}}\n
+        expect program a line of the list is dropped
+        send cx POST /look Request-Id:a1 Request-Timeout:900
+        expect cx 503
+        "#
+    );
+    Setup { hops: 2, descriptors: 40, ..Setup::default() }.play(&script);
+}
