--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -12,6 +12,7 @@
 //!   `until MS` lets so much pass.
 //! * `crowd h1` lets nobody connect to a worker until there is `room h1`; who tries meanwhile is let in some time later.
 //! * `info LINE` waits until operators are told this line.
+//! * `ends WHO` waits until a connection ends in order, and is not reset; `none h1` says that nobody has connected to it.
 //! * `take h1` takes the next connection made to it, and reads nothing.
 //! * `wait WHO` waits until a connection ends; `wait program` until the program has exited cleanly.
 //!
@@ -280,7 +281,10 @@
             self.at = address(self.hear("serves on ")?)?;
             return Ok(());
         }
-        self.peers_at = address(self.hear("hears schedulers on ")?)?;
+        // Where schedulers may not talk it hears none.
+        if !self.settings.contains(&("/settings/ceilings/peers".to_owned(), "false".to_owned())) {
+            self.peers_at = address(self.hear("hears schedulers on ")?)?;
+        }
         self.at = address(self.hear("serves on ")?)?;
         Ok(())
     }
@@ -406,6 +410,18 @@
                 Err("operators were never told so".to_owned())
             }
             ("take", _) => self.conn(who).map(drop),
+            ("ends", _) => match self.conn(who)?.stream.read(&mut [0; 64]) {
+                Ok(0) => Ok(()),
+                other => Err(format!("it does not end in order: {other:?}")),
+            },
+            ("none", name) => {
+                let listener = self.listeners.get(name).ok_or("nobody of this name")?;
+                listener.set_nonblocking(true).map_err(|error| error.to_string())?;
+                match listener.accept() {
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
+                    other => Err(format!("somebody connected: {other:?}")),
+                }
+            }
             ("crowd", name) => self.crowd(name).map_err(|error| error.to_string()),
             ("room", name) => {
                 let listener = self.listeners.get(name).ok_or("nobody of this name")?;
--- /dev/null
+++ b/tests/start.rs
@@ -0,0 +1,86 @@
+//! Many processes at once, and a process whose descriptors are all taken.
+
+#[allow(dead_code, reason = "each test program uses a part of the language")]
+mod scenario;
+
+use scenario::{Setup, play};
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[test]
+fn thirty_processes_that_start_at_once_are_ready_within_10_s_whatever_discovery_does() {
+    // It is down (nobody listens), silent, or has too many callers and refuses.
+    for discovery in ["close d", "", "expect d GET /discovery/hosts?watch=1&from=41\nsend d 503"] {
+        let since = Instant::now();
+        thread::scope(|scope| {
+            for pushed in (0..30).map(|nr| nr % 2 == 0) {
+                let script = format!("{discovery}\nsend c1 GET /up\nexpect c1 200");
+                scope.spawn(move || Setup { pushed, ..Setup::default() }.play(&script));
+            }
+        });
+        assert!(since.elapsed() < Duration::from_secs(10), "{:?} with '{discovery}'", since.elapsed());
+    }
+}
+
+#[test]
+fn with_all_of_256_descriptors_held_by_idle_clients_everybody_else_still_gets_theirs() {
+    // The configuration grants 256, the system too. Discovery ends the watch, a worker, its call-back and a new client come.
+    let idle: String = (1..=250).map(|nr| format!("send c{nr} GET /up\nexpect c{nr} 200\n")).collect();
+    Setup { descriptors: 256, ..Setup::default() }.play(&format!(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        {idle}
+        close d
+        send cx POST /book Request-Id:a1 Request-Timeout:20
+        expect h1 POST /book Request-Id:a1
+        send h1 202
+        send n1 POST /_jobs/news | {{"id":"a1","from":"h1","state":"done","result":"r1"}}
+        expect n1 200
+        expect cx 200 | r1
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        ends c1
+        "#
+    ));
+}
+
+#[test]
+fn a_flood_and_a_trickle_hold_up_nobody_else() {
+    // Requests without an end, one byte at a time, and many at once; a client beside them is served in its time.
+    let trickle: String = "POST /look HT"
+        .chars()
+        .map(|byte| {
+            format!("send c9 raw {}\n", if byte == ' ' { r"\x20".to_owned() } else { byte.to_string() })
+        })
+        .collect();
+    play(
+        1,
+        &format!(
+            r#"
+            send c1 POST /look Request-Id:b1 Request-Timeout:9 X-Much:#200000
+            send c2 POST /look Request-Id:b2 Request-Timeout:9 | #70000
+            send c3 raw \x00\x01\xff\r\n\r\n
+            send c4 raw GET /up HTTP/1.1\r\n\r\nGET /up HTTP/1.1\r\n\r\nGET /up HTTP/1.1\r\n\r\n
+            {trickle}
+            send c5 POST /book Request-Id:a1 Request-Timeout:9
+            expect h1 POST /book Request-Id:a1
+            send h1 202
+            send n1 POST /_jobs/news | {{"id":"a1","from":"h1","state":"done","result":"r1"}}
+            expect n1 200
+            expect c5 200 | r1
+            expect c1 431 Connection:close
+            ends c1
+            expect c2 413 Connection:close
+            ends c2
+            expect c3 400 Connection:close
+            ends c3
+            expect c4 200
+            expect c4 200
+            expect c4 200
+            expect c9 408 Connection:close
+            ends c9
+            "#
+        ),
+    );
+}
