--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -334,15 +334,10 @@
     /// Nobody can connect to this worker until there is `room`: one connection waits to be accepted, and there is space for
     /// no other. Who tries is let in some time, a second or so, after that.
     fn crowd(&mut self, name: &str) -> std::io::Result<()> {
-        let listener = self.listeners.remove(name).ok_or(ErrorKind::NotFound)?;
+        let listener = self.listeners.get(name).ok_or(ErrorKind::NotFound)?;
+        // Said again, it changes how many may wait.
+        rustix::net::listen(listener, 0)?;
         let at = listener.local_addr()?;
-        drop(listener);
-        let socket =
-            rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None)?;
-        rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
-        rustix::net::bind(&socket, &at)?;
-        rustix::net::listen(&socket, 0)?;
-        self.listeners.insert(name.to_owned(), TcpListener::from(socket));
         let stream = TcpStream::connect(at)?;
         self.conns.insert(format!("crowd {name}"), Conn { stream, held: Vec::new() });
         Ok(())
@@ -410,7 +405,7 @@
                 Err("operators were never told so".to_owned())
             }
             ("take", _) => self.conn(who).map(drop),
-            ("ends", _) => match self.conn(who)?.stream.read(&mut [0; 64]) {
+            ("ends", _) => match self.conn(who)?.read(&mut [0; 64]) {
                 Ok(0) => Ok(()),
                 other => Err(format!("it does not end in order: {other:?}")),
             },
@@ -499,7 +494,7 @@
             }
             ("wait", _) => {
                 let conn = self.conn(who)?;
-                match conn.stream.read(&mut [0; 64]) {
+                match conn.read(&mut [0; 64]) {
                     Ok(0) => Ok(()),
                     Err(error) if error.kind() == ErrorKind::ConnectionReset => Ok(()),
                     other => Err(format!("it goes on: {other:?}")),
@@ -697,9 +692,19 @@
 }
 
 impl Conn {
+    /// One read; a signal that interrupts it is none of its business.
+    fn read(&mut self, part: &mut [u8]) -> std::io::Result<usize> {
+        loop {
+            match self.stream.read(part) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                other => return other,
+            }
+        }
+    }
+
     fn more(&mut self) -> Result<(), String> {
         let mut part = [0; 4096];
-        match self.stream.read(&mut part) {
+        match self.read(&mut part) {
             Ok(0) => Err(format!("it ended after '{}'", String::from_utf8_lossy(&self.held))),
             Ok(count) => {
                 self.held.extend_from_slice(&part[..count]);
