--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -344,6 +344,33 @@
     assert!(last - first > SECOND, "all within {} us", last - first);
 }
 
+#[test]
+fn dispatchers_that_lose_the_list_together_do_not_call_it_together() {
+    // Three hundred lose their watch, and then every call, in the same moment. A tenth of a second sees no more than twice
+    // its even part of the calls, which a second is for after the watch, and one after each call.
+    let mut benches: Vec<Bench> = (0..300)
+        .map(|seed| {
+            let mut settings = settings();
+            settings.list_on_request = true;
+            Bench { dispatcher: calicolb::rules::Dispatcher::new(settings, seed, T0), now: T0 }
+        })
+        .collect();
+    for _ in 0..3 {
+        let mut parts = [0; 16];
+        for bench in &mut benches {
+            bench.members(ListKind::Saved, vec![member(11)]);
+            let rests =
+                bench.members(ListKind::Lost, Vec::new()).into_iter().filter_map(|action| match action {
+                    Action::SetTimer { timer: TimerId(2), after } => Some(after),
+                    _ => None,
+                });
+            rests.for_each(|after| parts[(after / (100 * MS)) as usize] += 1);
+        }
+        assert_eq!(parts.iter().sum::<u32>(), 300);
+        assert!(parts.iter().all(|&part| part <= 60), "{parts:?}");
+    }
+}
+
 #[test]
 fn probes_are_sent_only_where_they_are_allowed_and_bring_reports() {
     for (probes, reports, expected) in [
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -304,3 +304,55 @@
         "#,
     );
 }
+
+/// A change of the list that lets `h1` drain, and one that is noticed in the log.
+const DRAIN: &str = r#"{"seq":42,"whole":false,"hosts":[{"host":"h1","dial":"127.0.0.1:9","site":"north","class":"big","health":"terminating"}]}\n{"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n"#;
+
+#[test]
+fn a_drain_in_the_first_second_after_an_outage_is_heard_with_the_first_call_that_is_answered() {
+    play_asked(&format!(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close d
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        close d.3
+        mark
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        within 2500
+        send d.4 watch
+        send d.4 chunk {DRAIN}
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#
+    ));
+}
+
+#[test]
+fn a_new_configuration_in_an_outage_moves_the_calls_at_once_and_what_is_there_is_heard() {
+    // The old discovery refuses; the new one has a drain from its first moment.
+    play_asked(&format!(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d 503
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        send file d2
+        send program HUP
+        mark
+        expect d2 GET /discovery/hosts?watch=1&from=41
+        within 2500
+        send d2 watch
+        send d2 chunk {DRAIN}
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#
+    ));
+}
