--- a/crates/bodies/src/keeper.rs
+++ b/crates/bodies/src/keeper.rs
@@ -62,13 +62,13 @@
 struct Job {
     /// It must never run twice.
     once: bool,
-    /// The last byte of a branch is written: it may have run.
+    /// The last byte of an attempt is written: it may have run.
     may_have_run: bool,
     /// No further try is allowed.
     spent: bool,
     /// It has its final answer.
     answered: bool,
-    /// Branches that are being written from this body.
+    /// Attempts that are being written from this body.
     readers: u32,
 }
 
@@ -177,7 +177,7 @@
         Ok(self.settle())
     }
 
-    /// A branch begins to be written from this body, or (`false`) no longer is.
+    /// An attempt begins to be written from this body, or (`false`) no longer is.
     pub fn reading(&mut self, id: BodyId, reads: bool) -> Vec<Order> {
         if let Some(body) = self.bodies.get_mut(&id) {
             let readers = &mut body.job.readers;
@@ -186,7 +186,7 @@
         self.settle()
     }
 
-    /// The last byte of a branch is written: the job may have run.
+    /// The last byte of an attempt is written: the job may have run.
     pub fn written(&mut self, id: BodyId) -> Vec<Order> {
         self.change(id, |job| job.may_have_run = true)
     }
@@ -340,7 +340,7 @@
         let Some(body) = self.bodies.get_mut(&id) else { return false };
         let size = body.due.unwrap_or(body.size).max(body.size);
         let room = self.limits.all_in_files.saturating_sub(self.counts.files);
-        // A body that a branch is written from stays where that reads it.
+        // A body that an attempt is written from stays where that reads it.
         if self.broken || size > room || self.counts.in_files >= self.limits.files || body.job.readers > 0 {
             return false;
         }
--- a/crates/gearman/src/fleet.rs
+++ b/crates/gearman/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Workers that pull. All connections under one client id are one *hop*, each that has asked for work one of its lanes.
-//! Somebody else decides which hop gets a branch; here is decided which of its connections is woken for it, and which
-//! branch a connection gets that asks.
+//! Somebody else decides which hop gets an attempt; here is decided which of its connections is woken for it, and which
+//! attempt a connection gets that asks.
 
 use crate::ConnId;
 use crate::packet::Kind;
@@ -14,11 +14,11 @@
 /// A hop, by a number that is given again only when another has gone.
 pub type HopNr = usize;
 
-/// A branch with a worker, or offered to one.
+/// An attempt with a worker, or offered to one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Assignment<B> {
-    /// The branch.
-    pub branch: B,
+    /// The attempt.
+    pub attempt: B,
     /// The function that it is to be run as.
     pub function: String,
     /// The handle under which the worker speaks of it.
@@ -34,7 +34,7 @@
     Wake(ConnId),
     /// This connection is awake, and is expected to ask.
     Awaited(ConnId),
-    /// This connection has asked already: it can be given the branch at once.
+    /// This connection has asked already: it can be given the attempt at once.
     Asked(ConnId),
     /// No connection of the hop is free and can do it.
     Full,
@@ -43,15 +43,15 @@
 /// What a connection that reports on a handle has at hand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work<B> {
-    /// This branch.
-    Branch(B),
-    /// A branch that was given up: what is told of it meets nobody.
+    /// This attempt.
+    Attempt(B),
+    /// An attempt that was given up: what is told of it meets nobody.
     Orphan,
     /// Nothing of this handle: it is another's, or long over.
     Strange,
 }
 
-/// What became of a branch whose connection has gone.
+/// What became of an attempt whose connection has gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lost<B> {
     /// It was only offered: it has never run.
@@ -127,7 +127,7 @@
     since: u64,
 }
 
-/// See the head of this file. `B` is what a host calls a branch by.
+/// See the head of this file. `B` is what a host calls an attempt by.
 pub struct Fleet<B> {
     conns: HashMap<ConnId, Conn<B>>,
     hops: HashMap<String, Hop>,
@@ -184,14 +184,14 @@
         true
     }
 
-    /// A connection can do a function no longer. Gives back a branch that was offered to it and cannot go there now.
+    /// A connection can do a function no longer. Gives back an attempt that was offered to it and cannot go there now.
     pub fn cant_do(&mut self, conn: ConnId, function: &str) -> Option<B> {
         self.conns.get_mut(&conn)?.abilities.remove(function);
         self.touch(conn);
         self.withdraw(conn, |offer| offer.function == function)
     }
 
-    /// A connection can do nothing any more. Gives back a branch that was offered to it.
+    /// A connection can do nothing any more. Gives back an attempt that was offered to it.
     pub fn reset(&mut self, conn: ConnId) -> Option<B> {
         self.conns.get_mut(&conn)?.abilities.clear();
         self.touch(conn);
@@ -199,7 +199,7 @@
     }
 
     fn withdraw(&mut self, conn: ConnId, which: impl Fn(&Assignment<B>) -> bool) -> Option<B> {
-        self.conns.get_mut(&conn)?.offer.take_if(|offer| which(offer)).map(|offer| offer.branch)
+        self.conns.get_mut(&conn)?.offer.take_if(|offer| which(offer)).map(|offer| offer.attempt)
     }
 
     /// A connection names itself. Tells whether it could: not while it has a job.
@@ -267,7 +267,7 @@
     }
 
     /// A connection asks for work. Tells whether it may have some: not while it has a job. Its answer is due once
-    /// the branches of this turn are offered (see [`Fleet::assign`]).
+    /// the attempts of this turn are offered (see [`Fleet::assign`]).
     ///
     /// # Errors
     /// Too many workers are there.
@@ -281,9 +281,9 @@
         Ok(true)
     }
 
-    /// Offers a branch to a hop, as one of these functions. The connection that is expected to take it is the one that
+    /// Offers an attempt to a hop, as one of these functions. The connection that is expected to take it is the one that
     /// is nearest to asking.
-    pub fn offer(&mut self, nr: HopNr, branch: B, functions: &[&str], handle: &str) -> Offered {
+    pub fn offer(&mut self, nr: HopNr, attempt: B, functions: &[&str], handle: &str) -> Offered {
         let Some(hop) = self.names.get(&nr).and_then(|name| self.hops.get(name)) else {
             return Offered::Full;
         };
@@ -301,7 +301,7 @@
         let Some(function) = can(conn) else { return Offered::Full };
         let timeout = conn.abilities.get(function).copied().unwrap_or(0);
         let (function, handle) = (function.to_owned(), handle.to_owned());
-        conn.offer = Some(Assignment { branch, function, handle, timeout });
+        conn.offer = Some(Assignment { attempt, function, handle, timeout });
         match conn.pull {
             Pull::Asking(_) => Offered::Asked(id),
             Pull::Asleep => {
@@ -324,7 +324,7 @@
             known.pull = Pull::Awake;
             return None;
         };
-        known.pull = Pull::Busy(offer.handle.clone(), Some(offer.branch));
+        known.pull = Pull::Busy(offer.handle.clone(), Some(offer.attempt));
         Some((how, offer, from))
     }
 
@@ -345,24 +345,24 @@
         let offer = known.offer.take()?;
         known.pull = Pull::Stuck;
         self.touch(conn);
-        Some(offer.branch)
+        Some(offer.attempt)
     }
 
     /// What a connection has at hand under this handle.
     pub fn work(&self, conn: ConnId, handle: &[u8]) -> Work<B> {
         match self.conns.get(&conn).map(|conn| &conn.pull) {
-            Some(Pull::Busy(own, branch)) if own.as_bytes() == handle => match branch {
-                Some(branch) => Work::Branch(*branch),
+            Some(Pull::Busy(own, attempt)) if own.as_bytes() == handle => match attempt {
+                Some(attempt) => Work::Attempt(*attempt),
                 None => Work::Orphan,
             },
             _ => Work::Strange,
         }
     }
 
-    /// The branch that a connection runs.
+    /// The attempt that a connection runs.
     pub fn running(&self, conn: ConnId) -> Option<B> {
         match self.conns.get(&conn)?.pull {
-            Pull::Busy(_, branch) => branch,
+            Pull::Busy(_, attempt) => attempt,
             _ => None,
         }
     }
@@ -379,16 +379,16 @@
         }
     }
 
-    /// A branch is given up. Its connection, if it was assigned, stays busy until it says that it is done, for there
+    /// An attempt is given up. Its connection, if it was assigned, stays busy until it says that it is done, for there
     /// is no word to call it off; gives that connection, or the one that it was offered to.
-    pub fn give_up(&mut self, branch: B) -> Option<ConnId> {
+    pub fn give_up(&mut self, attempt: B) -> Option<ConnId> {
         let has = |conn: &Conn<B>| {
-            conn.offer.as_ref().is_some_and(|offer| offer.branch == branch)
-                || matches!(&conn.pull, Pull::Busy(_, Some(own)) if *own == branch)
+            conn.offer.as_ref().is_some_and(|offer| offer.attempt == attempt)
+                || matches!(&conn.pull, Pull::Busy(_, Some(own)) if *own == attempt)
         };
         let id = self.conns.iter().find(|(_, conn)| has(conn)).map(|(&id, _)| id)?;
         let conn = self.conns.get_mut(&id)?;
-        if conn.offer.take_if(|offer| offer.branch == branch).is_none()
+        if conn.offer.take_if(|offer| offer.attempt == attempt).is_none()
             && let Pull::Busy(_, own) = &mut conn.pull
         {
             *own = None;
@@ -402,8 +402,8 @@
         self.leave(conn);
         let known = self.conns.remove(&conn)?;
         match (known.offer, known.pull) {
-            (Some(offer), _) => Some(Lost::Offered(offer.branch)),
-            (None, Pull::Busy(_, Some(branch))) => Some(Lost::Assigned(branch)),
+            (Some(offer), _) => Some(Lost::Offered(offer.attempt)),
+            (None, Pull::Busy(_, Some(attempt))) => Some(Lost::Assigned(attempt)),
             _ => None,
         }
     }
@@ -490,13 +490,13 @@
         fleet
     }
 
-    fn give(fleet: &mut Fleet<u32>, branch: u32) -> ConnId {
-        let Offered::Wake(conn) = fleet.offer(0, branch, &["look"], &format!("H:{branch}")) else {
+    fn give(fleet: &mut Fleet<u32>, attempt: u32) -> ConnId {
+        let Offered::Wake(conn) = fleet.offer(0, attempt, &["look"], &format!("H:{attempt}")) else {
             panic!("one sleeps")
         };
         assert_eq!(fleet.ask(conn, Kind::GrabJob, 60), Ok(true));
         let (_, given, _) = fleet.assign(conn).expect("it was offered");
-        assert_eq!(given.branch, branch);
+        assert_eq!(given.attempt, attempt);
         conn
     }
 
@@ -524,7 +524,7 @@
         assert_eq!(fleet.offer(0, 7, &["look"], "H:7"), Offered::Wake(1));
         assert_eq!(fleet.ask(2, Kind::GrabJobUniq, 60), Ok(true));
         let (how, given, from) = fleet.assign(2).expect("the other was offered it");
-        assert_eq!((how, given.branch, from), (Kind::GrabJobUniq, 7, 1));
+        assert_eq!((how, given.attempt, from), (Kind::GrabJobUniq, 7, 1));
         assert_eq!(fleet.ask(1, Kind::GrabJob, 60), Ok(true));
         assert_eq!(fleet.assign(1), None);
         assert_eq!(fleet.expire(1), None, "nothing is owed any more");
@@ -559,7 +559,7 @@
         assert!(fleet.assign(1).is_some());
         assert_eq!(fleet.work(1, b"H:7"), Work::Strange);
         assert_eq!(fleet.work(2, b"H:8"), Work::Strange, "it is another's");
-        assert_eq!(fleet.work(1, b"H:8"), Work::Branch(8));
+        assert_eq!(fleet.work(1, b"H:8"), Work::Attempt(8));
     }
 
     #[test]
--- a/crates/gearman/tests/properties.rs
+++ b/crates/gearman/tests/properties.rs
@@ -75,10 +75,10 @@
         }
     }
 
-    /// Whatever workers do in whatever order, a branch is at one connection at most, and none is lost: it was given
+    /// Whatever workers do in whatever order, an attempt is at one connection at most, and none is lost: it was given
     /// back, was reported done, or is still out.
     #[test]
-    fn no_branch_is_dealt_twice_or_lost(steps in vec((0_u8..8, 0_usize..4), 1..120)) {
+    fn no_attempt_is_dealt_twice_or_lost(steps in vec((0_u8..8, 0_usize..4), 1..120)) {
         let mut fleet: Fleet<u32> = Fleet::default();
         let (mut next, mut out, mut assigned) = (0_u32, HashSet::new(), HashSet::new());
         for (step, conn) in steps {
@@ -89,8 +89,8 @@
                     if fleet.ask(conn, Kind::GrabJob, 1) == Ok(true)
                         && let Some((_, given, _)) = fleet.assign(conn)
                     {
-                        prop_assert!(out.contains(&given.branch));
-                        prop_assert!(assigned.insert(given.branch), "assigned twice");
+                        prop_assert!(out.contains(&given.attempt));
+                        prop_assert!(assigned.insert(given.attempt), "assigned twice");
                     }
                 }
                 3 | 4 => {
@@ -102,29 +102,29 @@
                     next += 1;
                 }
                 5 => {
-                    if let Some(branch) = fleet.running(conn) {
-                        prop_assert!(out.remove(&branch));
+                    if let Some(attempt) = fleet.running(conn) {
+                        prop_assert!(out.remove(&attempt));
                     }
                     fleet.done(conn);
                 }
                 6 => {
-                    if let Some(branch) = fleet.expire(conn) {
-                        prop_assert!(out.remove(&branch) && !assigned.contains(&branch));
+                    if let Some(attempt) = fleet.expire(conn) {
+                        prop_assert!(out.remove(&attempt) && !assigned.contains(&attempt));
                     }
                 }
                 _ => match fleet.close(conn) {
-                    Some(Lost::Offered(branch)) => {
-                        prop_assert!(out.remove(&branch) && !assigned.contains(&branch));
+                    Some(Lost::Offered(attempt)) => {
+                        prop_assert!(out.remove(&attempt) && !assigned.contains(&attempt));
                     }
-                    Some(Lost::Assigned(branch)) => prop_assert!(out.remove(&branch) && assigned.contains(&branch)),
+                    Some(Lost::Assigned(attempt)) => prop_assert!(out.remove(&attempt) && assigned.contains(&attempt)),
                     None => {}
                 },
             }
         }
         // What is still out can be given up, each at one connection.
-        for branch in out {
-            prop_assert!(fleet.give_up(branch).is_some());
-            prop_assert!(fleet.give_up(branch).is_none());
+        for attempt in out {
+            prop_assert!(fleet.give_up(attempt).is_some());
+            prop_assert!(fleet.give_up(attempt).is_none());
         }
     }
 }
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -9,11 +9,11 @@
 pub enum Due {
     /// A timer of the decision module: its number, and which setting of it.
     Timer(u64, u64),
-    /// The time of a branch is up: request and attempt.
-    Branch(u32, u32),
-    /// A branch that is unwanted should have been taken by now: request and attempt.
+    /// The time of an attempt is up: request and attempt.
+    Attempt(u32, u32),
+    /// An attempt that is unwanted should have been taken by now: request and attempt.
     Unwanted(u32, u32),
-    /// By now the end of the connection of a branch that was given up has come to its next hop: request and attempt.
+    /// By now the end of the connection of an attempt that was given up has come to its next hop: request and attempt.
     CalledOff(u32, u32),
     /// A time that a protocol set for one of its connections or listeners.
     Conn(usize, Alarm),
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -1,4 +1,4 @@
-//! The desk: the table of requests and their branches. It turns facts into the module's events and the
+//! The desk: the table of requests and their attempts. It turns facts into the module's events and the
 //! module's actions into work. It knows no protocol and no sockets, so that all stand before the same decisions;
 //! and it decides nothing itself.
 
@@ -20,9 +20,9 @@
 
 /// One attempt of one request, numbered as the module numbers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct BranchId {
+pub struct AttemptId {
     pub request: u32,
-    pub attempt: u32,
+    pub number: u32,
 }
 
 /// A request as a protocol hands it in; `P` is what that protocol needs to pass it on.
@@ -56,7 +56,7 @@
     All,
 }
 
-/// What a next hop tells of a branch on the way to its end.
+/// What a next hop tells of an attempt on the way to its end.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Part {
     /// The job has started.
@@ -98,7 +98,7 @@
     }
 }
 
-/// What is told of a branch, apart from the connection that it went out on.
+/// What is told of an attempt, apart from the connection that it went out on.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     Note(Note),
@@ -118,15 +118,15 @@
         answer: Answer,
     },
     Send {
-        branch: BranchId,
+        attempt: AttemptId,
         hop: WorkerId,
         payload: P,
         wait: Micros,
     },
-    /// A branch was given up, and may be with its next hop. Who drives that tells when it has heard, with
+    /// An attempt was given up, and may be with its next hop. Who drives that tells when it has heard, with
     /// [`Desk::called_off`].
     GiveUp {
-        branch: BranchId,
+        attempt: AttemptId,
         hop: WorkerId,
         name: String,
     },
@@ -140,7 +140,7 @@
     CloseIdle(WorkerId),
 }
 
-struct Branch {
+struct Attempt {
     hop: WorkerId,
     sent: Micros,
     /// When its last byte was written: from then on it may have run.
@@ -156,9 +156,9 @@
     ended_by: Option<Ending>,
 }
 
-impl Branch {
+impl Attempt {
     fn new(hop: WorkerId, sent: Micros) -> Self {
-        Branch {
+        Attempt {
             hop,
             sent,
             written_at: None,
@@ -182,7 +182,7 @@
     hears: Hears,
     /// Its caller has a part of the result: it is not sent again, and the module has done with it.
     streaming: bool,
-    branches: Vec<Branch>,
+    attempts: Vec<Attempt>,
 }
 
 /// See the head of this file.
@@ -192,7 +192,7 @@
     slots: Vec<u32>,
     most_open: usize,
     most_tries: u32,
-    /// Two branches of a request may be out at once.
+    /// Two attempts of a request may be out at once.
     copies: bool,
     /// A next hop that is well has taken a job by this time after its last byte was written.
     takes: Micros,
@@ -267,8 +267,8 @@
         self.elsewhere.remove(&job.name);
         let number = self.enter(now, caller, job, Some((hop, sent)));
         if let Some(entry) = self.entries.get_mut(&number) {
-            deadlines.set(Due::Branch(number, 0), entry.expires);
-            entry.branches.push(Branch { written_at: Some(sent), taken: true, ..Branch::new(hop, sent) });
+            deadlines.set(Due::Attempt(number, 0), entry.expires);
+            entry.attempts.push(Attempt { written_at: Some(sent), taken: true, ..Attempt::new(hop, sent) });
         }
     }
 
@@ -276,8 +276,8 @@
     /// but the call-backs of the one next hop that took them. They are forgotten here. Gives for each its
     /// caller, its hop, when it was sent there, when its caller leaves, and what it is.
     pub fn bequeath(&mut self) -> Vec<(CallerId, WorkerId, Micros, Micros, P)> {
-        let fit = |entry: &Entry<P>| match entry.branches[..] {
-            [Branch { taken: true, over: false, .. }] => !entry.concluded,
+        let fit = |entry: &Entry<P>| match entry.attempts[..] {
+            [Attempt { taken: true, over: false, .. }] => !entry.concluded,
             _ => false,
         };
         let numbers: Vec<u32> =
@@ -287,8 +287,8 @@
             let Some(mut entry) = self.entries.remove(&number) else { continue };
             self.names.remove(&entry.name);
             self.callers.remove(&entry.caller);
-            if let Some(branch) = entry.branches.pop() {
-                left.push((entry.caller, branch.hop, branch.sent, entry.expires, entry.payload));
+            if let Some(attempt) = entry.attempts.pop() {
+                left.push((entry.caller, attempt.hop, attempt.sent, entry.expires, entry.payload));
             }
         }
         left
@@ -315,7 +315,7 @@
             concluded: false,
             hears: job.hears,
             streaming: false,
-            branches: Vec::new(),
+            attempts: Vec::new(),
         };
         note!(debug: request = number, name = %entry.name, class = entry.class.0, expires = expires, "a request arrives");
         self.entries.insert(number, entry);
@@ -358,51 +358,51 @@
         }
     }
 
-    /// Whether a branch whose connection has come up may still begin, and if not, what it ends with: its caller may have
+    /// Whether an attempt whose connection has come up may still begin, and if not, what it ends with: its caller may have
     /// left meanwhile or its time be over, or the module may no longer want it there.
-    pub fn begins(&mut self, now: Micros, id: BranchId) -> Result<(), Ending> {
+    pub fn begins(&mut self, now: Micros, id: AttemptId) -> Result<(), Ending> {
         let entry = self.entries.get(&id.request).filter(|entry| !entry.concluded && now < entry.expires);
         if entry.is_none() {
             return Err(Ending::Moot);
         }
-        let may = self.dispatcher.may_begin(now, RequestId(id.request), id.attempt);
+        let may = self.dispatcher.may_begin(now, RequestId(id.request), id.number);
         if may { Ok(()) } else { Err(Ending::Unreachable) }
     }
 
-    /// A branch has ended before its first byte, with this.
-    pub fn unbegun(&mut self, now: Micros, id: BranchId, ending: Ending) {
+    /// An attempt has ended before its first byte, with this.
+    pub fn unbegun(&mut self, now: Micros, id: AttemptId, ending: Ending) {
         self.end(now, id, ending, None);
     }
 
-    /// The last byte of a branch has been written.
-    pub fn written(&mut self, now: Micros, id: BranchId) {
-        let Some(branch) = self.branch(id) else { return };
-        branch.written_at = Some(now);
+    /// The last byte of an attempt has been written.
+    pub fn written(&mut self, now: Micros, id: AttemptId) {
+        let Some(attempt) = self.attempt(id) else { return };
+        attempt.written_at = Some(now);
         if let Some(entry) = self.entries.get(&id.request) {
             self.figures.of(entry.class).attempts += 1;
         }
     }
 
     /// The next hop has taken the job.
-    pub fn taken(&mut self, id: BranchId) {
-        let Some(branch) = self.branch(id) else { return };
-        branch.taken = true;
-        if branch.unwanted {
+    pub fn taken(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempt(id) else { return };
+        attempt.taken = true;
+        if attempt.unwanted {
             self.tell_off(id);
         }
     }
 
     /// The next hop should have taken the job long since, and has not said so.
-    pub fn silent(&mut self, id: BranchId) {
-        if self.branch(id).is_some() {
+    pub fn silent(&mut self, id: AttemptId) {
+        if self.attempt(id).is_some() {
             let note = Note::Silent;
-            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.attempt, note });
+            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.number, note });
         }
     }
 
     /// The job has started, or gone on.
-    pub fn note(&mut self, id: BranchId, note: Note) {
-        if self.branch(id).is_some() {
+    pub fn note(&mut self, id: AttemptId, note: Note) {
+        if self.attempt(id).is_some() {
             if note == Note::Started
                 && let Some(entry) = self.entries.get(&id.request)
                 && entry.hears != Hears::Nothing
@@ -410,16 +410,16 @@
             {
                 self.work.push(Work::Relay { caller: entry.caller, part: Part::Started });
             }
-            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.attempt, note });
+            self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.number, note });
         }
     }
 
     /// A next hop has told a part of what comes. Gives back a part of the result that the caller cannot be told yet:
     /// whoever drives the next hop keeps it for the end.
-    pub fn part(&mut self, id: BranchId, part: Part) -> Option<Part> {
-        self.branch(id)?;
+    pub fn part(&mut self, id: AttemptId, part: Part) -> Option<Part> {
+        self.attempt(id)?;
         let entry = self.entries.get_mut(&id.request)?;
-        let (request, attempt) = (RequestId(id.request), id.attempt);
+        let (request, attempt) = (RequestId(id.request), id.number);
         let result = matches!(part, Part::Data(_) | Part::Warning(_));
         if let Part::Progress(done, of) = part {
             let note = Note::Progress(if of > 0 { done as f64 / of as f64 } else { 0.0 });
@@ -439,46 +439,46 @@
         None
     }
 
-    /// A branch has ended with its result.
-    pub fn served(&mut self, now: Micros, id: BranchId, result: Vec<u8>, report: Option<Report>) {
-        if self.branch(id).is_some() {
+    /// An attempt has ended with its result.
+    pub fn served(&mut self, now: Micros, id: AttemptId, result: Vec<u8>, report: Option<Report>) {
+        if self.attempt(id).is_some() {
             self.serve(now, id, result, report);
         }
     }
 
-    /// A branch has ended without a result, as its connection shows. Once the job is taken, what becomes of
+    /// An attempt has ended without a result, as its connection shows. Once the job is taken, what becomes of
     /// the connection says nothing of it any more.
-    pub fn broke(&mut self, now: Micros, id: BranchId) {
-        match self.branch(id) {
-            Some(branch) if branch.taken => {}
-            Some(branch) => {
+    pub fn broke(&mut self, now: Micros, id: AttemptId) {
+        match self.attempt(id) {
+            Some(attempt) if attempt.taken => {}
+            Some(attempt) => {
                 // The last byte decides: without it the next hop cannot have begun.
-                let ending = if branch.written_at.is_some() { Ending::Broken } else { Ending::Unreachable };
+                let ending = if attempt.written_at.is_some() { Ending::Broken } else { Ending::Unreachable };
                 self.end(now, id, ending, None);
             }
             None => {}
         }
     }
 
-    /// A branch that is unwanted should have been taken by now.
-    pub fn untaken(&mut self, id: BranchId) {
-        if self.branch(id).is_some_and(|branch| branch.unwanted && !branch.taken) {
+    /// An attempt that is unwanted should have been taken by now.
+    pub fn untaken(&mut self, id: AttemptId) {
+        if self.attempt(id).is_some_and(|attempt| attempt.unwanted && !attempt.taken) {
             self.tell_off(id);
         }
     }
 
-    /// A next hop has heard that a branch is given up. Where it has not, whether it runs is not known, and the branch
+    /// A next hop has heard that an attempt is given up. Where it has not, whether it runs is not known, and the attempt
     /// ends with what the hop tells, or with its time.
-    pub fn called_off(&mut self, now: Micros, id: BranchId) {
+    pub fn called_off(&mut self, now: Micros, id: AttemptId) {
         self.end(now, id, Ending::Cancelled, None);
     }
 
-    /// A branch has ended without a result, as the next hop said on its connection.
-    pub fn answered(&mut self, now: Micros, id: BranchId, ending: Ending, report: Option<Report>) {
+    /// An attempt has ended without a result, as the next hop said on its connection.
+    pub fn answered(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
         self.end(now, id, ending, report);
     }
 
-    /// A call-back about the request of this name from this next hop; tells whether it met an open branch.
+    /// A call-back about the request of this name from this next hop; tells whether it met an open attempt.
     pub fn news(
         &mut self,
         now: Micros,
@@ -489,28 +489,28 @@
     ) -> bool {
         let Some(&number) = self.names.get(name) else { return false };
         let Some(entry) = self.entries.get(&number) else { return false };
-        let here = |&nr: &usize| entry.branches[nr].hop == hop;
-        let Some(nr) = (0..entry.branches.len()).rev().find(here) else { return false };
-        let branch = &entry.branches[nr];
-        // Before its last byte is written nothing can be known of a branch: the news is of an older one.
-        if branch.over || branch.written_at.is_none() {
+        let here = |&nr: &usize| entry.attempts[nr].hop == hop;
+        let Some(nr) = (0..entry.attempts.len()).rev().find(here) else { return false };
+        let attempt = &entry.attempts[nr];
+        // Before its last byte is written nothing can be known of an attempt: the news is of an older one.
+        if attempt.over || attempt.written_at.is_none() {
             return false;
         }
-        // The same news as ended an older branch there, before the hop has taken this one: a repeat, whose
+        // The same news as ended an older attempt there, before the hop has taken this one: a repeat, whose
         // first answer was lost on the way.
         let repeats =
-            |ending| entry.branches[..nr].iter().any(|old| old.hop == hop && old.ended_by == Some(ending));
-        let id = BranchId { request: number, attempt: nr as u32 };
+            |ending| entry.attempts[..nr].iter().any(|old| old.hop == hop && old.ended_by == Some(ending));
+        let id = AttemptId { request: number, number: nr as u32 };
         match news {
             News::Note(Note::Progress(share)) if entry.hears != Hears::Nothing => {
                 self.part(id, Part::Progress((share.clamp(0.0, 1.0) * 100.0) as u64, 100));
             }
             News::Note(note) => self.note(id, note),
             News::Served(result) => self.serve(now, id, result, report),
-            News::Over(ending) if !branch.taken && repeats(ending) => return false,
+            News::Over(ending) if !attempt.taken && repeats(ending) => return false,
             News::Over(ending) => {
-                if let Some(branch) = self.branch(id) {
-                    branch.ended_by = Some(ending);
+                if let Some(attempt) = self.attempt(id) {
+                    attempt.ended_by = Some(ending);
                 }
                 self.end(now, id, ending, report);
             }
@@ -559,10 +559,10 @@
         self.events.push_back(Event::Timer(TimerId(timer)));
     }
 
-    /// The time of a branch is up; tells whether it was still out.
-    pub fn time_up(&mut self, now: Micros, id: BranchId) -> bool {
-        let Some(branch) = self.branch(id) else { return false };
-        let ending = if branch.written_at.is_some() { Ending::TimedOut } else { Ending::Unreachable };
+    /// The time of an attempt is up; tells whether it was still out.
+    pub fn time_up(&mut self, now: Micros, id: AttemptId) -> bool {
+        let Some(attempt) = self.attempt(id) else { return false };
+        let ending = if attempt.written_at.is_some() { Ending::TimedOut } else { Ending::Unreachable };
         self.give_up(now, id, ending);
         true
     }
@@ -638,7 +638,7 @@
             self.carry_out(now, action, deadlines);
         }
         // Not before: the module may have sent a request in answer to an event that came before its caller
-        // left, and waits for the outcome of that branch, or would count its lane as taken for ever.
+        // left, and waits for the outcome of that attempt, or would count its lane as taken for ever.
         for number in mem::take(&mut self.closing) {
             self.forget(number);
         }
@@ -676,21 +676,21 @@
             Action::Refuse { request, come_back } => self.conclude(request.0, Answer::Busy { come_back }),
             Action::Fail(request) => self.conclude(request.0, Answer::Failed),
             Action::Cancel { request, attempt } => {
-                let id = BranchId { request: request.0, attempt };
+                let id = AttemptId { request: request.0, number: attempt };
                 let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
                 let (copies, takes) = (self.copies, self.takes);
-                let Some(branch) = self.branch(id) else { return };
-                let Some(written) = branch.written_at else { return self.give_up(now, id, Ending::Moot) };
+                let Some(attempt) = self.attempt(id) else { return };
+                let Some(written) = attempt.written_at else { return self.give_up(now, id, Ending::Moot) };
                 if copies || concluded {
                     return self.give_up(now, id, Ending::Cancelled);
                 }
                 // It may run until its next hop has heard: the request may not go elsewhere before. One that may yet
                 // take it must be told in words once it has: to end the connection says nothing then.
-                branch.unwanted = true;
-                if branch.taken || now >= written + takes {
+                attempt.unwanted = true;
+                if attempt.taken || now >= written + takes {
                     self.tell_off(id);
                 } else {
-                    deadlines.set(Due::Unwanted(id.request, id.attempt), written + takes);
+                    deadlines.set(Due::Unwanted(id.request, id.number), written + takes);
                 }
             }
             Action::SetTimer { timer, after } => {
@@ -729,57 +729,57 @@
         let Some(entry) = self.entries.get_mut(&request.0) else {
             return note!("the module sent request {}, which is closed", request.0);
         };
-        let id = BranchId { request: request.0, attempt: entry.branches.len() as u32 };
+        let id = AttemptId { request: request.0, number: entry.attempts.len() as u32 };
         let ends = entry.expires.min(timeout.map_or(Micros::MAX, |span| now.saturating_add(span)));
-        entry.branches.push(Branch::new(hop, now));
+        entry.attempts.push(Attempt::new(hop, now));
         // The caller may have left, or its time may have run out, in the batch that the module answers here.
-        if entry.concluded || ends <= now || id.attempt >= self.most_tries {
+        if entry.concluded || ends <= now || id.number >= self.most_tries {
             return self.end(now, id, Ending::Moot, None);
         }
-        deadlines.set(Due::Branch(id.request, id.attempt), ends);
-        note!(debug: request = id.request, attempt = id.attempt, hop = hop.0, "a branch is sent");
-        self.work.push(Work::Send { branch: id, hop, payload: entry.payload.clone(), wait: ends - now });
+        deadlines.set(Due::Attempt(id.request, id.number), ends);
+        note!(debug: request = id.request, attempt = id.number, hop = hop.0, "an attempt is sent");
+        self.work.push(Work::Send { attempt: id, hop, payload: entry.payload.clone(), wait: ends - now });
     }
 
-    fn branch(&mut self, id: BranchId) -> Option<&mut Branch> {
-        let branch = self.entries.get_mut(&id.request)?.branches.get_mut(id.attempt as usize)?;
-        (!branch.over).then_some(branch)
+    fn attempt(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        let attempt = self.entries.get_mut(&id.request)?.attempts.get_mut(id.number as usize)?;
+        (!attempt.over).then_some(attempt)
     }
 
-    fn give_up(&mut self, now: Micros, id: BranchId, ending: Ending) {
+    fn give_up(&mut self, now: Micros, id: AttemptId, ending: Ending) {
         self.tell_off(id);
         self.end(now, id, ending, None);
     }
 
-    /// The next hop of a branch is to be told that it is given up, once: a second word could be answered before the
+    /// The next hop of an attempt is to be told that it is given up, once: a second word could be answered before the
     /// first, the end of the connection, has come there.
-    fn tell_off(&mut self, id: BranchId) {
-        let Some(branch) = self.branch(id).filter(|branch| !branch.told_off) else { return };
-        branch.told_off = true;
-        let hop = branch.hop;
+    fn tell_off(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempt(id).filter(|attempt| !attempt.told_off) else { return };
+        attempt.told_off = true;
+        let hop = attempt.hop;
         let name = self.entries.get(&id.request).map(|entry| entry.name.clone()).unwrap_or_default();
-        self.work.push(Work::GiveUp { branch: id, hop, name });
+        self.work.push(Work::GiveUp { attempt: id, hop, name });
     }
 
-    fn serve(&mut self, now: Micros, id: BranchId, result: Vec<u8>, report: Option<Report>) {
+    fn serve(&mut self, now: Micros, id: AttemptId, result: Vec<u8>, report: Option<Report>) {
         self.conclude(id.request, Answer::Served(result));
         self.end(now, id, Ending::Ok, report);
     }
 
-    /// Ends a branch, once.
-    fn end(&mut self, now: Micros, id: BranchId, ending: Ending, report: Option<Report>) {
-        let Some(branch) = self.branch(id) else { return };
-        branch.over = true;
-        let (worker, elapsed) = (branch.hop, now.saturating_sub(branch.sent));
-        // What a caller has a part of ends with the branch that it came from: the module has done with it.
+    /// Ends an attempt, once.
+    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
+        let Some(attempt) = self.attempt(id) else { return };
+        attempt.over = true;
+        let (worker, elapsed) = (attempt.hop, now.saturating_sub(attempt.sent));
+        // What a caller has a part of ends with the attempt that it came from: the module has done with it.
         if self.entries.get(&id.request).is_some_and(|entry| entry.streaming) {
             self.conclude(id.request, Answer::Failed);
         }
         let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
-        note!(debug: request = id.request, attempt = id.attempt, hop = worker.0, ?ending, "a branch has ended");
+        note!(debug: request = id.request, attempt = id.number, hop = worker.0, ?ending, "an attempt has ended");
         self.events.push_back(Event::Outcome(Outcome {
             request: RequestId(id.request),
-            attempt: id.attempt,
+            attempt: id.number,
             worker,
             ending,
             elapsed,
@@ -808,9 +808,9 @@
         self.closing.push(number);
     }
 
-    /// A request's record goes once it is answered and its last branch is over.
+    /// A request's record goes once it is answered and its last attempt is over.
     fn forget(&mut self, number: u32) {
-        let over = |entry: &Entry<P>| entry.concluded && entry.branches.iter().all(|branch| branch.over);
+        let over = |entry: &Entry<P>| entry.concluded && entry.attempts.iter().all(|attempt| attempt.over);
         if self.entries.get(&number).is_some_and(over)
             && let Some(entry) = self.entries.remove(&number)
         {
--- a/src/net/core/desk/tests.rs
+++ b/src/net/core/desk/tests.rs
@@ -14,7 +14,7 @@
 }
 
 impl Table {
-    /// A desk with one next hop, where two branches of a request may be out at once.
+    /// A desk with one next hop, where two attempts of a request may be out at once.
     fn new() -> Table {
         Table::with(true)
     }
@@ -58,8 +58,8 @@
             while let Some(due) = self.deadlines.next_due(self.now) {
                 match due {
                     Due::Timer(timer, _) => self.desk.timer(timer),
-                    Due::Branch(request, attempt) => {
-                        self.desk.time_up(self.now, BranchId { request, attempt });
+                    Due::Attempt(request, attempt) => {
+                        self.desk.time_up(self.now, AttemptId { request, number: attempt });
                     }
                     other => panic!("the desk never sets {other:?}"),
                 }
@@ -89,7 +89,7 @@
         }
     }
 
-    fn arrive(&mut self, class: usize) -> BranchId {
+    fn arrive(&mut self, class: usize) -> AttemptId {
         self.desk.arrive(self.now, 99, self.job(class, "a1")).expect("there is room");
         sent(&self.turn())
     }
@@ -99,10 +99,10 @@
     }
 }
 
-fn sent(work: &[Work<&'static str>]) -> BranchId {
+fn sent(work: &[Work<&'static str>]) -> AttemptId {
     match work {
-        [Work::Send { branch, hop: HOP, payload: "job", .. }] => *branch,
-        other => panic!("one branch was due, not {other:?}"),
+        [Work::Send { attempt, hop: HOP, payload: "job", .. }] => *attempt,
+        other => panic!("one attempt was due, not {other:?}"),
     }
 }
 
@@ -114,24 +114,24 @@
 fn the_last_byte_decides_what_a_break_means() {
     // Not written: the job, which must not run twice, may be refused as never run ...
     let mut table = Table::new();
-    let branch = table.arrive(1);
-    table.desk.broke(table.now, branch);
+    let attempt = table.arrive(1);
+    table.desk.broke(table.now, attempt);
     assert_eq!(table.later(), [answer(Answer::Busy { come_back: None })]);
     // ... written: it may have run, and no refusal may say otherwise.
     let mut table = Table::new();
-    let branch = table.arrive(1);
-    table.desk.written(table.now, branch);
-    table.desk.broke(table.now, branch);
+    let attempt = table.arrive(1);
+    table.desk.written(table.now, attempt);
+    table.desk.broke(table.now, attempt);
     assert_eq!(table.turn(), [answer(Answer::Failed)]);
 }
 
 #[test]
 fn once_the_job_is_taken_its_connection_says_nothing_of_it() {
     let mut table = Table::new();
-    let branch = table.arrive(1);
-    table.desk.written(table.now, branch);
-    table.desk.taken(branch);
-    table.desk.broke(table.now, branch);
+    let attempt = table.arrive(1);
+    table.desk.written(table.now, attempt);
+    table.desk.taken(attempt);
+    table.desk.broke(table.now, attempt);
     assert_eq!(table.turn(), []);
     assert!(table.news(News::Served(b"r".to_vec())));
     assert_eq!(table.turn(), [answer(Answer::Served(b"r".to_vec()))]);
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn stale_news_does_not_end_a_newer_branch() {
+fn stale_news_does_not_end_a_newer_attempt() {
     let mut table = Table::new();
     let first = table.arrive(1);
     assert!(!table.news(News::Over(Ending::Full)), "its last byte is not written yet");
@@ -155,30 +155,30 @@
 }
 
 #[test]
-fn a_branch_whose_time_is_up_is_given_up_and_answered_for() {
+fn a_attempt_whose_time_is_up_is_given_up_and_answered_for() {
     let mut table = Table::new();
-    let branch = table.arrive(1);
-    table.desk.written(table.now, branch);
-    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    let attempt = table.arrive(1);
+    table.desk.written(table.now, attempt);
+    let given_up = Work::GiveUp { attempt, hop: HOP, name: "a1".to_owned() };
     assert_eq!(table.later(), [given_up, answer(Answer::Failed)]);
 }
 
 #[test]
-fn where_copies_are_barred_a_branch_ends_only_once_its_hop_has_heard_that_it_is_given_up() {
+fn where_copies_are_barred_an_attempt_ends_only_once_its_hop_has_heard_that_it_is_given_up() {
     let mut table = Table::with(false);
-    let branch = table.arrive(0);
-    table.desk.written(table.now, branch);
-    table.desk.taken(branch);
-    let cancel = Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
+    let attempt = table.arrive(0);
+    table.desk.written(table.now, attempt);
+    table.desk.taken(attempt);
+    let cancel = Action::Cancel { request: RequestId(attempt.request), attempt: attempt.number };
     table.desk.carry_out(table.now, cancel, &mut table.deadlines);
-    // The word is on its way, and may be lost: nothing has ended, and no other branch may go out.
-    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    // The word is on its way, and may be lost: nothing has ended, and no other attempt may go out.
+    let given_up = Work::GiveUp { attempt, hop: HOP, name: "a1".to_owned() };
     assert_eq!(table.turn(), [given_up]);
     assert!(!table.desk.has_news());
-    table.desk.called_off(table.now, branch);
-    assert_eq!(sent(&table.later()).attempt, 1);
+    table.desk.called_off(table.now, attempt);
+    assert_eq!(sent(&table.later()).number, 1);
     // Before its hop has said that it took the job nothing is ended: it may just have taken it.
-    let second = BranchId { request: branch.request, attempt: 1 };
+    let second = AttemptId { request: attempt.request, number: 1 };
     table.desk.written(table.now, second);
     let cancel = Action::Cancel { request: RequestId(second.request), attempt: 1 };
     table.desk.carry_out(table.now, cancel, &mut table.deadlines);
@@ -197,8 +197,8 @@
 #[test]
 fn who_has_left_is_owed_nothing() {
     let mut table = Table::new();
-    let branch = table.arrive(0);
-    table.desk.written(table.now, branch);
+    let attempt = table.arrive(0);
+    table.desk.written(table.now, attempt);
     table.desk.leave(99);
     assert!(table.news(News::Served(b"r".to_vec())));
     assert_eq!((table.turn(), table.desk.owed()), (vec![], 0));
@@ -207,7 +207,7 @@
 
 #[test]
 fn who_comes_and_goes_in_one_batch_holds_no_lane() {
-    // The module sends on the arrival, before it hears of the leaving: that branch is never sent, and the
+    // The module sends on the arrival, before it hears of the leaving: that attempt is never sent, and the
     // module must be told so, or the hop's only lane stays taken.
     let mut table = Table::new();
     for _ in 0..5 {
@@ -216,21 +216,21 @@
         assert_eq!(table.turn(), []);
         assert_eq!(table.turn(), []);
     }
-    assert_eq!(table.arrive(1).attempt, 0);
+    assert_eq!(table.arrive(1).number, 0);
 }
 
 #[test]
 fn an_attempt_that_was_not_taken_is_called_off_by_one_word_only() {
     // The end of its connection may be on its way when the module, told of the silence, calls it off once more.
     let mut table = Table::with(false);
-    let branch = table.arrive(0);
-    table.desk.written(table.now, branch);
-    let cancel = || Action::Cancel { request: RequestId(branch.request), attempt: branch.attempt };
+    let attempt = table.arrive(0);
+    table.desk.written(table.now, attempt);
+    let cancel = || Action::Cancel { request: RequestId(attempt.request), attempt: attempt.number };
     table.desk.carry_out(table.now, cancel(), &mut table.deadlines);
     assert_eq!(table.turn(), [], "it may yet be taken");
     table.now += journey::silence(table.connect_timeout);
-    table.desk.untaken(branch);
-    let given_up = Work::GiveUp { branch, hop: HOP, name: "a1".to_owned() };
+    table.desk.untaken(attempt);
+    let given_up = Work::GiveUp { attempt, hop: HOP, name: "a1".to_owned() };
     assert_eq!(table.turn(), [given_up]);
     table.desk.carry_out(table.now, cancel(), &mut table.deadlines);
     assert_eq!(table.turn(), []);
--- a/src/net/core/envelope.rs
+++ b/src/net/core/envelope.rs
@@ -40,5 +40,5 @@
     pub body: Vec<u8>,
 }
 
-/// An envelope as the desk keeps it: every branch sends the same one.
+/// An envelope as the desk keeps it: every attempt sends the same one.
 pub type Payload = Rc<Envelope>;
--- a/src/net/core/figures.rs
+++ b/src/net/core/figures.rs
@@ -1,10 +1,10 @@
-//! The figures that operators are shown. Each request and each branch is counted once, where it ends or is
+//! The figures that operators are shown. Each request and each attempt is counted once, where it ends or is
 //! written; what can be looked up is not counted.
 
 use calicolb::api::ClassIx;
 use std::fmt::Write;
 
-/// How many requests of a class ended how, and how many branches were written whole for them.
+/// How many requests of a class ended how, and how many attempts were written whole for them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
     pub served: u64,
--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -6,7 +6,7 @@
 use crate::net::Ctx;
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::BranchId;
+use crate::net::core::desk::AttemptId;
 use crate::net::protocol::Spare;
 use calicolb::api::{Micros, Note};
 use calicolb_gearman::ConnId;
@@ -57,8 +57,8 @@
     pub(super) begun: Option<Micros>,
     /// The last answer is written; whatever still comes is thrown away.
     pub(super) ending: bool,
-    /// A branch whose last byte is not written yet, and the worker's own limit for it in seconds.
-    pub(super) assigning: Option<(BranchId, u32)>,
+    /// An attempt whose last byte is not written yet, and the worker's own limit for it in seconds.
+    pub(super) assigning: Option<(AttemptId, u32)>,
     /// Parts of a result that its caller takes in one piece only.
     pub(super) parts: Vec<u8>,
 }
@@ -117,9 +117,9 @@
             ctx.deadlines.clear(Due::Conn(token, alarm));
         }
         self.blocked.remove(&token);
-        if let Some(Lost::Offered(branch) | Lost::Assigned(branch)) = self.fleet.close(token) {
-            self.offers.remove(&branch);
-            ctx.desk.broke(ctx.now, branch);
+        if let Some(Lost::Offered(attempt) | Lost::Assigned(attempt)) = self.fleet.close(token) {
+            self.offers.remove(&attempt);
+            ctx.desk.broke(ctx.now, attempt);
         }
         for job in self.book.leave(token) {
             ctx.desk.leave(job);
@@ -158,9 +158,9 @@
         let late = Due::Conn(token, Alarm::Late);
         match conn.buffer.flush(&mut conn.stream) {
             Ok(true) => {
-                if let Some((branch, limit)) = conn.assigning.take() {
-                    ctx.desk.written(ctx.now, branch);
-                    ctx.desk.note(branch, Note::Started);
+                if let Some((attempt, limit)) = conn.assigning.take() {
+                    ctx.desk.written(ctx.now, attempt);
+                    ctx.desk.note(attempt, Note::Started);
                     if limit > 0 {
                         let ends = ctx.now + Micros::from(limit) * SECOND;
                         ctx.deadlines.set(Due::Conn(token, Alarm::Rested), ends);
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -1,5 +1,5 @@
 //! Gearman: one listener for clients, workers and operators. Here bytes are moved; which connection of a worker gets a
-//! branch is the fleet's to say, which submissions are one job the book's, and all else the module's. See
+//! attempt is the fleet's to say, which submissions are one job the book's, and all else the module's. See
 //! `docs/gearman.md`.
 
 mod admin;
@@ -13,7 +13,7 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::{Answer, BranchId, CallerId, Part};
+use crate::net::core::desk::{Answer, AttemptId, CallerId, Part};
 use crate::net::core::envelope::Payload;
 use crate::net::core::roster::Source;
 use crate::net::protocol::{Protocol, Shares, Spare};
@@ -46,12 +46,12 @@
     listening: bool,
     conns: HashMap<ConnId, Conn>,
     most: usize,
-    fleet: Fleet<BranchId>,
+    fleet: Fleet<AttemptId>,
     book: Book,
     /// What this process is told apart by from the one before: a handle must not mean another job after a restart.
     boot: String,
     /// What is offered to workers and not yet assigned.
-    offers: HashMap<BranchId, Payload>,
+    offers: HashMap<AttemptId, Payload>,
     /// Connections that ask for work, in their order.
     asking: Vec<ConnId>,
     /// Connections whose next packets wait until they are told of their submissions.
@@ -128,16 +128,16 @@
             Alarm::Accept => self.accept(ctx),
             Alarm::More => self.ready(ctx, token),
             Alarm::Owed => {
-                if let Some(branch) = self.fleet.expire(token) {
-                    note!(request = branch.request, "a worker was woken and did not ask");
-                    self.offers.remove(&branch);
-                    ctx.desk.broke(ctx.now, branch);
+                if let Some(attempt) = self.fleet.expire(token) {
+                    note!(request = attempt.request, "a worker was woken and did not ask");
+                    self.offers.remove(&attempt);
+                    ctx.desk.broke(ctx.now, attempt);
                 }
             }
             Alarm::Rested => {
                 // The worker's own limit is over.
-                if let Some(branch) = self.fleet.running(token) {
-                    ctx.desk.time_up(ctx.now, branch);
+                if let Some(attempt) = self.fleet.running(token) {
+                    ctx.desk.time_up(ctx.now, attempt);
                 }
             }
             Alarm::Late => {
@@ -182,37 +182,44 @@
         self.hops.contains_key(&hop)
     }
 
-    fn send(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, payload: &Payload, _wait: Micros) {
-        let Some(&nr) = self.hops.get(&hop) else { return ctx.desk.broke(ctx.now, branch) };
+    fn send(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        attempt: AttemptId,
+        hop: WorkerId,
+        payload: &Payload,
+        _wait: Micros,
+    ) {
+        let Some(&nr) = self.hops.get(&hop) else { return ctx.desk.broke(ctx.now, attempt) };
         let fits = |function: &&Function| {
             let as_http = function.takes_http && function.grades[1].class.0 as u32 == payload.skill;
             function.skill == payload.skill || as_http
         };
         let functions: Vec<&str> =
             self.config.functions.iter().filter(fits).map(|function| function.name.as_str()).collect();
-        let handle = self.handle(branch);
-        let offered = self.fleet.offer(nr, branch, &functions, &handle);
+        let handle = self.handle(attempt);
+        let offered = self.fleet.offer(nr, attempt, &functions, &handle);
         let (Offered::Wake(token) | Offered::Awaited(token) | Offered::Asked(token)) = offered else {
-            return ctx.desk.answered(ctx.now, branch, Ending::Full, None);
+            return ctx.desk.answered(ctx.now, attempt, Ending::Full, None);
         };
-        self.offers.insert(branch, Rc::clone(payload));
+        self.offers.insert(attempt, Rc::clone(payload));
         ctx.deadlines.set(Due::Conn(token, Alarm::Owed), ctx.now + GRAB);
         if matches!(offered, Offered::Wake(_)) {
             self.wake(ctx, token);
         }
     }
 
-    fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, _hop: WorkerId, _name: &str) {
-        if let Some(token) = self.fleet.give_up(branch)
-            && self.offers.remove(&branch).is_some()
+    fn give_up(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId, _hop: WorkerId, _name: &str) {
+        if let Some(token) = self.fleet.give_up(attempt)
+            && self.offers.remove(&attempt).is_some()
         {
             ctx.deadlines.clear(Due::Conn(token, Alarm::Owed));
         }
         // There are no words for it: the worker runs on, and what it tells later meets nothing.
-        ctx.desk.called_off(ctx.now, branch);
+        ctx.desk.called_off(ctx.now, attempt);
     }
 
-    fn release(&mut self, _ctx: &mut Ctx<'_>, _branch: BranchId) {}
+    fn release(&mut self, _ctx: &mut Ctx<'_>, _attempt: AttemptId) {}
 
     fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) {
         // What a worker could say of its load is known here.
--- a/src/net/gearman/packets.rs
+++ b/src/net/gearman/packets.rs
@@ -5,7 +5,7 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::{BranchId, Hears, Job, Part, Unfit};
+use crate::net::core::desk::{AttemptId, Hears, Job, Part, Unfit};
 use crate::net::core::envelope::Envelope;
 use calicolb::api::Ending;
 use calicolb_gearman::ConnId;
@@ -109,11 +109,11 @@
                 None
             }
         };
-        if let Some(branch) = withdrawn {
+        if let Some(attempt) = withdrawn {
             // Only offered: it never ran, and goes elsewhere at once.
             ctx.deadlines.clear(Due::Conn(token, Alarm::Owed));
-            self.offers.remove(&branch);
-            ctx.desk.answered(ctx.now, branch, Ending::Full, None);
+            self.offers.remove(&attempt);
+            ctx.desk.answered(ctx.now, attempt, Ending::Full, None);
         }
     }
 
@@ -185,7 +185,7 @@
         };
         match ctx.desk.arrive(ctx.now, caller, job) {
             Ok(request) => {
-                let handle = self.handle(BranchId { request, attempt: 0 });
+                let handle = self.handle(AttemptId { request, number: 0 });
                 self.book.open(caller, handle, submission);
             }
             Err(Unfit::Repeated | Unfit::TooMany) => {
@@ -194,9 +194,9 @@
         }
     }
 
-    /// The handle of a branch. The first has that of its job; each has its own, so that a late report ends no newer one.
-    pub(super) fn handle(&self, branch: BranchId) -> String {
-        let BranchId { request, attempt } = branch;
+    /// The handle of an attempt. The first has that of its job; each has its own, so that a late report ends no newer one.
+    pub(super) fn handle(&self, attempt: AttemptId) -> String {
+        let AttemptId { request, number: attempt } = attempt;
         let again = if attempt > 0 { format!(".{}", attempt + 1) } else { String::new() };
         format!("H:{}-{}:{request}{again}", self.config.name, self.boot)
     }
@@ -206,10 +206,10 @@
         // Each has its handle first; FAIL has nothing else.
         let [handle, rest] = packet.fields();
         let assigning = self.conns.get(&token).is_none_or(|conn| conn.assigning.is_some());
-        let branch = match self.fleet.work(token, handle) {
-            Work::Branch(branch) if !assigning => Some(branch),
+        let attempt = match self.fleet.work(token, handle) {
+            Work::Attempt(attempt) if !assigning => Some(attempt),
             Work::Orphan => None,
-            Work::Branch(_) | Work::Strange => {
+            Work::Attempt(_) | Work::Strange => {
                 let text = "this connection has no job of that handle";
                 return self.error(ctx, token, "JOB_NOT_FOUND", text);
             }
@@ -218,15 +218,15 @@
             ctx.deadlines.clear(Due::Conn(token, Alarm::Rested));
             self.fleet.done(token);
         }
-        let Some(branch) = branch else { return };
+        let Some(attempt) = attempt else { return };
         let Some(conn) = self.conns.get_mut(&token) else { return };
         let part = match packet.kind {
             Kind::WorkComplete => {
                 let mut result = std::mem::take(&mut conn.parts);
                 result.extend_from_slice(rest);
-                return ctx.desk.served(ctx.now, branch, result, None);
+                return ctx.desk.served(ctx.now, attempt, result, None);
             }
-            Kind::WorkFail => return ctx.desk.answered(ctx.now, branch, Ending::Error, None),
+            Kind::WorkFail => return ctx.desk.answered(ctx.now, attempt, Ending::Error, None),
             Kind::WorkData => Part::Data(rest.to_vec()),
             Kind::WorkWarning => Part::Warning(rest.to_vec()),
             Kind::WorkException => Part::Exception(rest.to_vec()),
@@ -239,14 +239,14 @@
                 Part::Progress(done, of)
             }
         };
-        let Some(Part::Data(part) | Part::Warning(part)) = ctx.desk.part(branch, part) else { return };
+        let Some(Part::Data(part) | Part::Warning(part)) = ctx.desk.part(attempt, part) else { return };
         if conn.parts.len() + part.len() <= RESULT {
             conn.parts.extend_from_slice(&part);
         } else {
             // It ran, and what it gave cannot be served whole: it must not be served in part either.
-            note!(warn: request = branch.request, "a result is too large for its caller");
-            ctx.desk.answered(ctx.now, branch, Ending::Error, None);
-            self.fleet.give_up(branch);
+            note!(warn: request = attempt.request, "a result is too large for its caller");
+            ctx.desk.answered(ctx.now, attempt, Ending::Error, None);
+            self.fleet.give_up(attempt);
         }
     }
 }
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -68,8 +68,8 @@
         let mut answers = Vec::new();
         for work in self.desk.settle(self.now, &mut self.deadlines) {
             match work {
-                Work::Send { branch, hop, payload, wait } => {
-                    self.with(|ctx| gearman.send(ctx, branch, hop, &payload, wait));
+                Work::Send { attempt, hop, payload, wait } => {
+                    self.with(|ctx| gearman.send(ctx, attempt, hop, &payload, wait));
                 }
                 Work::Answer { caller, answer } => {
                     answers.push(answer.clone());
--- a/src/net/gearman/workers.rs
+++ b/src/net/gearman/workers.rs
@@ -3,7 +3,7 @@
 use super::Gearman;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::BranchId;
+use crate::net::core::desk::AttemptId;
 use calicolb_gearman::ConnId;
 use calicolb_gearman::packet::{From, Kind, write};
 
@@ -18,13 +18,13 @@
             return self.put(ctx, token, &write(From::Server, Kind::NoJob, &[]));
         };
         ctx.deadlines.clear(Due::Conn(from, Alarm::Owed));
-        let Some(payload) = self.offers.remove(&given.branch) else {
+        let Some(payload) = self.offers.remove(&given.attempt) else {
             // It cannot be missing; were it, nothing was written of it.
             self.fleet.done(token);
-            return ctx.desk.broke(ctx.now, given.branch);
+            return ctx.desk.broke(ctx.now, given.attempt);
         };
-        // The first branch has its job's handle; a job of HTTP has none in the book.
-        let job = self.book.find(&self.handle(BranchId { attempt: 0, ..given.branch }));
+        // The first attempt has its job's handle; a job of HTTP has none in the book.
+        let job = self.book.find(&self.handle(AttemptId { number: 0, ..given.attempt }));
         let unique = job.and_then(|job| self.book.unique(job)).unwrap_or(payload.name.as_bytes());
         let (handle, function) = (given.handle.as_bytes(), given.function.as_bytes());
         let bytes = match how {
@@ -38,7 +38,7 @@
         };
         if let Some(conn) = self.conns.get_mut(&token) {
             conn.parts.clear();
-            conn.assigning = Some((given.branch, given.timeout));
+            conn.assigning = Some((given.attempt, given.timeout));
         }
         self.put(ctx, token, &bytes);
     }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::net::Ctx;
 use crate::net::core::deadlines::Alarm;
-use crate::net::core::desk::{Answer, BranchId, CallerId};
+use crate::net::core::desk::{Answer, AttemptId, CallerId};
 use crate::net::core::envelope::Payload;
 use crate::net::protocol::{Protocol, Shares, Spare};
 use calicolb::api::{Micros, WorkerId};
@@ -56,16 +56,23 @@
         self.hops.drives(hop)
     }
 
-    fn send(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, payload: &Payload, wait: Micros) {
-        self.hops.send(ctx, &mut self.callers, branch, hop, payload, wait);
+    fn send(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        attempt: AttemptId,
+        hop: WorkerId,
+        payload: &Payload,
+        wait: Micros,
+    ) {
+        self.hops.send(ctx, &mut self.callers, attempt, hop, payload, wait);
     }
 
-    fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, name: &str) {
-        self.hops.give_up(ctx, &mut self.callers, branch, hop, name);
+    fn give_up(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId, hop: WorkerId, name: &str) {
+        self.hops.give_up(ctx, &mut self.callers, attempt, hop, name);
     }
 
-    fn release(&mut self, ctx: &mut Ctx<'_>, branch: BranchId) {
-        self.hops.release(ctx, branch);
+    fn release(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId) {
+        self.hops.release(ctx, attempt);
     }
 
     fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId) {
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -1,4 +1,4 @@
-//! Next hops: the connections to them, the branches that go out on these, give-ups and probes.
+//! Next hops: the connections to them, the attempts that go out on these, give-ups and probes.
 //!
 //! Nothing is ever sent twice from here: a request that meets a stale connection ends as what its last
 //! written byte says, and whether it goes out again is the module's to say.
@@ -7,7 +7,7 @@
 use crate::net::Ctx;
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::BranchId;
+use crate::net::core::desk::AttemptId;
 use crate::net::core::envelope::Payload;
 use crate::net::core::journey;
 use crate::net::http::call_back::report_of;
@@ -38,8 +38,8 @@
 #[derive(Debug, PartialEq)]
 enum Task {
     Idle,
-    Branch(BranchId),
-    GiveUp(BranchId),
+    Attempt(AttemptId),
+    GiveUp(AttemptId),
     Probe(Micros),
 }
 
@@ -110,9 +110,9 @@
 pub struct NextHops {
     hops: HashMap<WorkerId, Hop>,
     links: HashMap<usize, Link>,
-    /// Branches whose connection has not brought an answer yet.
-    out: HashMap<BranchId, usize>,
-    /// Connections that have come up for a branch in this turn. It begins when all facts of the turn are in.
+    /// Attempts whose connection has not brought an answer yet.
+    out: HashMap<AttemptId, usize>,
+    /// Connections that have come up for an attempt in this turn. It begins when all facts of the turn are in.
     risen: Vec<usize>,
     connect_timeout: Micros,
     rest: Rest,
@@ -191,12 +191,12 @@
         }
     }
 
-    /// Sends a branch.
+    /// Sends an attempt.
     pub fn send(
         &mut self,
         ctx: &mut Ctx<'_>,
         spare: &mut dyn Spare,
-        branch: BranchId,
+        attempt: AttemptId,
         hop: WorkerId,
         payload: &Payload,
         wait: Micros,
@@ -206,26 +206,26 @@
         let mut headers: Vec<(&str, &str)> = payload.headers.iter().filter(|(name, _)| kept(name)).collect();
         headers.push(("Request-Timeout", &timeout));
         let bytes = framing::write_request("POST", &payload.target, &headers, &payload.body);
-        if !self.put(ctx, spare, hop, Task::Branch(branch), &bytes) {
-            ctx.desk.broke(ctx.now, branch);
+        if !self.put(ctx, spare, hop, Task::Attempt(attempt), &bytes) {
+            ctx.desk.broke(ctx.now, attempt);
         }
     }
 
-    /// Tells a next hop that a branch is given up: before it took the job by closing the connection, after
+    /// Tells a next hop that an attempt is given up: before it took the job by closing the connection, after
     /// that in words.
     pub fn give_up(
         &mut self,
         ctx: &mut Ctx<'_>,
         spare: &mut dyn Spare,
-        branch: BranchId,
+        attempt: AttemptId,
         hop: WorkerId,
         name: &str,
     ) {
-        match self.out.get(&branch).copied() {
+        match self.out.get(&attempt).copied() {
             Some(token) => {
                 self.drop_link(ctx, token);
                 ctx.deadlines.set(
-                    Due::CalledOff(branch.request, branch.attempt),
+                    Due::CalledOff(attempt.request, attempt.number),
                     ctx.now + journey::arrives(self.connect_timeout),
                 );
             }
@@ -236,15 +236,15 @@
                     &[("Host", "origin.svc")],
                     b"",
                 );
-                self.put(ctx, spare, hop, Task::GiveUp(branch), &bytes);
+                self.put(ctx, spare, hop, Task::GiveUp(attempt), &bytes);
             }
         }
     }
 
-    /// Lets go of the connection of a branch that is over: news ended it, but the answer that was due on the
+    /// Lets go of the connection of an attempt that is over: news ended it, but the answer that was due on the
     /// connection itself has not come in all its time, and nothing else would ever end the wait for it.
-    pub fn release(&mut self, ctx: &mut Ctx<'_>, branch: BranchId) {
-        if let Some(token) = self.out.get(&branch).copied() {
+    pub fn release(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId) {
+        if let Some(token) = self.out.get(&attempt).copied() {
             self.drop_link(ctx, token);
         }
     }
@@ -278,11 +278,11 @@
         };
         let Some(link) = self.links.get_mut(&token) else { return false };
         link.buffer.put(bytes);
-        if link.up && !matches!(task, Task::Branch(_)) {
+        if link.up && !matches!(task, Task::Attempt(_)) {
             ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + SIDE_CALL);
         }
-        if let Task::Branch(branch) = task {
-            self.out.insert(branch, token);
+        if let Task::Attempt(attempt) = task {
+            self.out.insert(attempt, token);
         }
         link.task = task;
         if link.up {
@@ -314,7 +314,7 @@
         if self.links.len() >= self.most {
             let idle = self.hops.values().find_map(|hop| hop.idle.first().copied());
             let Some(token) = idle else {
-                note!("no connection is left for another branch: {} are open", self.links.len());
+                note!("no connection is left for another attempt: {} are open", self.links.len());
                 return None;
             };
             self.drop_link(ctx, token);
@@ -370,7 +370,7 @@
             }
             link.up = true;
             let _ = link.stream.set_nodelay(true);
-            if let Task::Branch(_) = link.task {
+            if let Task::Attempt(_) = link.task {
                 ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                 return self.risen.push(token);
             }
@@ -385,16 +385,16 @@
         }
     }
 
-    /// Begins the branches whose connections have come up. The module has heard all that came with them: what it no longer
+    /// Begins the attempts whose connections have come up. The module has heard all that came with them: what it no longer
     /// wants is gone by now, or is asked for here.
     pub fn begin(&mut self, ctx: &mut Ctx<'_>) {
         for token in std::mem::take(&mut self.risen) {
-            let Some(&Link { task: Task::Branch(branch), .. }) = self.links.get(&token) else { continue };
-            match ctx.desk.begins(ctx.now, branch) {
+            let Some(&Link { task: Task::Attempt(attempt), .. }) = self.links.get(&token) else { continue };
+            match ctx.desk.begins(ctx.now, attempt) {
                 Ok(()) => self.go_on(ctx, token),
                 Err(ending) => {
                     self.drop_link(ctx, token);
-                    ctx.desk.unbegun(ctx.now, branch, ending);
+                    ctx.desk.unbegun(ctx.now, attempt, ending);
                 }
             }
         }
@@ -411,8 +411,8 @@
         }
         match link.buffer.flush(&mut link.stream) {
             Ok(true) => {
-                if let Task::Branch(branch) = link.task {
-                    ctx.desk.written(ctx.now, branch);
+                if let Task::Attempt(attempt) = link.task {
+                    ctx.desk.written(ctx.now, attempt);
                     ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + silence);
                 }
                 true
@@ -446,9 +446,9 @@
                 }
                 link.rested = Some(ctx.now);
                 match task {
-                    Task::Branch(branch) => {
-                        self.out.remove(&branch);
-                        answered(ctx, branch, &response);
+                    Task::Attempt(attempt) => {
+                        self.out.remove(&attempt);
+                        answered(ctx, attempt, &response);
                     }
                     Task::Probe(sent) => {
                         let report = serde_json::from_slice(&response.body).ok();
@@ -457,7 +457,7 @@
                         ctx.desk.probed(hop, ending, ctx.now.saturating_sub(sent), report);
                     }
                     // Whatever it answers: it has heard, or knows nothing of the job.
-                    Task::GiveUp(branch) => ctx.desk.called_off(ctx.now, branch),
+                    Task::GiveUp(attempt) => ctx.desk.called_off(ctx.now, attempt),
                     Task::Idle => {}
                 }
                 let known = self.hops.get_mut(&hop).filter(|hop| {
@@ -492,9 +492,9 @@
             self.rest.broke(ctx.now, rest);
         }
         match task {
-            Task::Branch(branch) => {
-                self.out.remove(&branch);
-                ctx.desk.broke(ctx.now, branch);
+            Task::Attempt(attempt) => {
+                self.out.remove(&attempt);
+                ctx.desk.broke(ctx.now, attempt);
             }
             Task::Probe(sent) => {
                 let ending = if up { Ending::Broken } else { Ending::Unreachable };
@@ -510,19 +510,19 @@
         let _ = ctx.registry.deregister(&mut link.stream);
         ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
         ctx.deadlines.clear(Due::Conn(token, Alarm::Rested));
-        if let Task::Branch(branch) = link.task {
-            self.out.remove(&branch);
+        if let Task::Attempt(attempt) = link.task {
+            self.out.remove(&attempt);
         }
         if let Some(hop) = self.hops.get_mut(&link.hop) {
             hop.idle.retain(|&idle| idle != token);
         }
     }
 
-    /// The connect, a side call or the answer to a branch has taken too long.
+    /// The connect, a side call or the answer to an attempt has taken too long.
     fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         match self.links.get(&token) {
             // It may be with the next hop, and news of it may yet come: what to do is the module's to say.
-            Some(Link { up: true, task: Task::Branch(branch), .. }) => ctx.desk.silent(*branch),
+            Some(Link { up: true, task: Task::Attempt(attempt), .. }) => ctx.desk.silent(*attempt),
             _ => self.fail(ctx, token),
         }
     }
@@ -552,21 +552,21 @@
     "request-timeout",
 ];
 
-/// What the answer on its own connection says of a branch.
-fn answered(ctx: &mut Ctx<'_>, branch: BranchId, response: &framing::Response) {
+/// What the answer on its own connection says of an attempt.
+fn answered(ctx: &mut Ctx<'_>, attempt: AttemptId, response: &framing::Response) {
     let load = response.headers.get("server-load").and_then(|text| serde_json::from_str(text).ok());
     let report = load.and_then(|value| report_of(ctx.names, &value));
     let unstarted = response.headers.get("not-started") == Some("1");
     match response.status {
-        202 => ctx.desk.taken(branch),
-        503 | 504 if unstarted => ctx.desk.answered(ctx.now, branch, Ending::Full, report),
+        202 => ctx.desk.taken(attempt),
+        503 | 504 if unstarted => ctx.desk.answered(ctx.now, attempt, Ending::Full, report),
         status => {
             if status != 500 {
                 note!("a next hop answered {status}");
             }
             // What a caller did wrong must not be held against the next hop, nor tried on all the others.
             let ending = if (400..500).contains(&status) { Ending::Unusable } else { Ending::Error };
-            ctx.desk.answered(ctx.now, branch, ending, report);
+            ctx.desk.answered(ctx.now, attempt, ending, report);
         }
     }
 }
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -3,7 +3,7 @@
 
 use crate::net::Ctx;
 use crate::net::core::deadlines::Alarm;
-use crate::net::core::desk::{Answer, BranchId, CallerId, Part};
+use crate::net::core::desk::{Answer, AttemptId, CallerId, Part};
 use crate::net::core::envelope::Payload;
 use calicolb::api::{Micros, WorkerId};
 use std::io;
@@ -56,14 +56,14 @@
     /// This is one of its next hops.
     fn drives(&self, hop: WorkerId) -> bool;
 
-    /// Sends a branch. What becomes of it is told to the desk.
-    fn send(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, payload: &Payload, wait: Micros);
+    /// Sends an attempt. What becomes of it is told to the desk.
+    fn send(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId, hop: WorkerId, payload: &Payload, wait: Micros);
 
-    /// A branch was given up, and may be with its next hop, which knows it by this name.
-    fn give_up(&mut self, ctx: &mut Ctx<'_>, branch: BranchId, hop: WorkerId, name: &str);
+    /// An attempt was given up, and may be with its next hop, which knows it by this name.
+    fn give_up(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId, hop: WorkerId, name: &str);
 
-    /// All the time of a branch has passed, which was over before: nothing need be kept for it.
-    fn release(&mut self, ctx: &mut Ctx<'_>, branch: BranchId);
+    /// All the time of an attempt has passed, which was over before: nothing need be kept for it.
+    fn release(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId);
 
     /// Asks a next hop for its load.
     fn probe(&mut self, ctx: &mut Ctx<'_>, hop: WorkerId);
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -6,7 +6,7 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Deadlines, Due};
-use crate::net::core::desk::{BranchId, Desk, Work};
+use crate::net::core::desk::{AttemptId, Desk, Work};
 use crate::net::core::envelope::Payload;
 use crate::net::core::figures::Present;
 use crate::net::core::roster::Source;
@@ -548,14 +548,16 @@
         let (mut ctx, mut parts) = self.split(now);
         match due {
             Due::Timer(timer, _) => ctx.desk.timer(timer),
-            Due::Branch(request, attempt) => {
-                let branch = BranchId { request, attempt };
-                if !ctx.desk.time_up(now, branch) {
-                    parts.protocols().for_each(|protocol| protocol.release(&mut ctx, branch));
+            Due::Attempt(request, attempt) => {
+                let attempt = AttemptId { request, number: attempt };
+                if !ctx.desk.time_up(now, attempt) {
+                    parts.protocols().for_each(|protocol| protocol.release(&mut ctx, attempt));
                 }
             }
-            Due::Unwanted(request, attempt) => ctx.desk.untaken(BranchId { request, attempt }),
-            Due::CalledOff(request, attempt) => ctx.desk.called_off(now, BranchId { request, attempt }),
+            Due::Unwanted(request, attempt) => ctx.desk.untaken(AttemptId { request, number: attempt }),
+            Due::CalledOff(request, attempt) => {
+                ctx.desk.called_off(now, AttemptId { request, number: attempt })
+            }
             Due::Conn(token, alarm) => {
                 if let Some(protocol) = parts.protocols().find(|protocol| protocol.has(token)) {
                     protocol.due(&mut ctx, token, alarm);
@@ -604,10 +606,10 @@
                     protocol.relay(&mut ctx, caller, part);
                 }
             }
-            Work::Send { branch, hop, payload, wait } => {
-                parts.driver(hop).send(&mut ctx, branch, hop, &payload, wait);
+            Work::Send { attempt, hop, payload, wait } => {
+                parts.driver(hop).send(&mut ctx, attempt, hop, &payload, wait);
             }
-            Work::GiveUp { branch, hop, name } => parts.driver(hop).give_up(&mut ctx, branch, hop, &name),
+            Work::GiveUp { attempt, hop, name } => parts.driver(hop).give_up(&mut ctx, attempt, hop, &name),
             Work::Probe(hop) => parts.driver(hop).probe(&mut ctx, hop),
             // To the own rank: the process that took over counts it with its own.
             Work::Tell { to, body } if to == Some(rank) => {
