--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -33,7 +33,7 @@
     PeersAgain,
     /// What this process will not live to answer is left to the one that took over.
     Bequeath,
-    /// In a drain: callers have been told elsewhere to go by now.
+    /// In a drain: clients have been told elsewhere to go by now.
     Farewell,
 }
 
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -16,7 +16,7 @@
 const ELSEWHERE: usize = 4096;
 
 /// What a request came by, as whoever took it numbers that.
-pub type CallerId = usize;
+pub type ClientId = usize;
 
 /// One attempt of one request, numbered as the module numbers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -39,12 +39,12 @@
     pub retry: bool,
     /// What a next hop must be able to do for it.
     pub skill: u32,
-    /// What its caller is told before the end.
+    /// What its client is told before the end.
     pub hears: Hears,
     pub payload: P,
 }
 
-/// What a caller is told of a request before the end.
+/// What a client is told of a request before the end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Hears {
     /// Nothing: its protocol has no words for it.
@@ -110,11 +110,11 @@
 #[derive(Debug, PartialEq)]
 pub enum Work<P> {
     Relay {
-        caller: CallerId,
+        client: ClientId,
         part: Part,
     },
     Answer {
-        caller: CallerId,
+        client: ClientId,
         answer: Answer,
     },
     Send {
@@ -173,14 +173,14 @@
 
 struct Entry<P> {
     name: String,
-    caller: CallerId,
+    client: ClientId,
     class: ClassIx,
     expires: Micros,
     payload: P,
     /// The final answer is given, or nobody waits for it any more.
     concluded: bool,
     hears: Hears,
-    /// Its caller has a part of the result: it is not sent again, and the module has done with it.
+    /// Its client has a part of the result: it is not sent again, and the module has done with it.
     streaming: bool,
     attempts: Vec<Attempt>,
 }
@@ -198,7 +198,7 @@
     takes: Micros,
     entries: HashMap<u32, Entry<P>>,
     names: HashMap<String, u32>,
-    callers: HashMap<CallerId, u32>,
+    clients: HashMap<ClientId, u32>,
     next_request: u32,
     next_timer: u64,
     /// The program ends at this time: nobody is answered later.
@@ -228,7 +228,7 @@
             most_open,
             entries: HashMap::new(),
             names: HashMap::new(),
-            callers: HashMap::new(),
+            clients: HashMap::new(),
             next_request: 0,
             next_timer: 0,
             ends: Micros::MAX,
@@ -243,7 +243,7 @@
     // ---- Facts -----------------------------------------------------------------------------------
 
     /// A request has come in whole. Gives its number.
-    pub fn arrive(&mut self, now: Micros, caller: CallerId, job: Job<P>) -> Result<u32, Unfit> {
+    pub fn arrive(&mut self, now: Micros, client: ClientId, job: Job<P>) -> Result<u32, Unfit> {
         if self.names.contains_key(&job.name) || self.elsewhere.contains(&job.name) {
             return Err(Unfit::Repeated);
         }
@@ -251,21 +251,21 @@
             self.figures.of(job.class).refused += 1;
             return Err(Unfit::TooMany);
         }
-        Ok(self.enter(now, caller, job, None))
+        Ok(self.enter(now, client, job, None))
     }
 
-    /// A request that the other process of this scheduler has out at a next hop goes on here, and its caller
+    /// A request that the other process of this scheduler has out at a next hop goes on here, and its client
     /// with it.
     pub fn adopt(
         &mut self,
         now: Micros,
-        caller: CallerId,
+        client: ClientId,
         job: Job<P>,
         (hop, sent): (WorkerId, Micros),
         deadlines: &mut Deadlines,
     ) {
         self.elsewhere.remove(&job.name);
-        let number = self.enter(now, caller, job, Some((hop, sent)));
+        let number = self.enter(now, client, job, Some((hop, sent)));
         if let Some(entry) = self.entries.get_mut(&number) {
             deadlines.set(Due::Attempt(number, 0), entry.expires);
             entry.attempts.push(Attempt { written_at: Some(sent), taken: true, ..Attempt::new(hop, sent) });
@@ -274,8 +274,8 @@
 
     /// The requests that another process could answer in the place of this one: those of which nothing is open
     /// but the call-backs of the one next hop that took them. They are forgotten here. Gives for each its
-    /// caller, its hop, when it was sent there, when its caller leaves, and what it is.
-    pub fn bequeath(&mut self) -> Vec<(CallerId, WorkerId, Micros, Micros, P)> {
+    /// client, its hop, when it was sent there, when its client leaves, and what it is.
+    pub fn bequeath(&mut self) -> Vec<(ClientId, WorkerId, Micros, Micros, P)> {
         let fit = |entry: &Entry<P>| match entry.attempts[..] {
             [Attempt { taken: true, over: false, .. }] => !entry.concluded,
             _ => false,
@@ -286,15 +286,15 @@
         for number in numbers {
             let Some(mut entry) = self.entries.remove(&number) else { continue };
             self.names.remove(&entry.name);
-            self.callers.remove(&entry.caller);
+            self.clients.remove(&entry.client);
             if let Some(attempt) = entry.attempts.pop() {
-                left.push((entry.caller, attempt.hop, attempt.sent, entry.expires, entry.payload));
+                left.push((entry.client, attempt.hop, attempt.sent, entry.expires, entry.payload));
             }
         }
         left
     }
 
-    fn enter(&mut self, now: Micros, caller: CallerId, job: Job<P>, out: Option<(WorkerId, Micros)>) -> u32 {
+    fn enter(&mut self, now: Micros, client: ClientId, job: Job<P>, out: Option<(WorkerId, Micros)>) -> u32 {
         while self.entries.contains_key(&self.next_request) {
             self.next_request = self.next_request.wrapping_add(1);
         }
@@ -305,10 +305,10 @@
         if let Some(turnover) = &mut self.turnover {
             turnover.push((job.name.clone(), true));
         }
-        self.callers.insert(caller, number);
+        self.clients.insert(client, number);
         let entry = Entry {
             name: job.name,
-            caller,
+            client,
             class: job.class,
             expires,
             payload: job.payload,
@@ -341,9 +341,9 @@
         self.ends = ends;
     }
 
-    /// A caller has gone; nothing is owed to it any more.
-    pub fn leave(&mut self, caller: CallerId) {
-        let Some(number) = self.callers.remove(&caller) else { return };
+    /// A client has gone; nothing is owed to it any more.
+    pub fn leave(&mut self, client: ClientId) {
+        let Some(number) = self.clients.remove(&client) else { return };
         if let Some(entry) = self.entries.get_mut(&number) {
             entry.concluded = true;
             self.events.push_back(Event::Lapsed(RequestId(number)));
@@ -351,14 +351,14 @@
         self.closing.push(number);
     }
 
-    /// A caller is told more of its request from now on.
-    pub fn hear(&mut self, caller: CallerId, hears: Hears) {
-        if let Some(entry) = self.callers.get(&caller).and_then(|number| self.entries.get_mut(number)) {
+    /// A client is told more of its request from now on.
+    pub fn hear(&mut self, client: ClientId, hears: Hears) {
+        if let Some(entry) = self.clients.get(&client).and_then(|number| self.entries.get_mut(number)) {
             entry.hears = hears;
         }
     }
 
-    /// Whether an attempt whose connection has come up may still begin, and if not, what it ends with: its caller may have
+    /// Whether an attempt whose connection has come up may still begin, and if not, what it ends with: its client may have
     /// left meanwhile or its time be over, or the module may no longer want it there.
     pub fn begins(&mut self, now: Micros, id: AttemptId) -> Result<(), Ending> {
         let entry = self.entries.get(&id.request).filter(|entry| !entry.concluded && now < entry.expires);
@@ -408,13 +408,13 @@
                 && entry.hears != Hears::Nothing
                 && !entry.concluded
             {
-                self.work.push(Work::Relay { caller: entry.caller, part: Part::Started });
+                self.work.push(Work::Relay { client: entry.client, part: Part::Started });
             }
             self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.number, note });
         }
     }
 
-    /// A next hop has told a part of what comes. Gives back a part of the result that the caller cannot be told yet:
+    /// A next hop has told a part of what comes. Gives back a part of the result that the client cannot be told yet:
     /// whoever drives the next hop keeps it for the end.
     pub fn part(&mut self, id: AttemptId, part: Part) -> Option<Part> {
         self.attempt(id)?;
@@ -435,7 +435,7 @@
             entry.streaming = true;
             self.events.push_back(Event::Streaming { request, attempt });
         }
-        self.work.push(Work::Relay { caller: entry.caller, part });
+        self.work.push(Work::Relay { client: entry.client, part });
         None
     }
 
@@ -637,7 +637,7 @@
         for action in actions {
             self.carry_out(now, action, deadlines);
         }
-        // Not before: the module may have sent a request in answer to an event that came before its caller
+        // Not before: the module may have sent a request in answer to an event that came before its client
         // left, and waits for the outcome of that attempt, or would count its lane as taken for ever.
         for number in mem::take(&mut self.closing) {
             self.forget(number);
@@ -667,7 +667,7 @@
 
     /// Requests that are still owed an answer.
     pub fn owed(&self) -> usize {
-        self.callers.len()
+        self.clients.len()
     }
 
     fn carry_out(&mut self, now: Micros, action: Action, deadlines: &mut Deadlines) {
@@ -732,7 +732,7 @@
         let id = AttemptId { request: request.0, number: entry.attempts.len() as u32 };
         let ends = entry.expires.min(timeout.map_or(Micros::MAX, |span| now.saturating_add(span)));
         entry.attempts.push(Attempt::new(hop, now));
-        // The caller may have left, or its time may have run out, in the batch that the module answers here.
+        // The client may have left, or its time may have run out, in the batch that the module answers here.
         if entry.concluded || ends <= now || id.number >= self.most_tries {
             return self.end(now, id, Ending::Moot, None);
         }
@@ -771,7 +771,7 @@
         let Some(attempt) = self.attempt(id) else { return };
         attempt.over = true;
         let (worker, elapsed) = (attempt.hop, now.saturating_sub(attempt.sent));
-        // What a caller has a part of ends with the attempt that it came from: the module has done with it.
+        // What a client has a part of ends with the attempt that it came from: the module has done with it.
         if self.entries.get(&id.request).is_some_and(|entry| entry.streaming) {
             self.conclude(id.request, Answer::Failed);
         }
@@ -803,8 +803,8 @@
             Answer::Busy { .. } => tally.refused += 1,
             Answer::Failed => tally.failed += 1,
         }
-        self.callers.remove(&entry.caller);
-        self.work.push(Work::Answer { caller: entry.caller, answer });
+        self.clients.remove(&entry.client);
+        self.work.push(Work::Answer { client: entry.client, answer });
         self.closing.push(number);
     }
 
--- a/src/net/core/desk/tests.rs
+++ b/src/net/core/desk/tests.rs
@@ -107,7 +107,7 @@
 }
 
 fn answer(answer: Answer) -> Work<&'static str> {
-    Work::Answer { caller: 99, answer }
+    Work::Answer { client: 99, answer }
 }
 
 #[test]
--- a/src/net/gearman/conns.rs
+++ b/src/net/gearman/conns.rs
@@ -59,7 +59,7 @@
     pub(super) ending: bool,
     /// An attempt whose last byte is not written yet, and the worker's own limit for it in seconds.
     pub(super) assigning: Option<(AttemptId, u32)>,
-    /// Parts of a result that its caller takes in one piece only.
+    /// Parts of a result that its client takes in one piece only.
     pub(super) parts: Vec<u8>,
 }
 
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -13,7 +13,7 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
-use crate::net::core::desk::{Answer, AttemptId, CallerId, Part};
+use crate::net::core::desk::{Answer, AttemptId, ClientId, Part};
 use crate::net::core::envelope::Payload;
 use crate::net::core::roster::Source;
 use crate::net::protocol::{Protocol, Shares, Spare};
@@ -151,21 +151,21 @@
         }
     }
 
-    fn serves(&self, caller: CallerId) -> bool {
-        self.book.has(caller)
+    fn serves(&self, client: ClientId) -> bool {
+        self.book.has(client)
     }
 
-    fn answer(&mut self, ctx: &mut Ctx<'_>, caller: CallerId, answer: Answer) {
+    fn answer(&mut self, ctx: &mut Ctx<'_>, client: ClientId, answer: Answer) {
         let end = match answer {
             Answer::Served(result) => End::Served(result),
             Answer::Busy { come_back } => End::Refused(come_back),
             Answer::Failed => End::Failed,
         };
-        let mail = self.book.end(caller, end);
+        let mail = self.book.end(client, end);
         self.mail(ctx, mail);
     }
 
-    fn relay(&mut self, ctx: &mut Ctx<'_>, caller: CallerId, part: Part) {
+    fn relay(&mut self, ctx: &mut Ctx<'_>, client: ClientId, part: Part) {
         use calicolb_gearman::book::Part as Told;
         let part = match part {
             Part::Started => Told::Started,
@@ -174,7 +174,7 @@
             Part::Progress(done, of) => Told::Status(done, of),
             Part::Exception(what) => Told::Exception(what),
         };
-        let mail = self.book.relay(caller, part);
+        let mail = self.book.relay(client, part);
         self.mail(ctx, mail);
     }
 
@@ -288,7 +288,7 @@
 
     fn limit(&mut self, ctx: &mut Ctx<'_>, shares: Shares) {
         // Workers come in like clients.
-        self.most = shares.callers + shares.hops;
+        self.most = shares.clients + shares.hops;
         while self.conns.len() > self.most && self.shed(ctx) {}
     }
 
--- a/src/net/gearman/packets.rs
+++ b/src/net/gearman/packets.rs
@@ -18,7 +18,7 @@
 /// The longest function name, unique id and client id that are taken.
 pub(super) const NAME: usize = 256;
 
-/// The largest result that is put together for a caller that takes it in one piece only.
+/// The largest result that is put together for a client that takes it in one piece only.
 const RESULT: usize = 64 * 1024;
 
 impl Gearman {
@@ -153,8 +153,8 @@
         }
         let grade = function.grades[priority];
         let class = &self.config.classes[grade.class.0];
-        let caller = ctx.next_token();
-        let name = format!("{}-{caller:x}", self.boot);
+        let client = ctx.next_token();
+        let name = format!("{}-{client:x}", self.boot);
         let headers = [
             ("Host", "origin.svc"),
             ("Request-Id", &name),
@@ -183,10 +183,10 @@
             hears: if background { Hears::Progress } else { Hears::All },
             payload: Rc::new(envelope),
         };
-        match ctx.desk.arrive(ctx.now, caller, job) {
+        match ctx.desk.arrive(ctx.now, client, job) {
             Ok(request) => {
                 let handle = self.handle(AttemptId { request, number: 0 });
-                self.book.open(caller, handle, submission);
+                self.book.open(client, handle, submission);
             }
             Err(Unfit::Repeated | Unfit::TooMany) => {
                 self.error(ctx, token, "BUSY", "as many jobs are open as may be");
@@ -244,7 +244,7 @@
             conn.parts.extend_from_slice(&part);
         } else {
             // It ran, and what it gave cannot be served whole: it must not be served in part either.
-            note!(warn: request = attempt.request, "a result is too large for its caller");
+            note!(warn: request = attempt.request, "a result is too large for its client");
             ctx.desk.answered(ctx.now, attempt, Ending::Error, None);
             self.fleet.give_up(attempt);
         }
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -71,9 +71,9 @@
                 Work::Send { attempt, hop, payload, wait } => {
                     self.with(|ctx| gearman.send(ctx, attempt, hop, &payload, wait));
                 }
-                Work::Answer { caller, answer } => {
+                Work::Answer { client, answer } => {
                     answers.push(answer.clone());
-                    self.with(|ctx| gearman.answer(ctx, caller, answer));
+                    self.with(|ctx| gearman.answer(ctx, client, answer));
                 }
                 _ => {}
             }
--- a/src/net/http/caller.rs
+++ b/src/net/http/client.rs
@@ -1,4 +1,4 @@
-//! Caller legs: the connections that clients open, and those on which next hops bring their call-backs. One
+//! Client connections: the connections that clients open, and those on which next hops bring their call-backs. One
 //! listener serves both.
 
 use crate::log::note;
@@ -20,38 +20,38 @@
 use std::rc::Rc;
 
 const SECOND: Micros = 1_000_000;
-/// Who connects owes a whole first request within this time: a slow or silent caller costs a descriptor.
+/// Who connects owes a whole first request within this time: a slow or silent client costs a descriptor.
 const FIRST: Micros = 5 * SECOND / 2;
-/// The same once callers were told to go elsewhere: one that comes late and says nothing is let go soon.
+/// The same once clients were told to go elsewhere: one that comes late and says nothing is let go soon.
 const FIRST_PARTING: Micros = SECOND;
-/// A leg that stays in the middle of a later request, or does not take its answer, is closed after this time.
+/// A connection that stays in the middle of a later request, or does not take its answer, is closed after this time.
 const STALLED: Micros = 5 * SECOND;
-/// A leg at rest is closed after this time.
+/// A connection at rest is closed after this time.
 const IDLE: Micros = 120 * SECOND;
-/// How long a leg that was told of an error may go on sending before it is cut: with 60 MB on the way a cut
+/// How long a connection that was told of an error may go on sending before it is cut: with 60 MB on the way a cut
 /// would take the answer along.
 const LINGER: Micros = 3 * SECOND;
-/// A leg whose last answer is written is waited for this long before the program exits: an exit over bytes that its caller
+/// A connection whose last answer is written is waited for this long before the program exits: an exit over bytes that its client
 /// goes on sending resets the connection, and what of the answer is still under way goes with it.
 const TAKEN: Micros = SECOND / 2;
 /// Accepting is tried again after this time when no descriptor could be had.
 const ACCEPT_AGAIN: Micros = SECOND / 50;
 /// Connections taken in one turn at most; the rest come in the next.
 const ACCEPTS: usize = 256;
-/// The longest time that a caller's patience is taken to have.
+/// The longest time that a client's patience is taken to have.
 const PATIENCE: f64 = 3600.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     /// Waits for a request, or for the rest of one.
     Reading,
-    /// A request of this leg is with the desk.
+    /// A request of this connection is with the desk.
     Waiting,
     /// The last answer is written; whatever still comes is thrown away.
     Ending,
 }
 
-struct Leg {
+struct Connection {
     stream: TcpStream,
     buffer: Buffer,
     state: State,
@@ -74,35 +74,35 @@
     /// The next hop that took it, and when it was sent there.
     pub hop: u32,
     pub sent: Micros,
-    /// When its caller leaves.
+    /// When its client leaves.
     pub expires: Micros,
 }
 
 /// See the head of this file.
-pub struct Callers {
+pub struct Clients {
     listener: TcpListener,
     /// The number of the listener.
     token: usize,
-    legs: HashMap<usize, Leg>,
+    connections: HashMap<usize, Connection>,
     most: usize,
-    /// Answers tell callers to go elsewhere.
+    /// Answers tell clients to go elsewhere.
     parting: bool,
-    /// New callers are welcome.
+    /// New clients are welcome.
     pub open: bool,
     /// New connections are taken here: those that are not wait for another process on the same socket.
     listening: bool,
 }
 
-impl Callers {
-    /// `token`: the number of the listener. How many connections there may be is told later (see [`Callers::limit`]).
+impl Clients {
+    /// `token`: the number of the listener. How many connections there may be is told later (see [`Clients::limit`]).
     pub fn new(listener: TcpListener, token: usize) -> Self {
-        let legs = HashMap::new();
-        Callers { listener, token, legs, most: 0, parting: false, open: false, listening: false }
+        let connections = HashMap::new();
+        Clients { listener, token, connections, most: 0, parting: false, open: false, listening: false }
     }
 
     /// The connection is one of these.
     pub fn has(&self, token: usize) -> bool {
-        token == self.token || self.legs.contains_key(&token)
+        token == self.token || self.connections.contains_key(&token)
     }
 
     /// Begins to take connections.
@@ -124,7 +124,7 @@
     /// So many connections may be open from now on.
     pub fn limit(&mut self, ctx: &mut Ctx<'_>, most: usize) {
         self.most = most;
-        while self.legs.len() > most && self.shed(ctx) {}
+        while self.connections.len() > most && self.shed(ctx) {}
     }
 
     /// Takes new connections.
@@ -133,8 +133,8 @@
             return;
         }
         for _ in 0..ACCEPTS {
-            if self.legs.len() >= self.most && !self.shed(ctx) {
-                // They wait in the listener's queue until a leg ends.
+            if self.connections.len() >= self.most && !self.shed(ctx) {
+                // They wait in the listener's queue until a connection ends.
                 return ctx.deadlines.set(Due::Conn(self.token, Alarm::Accept), ctx.now + ACCEPT_AGAIN);
             }
             match self.listener.accept() {
@@ -143,7 +143,7 @@
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
-                    // Out of descriptors or memory: a leg at rest makes room, else time may.
+                    // Out of descriptors or memory: a connection at rest makes room, else time may.
                     note!("accepting: {error}");
                     self.shed(ctx);
                     return ctx.deadlines.set(Due::Conn(self.token, Alarm::Accept), ctx.now + ACCEPT_AGAIN);
@@ -163,10 +163,10 @@
         if let Err(error) =
             ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)
         {
-            return note!("watching a caller leg: {error}");
+            return note!("watching a client connection: {error}");
         }
         ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + self.first());
-        let leg = Leg {
+        let connection = Connection {
             stream,
             buffer: Buffer::default(),
             state: State::Reading,
@@ -176,10 +176,10 @@
             since: ctx.now,
             begun: None,
         };
-        self.legs.insert(token, leg);
+        self.connections.insert(token, connection);
     }
 
-    /// How long a new caller may take over its first request.
+    /// How long a new client may take over its first request.
     fn first(&self) -> Micros {
         if self.parting { FIRST_PARTING } else { FIRST }
     }
@@ -189,8 +189,8 @@
         if token == self.token {
             return self.accept(ctx);
         }
-        let Some(leg) = self.legs.get_mut(&token) else { return };
-        if leg.buffer.has_output() && !self.flush(ctx, token) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        if connection.buffer.has_output() && !self.flush(ctx, token) {
             return;
         }
         self.read(ctx, token);
@@ -209,37 +209,35 @@
 
     fn read(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         loop {
-            let Some(leg) = self.legs.get_mut(&token) else { return };
-            let filled = leg.buffer.fill(&mut leg.stream, framing::MESSAGE_LIMIT);
-            if leg.state == State::Ending && !leg.buffer.has_output() {
-                leg.buffer.consume(usize::MAX / 2);
+            let Some(connection) = self.connections.get_mut(&token) else { return };
+            let filled = connection.buffer.fill(&mut connection.stream, framing::MESSAGE_LIMIT);
+            if connection.state == State::Ending && !connection.buffer.has_output() {
+                connection.buffer.consume(usize::MAX / 2);
                 if filled == Filled::Brimful {
                     // Who sends without end gets its share of a turn, not the whole of it.
                     return ctx.deadlines.set(Due::Conn(token, Alarm::More), ctx.now + 1);
                 }
             }
-            while self
-                .legs
-                .get(&token)
-                .is_some_and(|leg| leg.state == State::Reading && !leg.buffer.has_output())
-                && self.step(ctx, token)
+            while self.connections.get(&token).is_some_and(|connection| {
+                connection.state == State::Reading && !connection.buffer.has_output()
+            }) && self.step(ctx, token)
             {}
             if filled == Filled::Ended {
                 // Who closes has gone away, also in the middle of an answer.
                 ctx.desk.leave(token);
-                return self.drop_leg(ctx, token);
+                return self.drop_connection(ctx, token);
             }
-            let Some(leg) = self.legs.get_mut(&token) else { return };
-            let full = leg.buffer.input().len() >= framing::MESSAGE_LIMIT;
-            if leg.state == State::Waiting && full {
+            let Some(connection) = self.connections.get_mut(&token) else { return };
+            let full = connection.buffer.input().len() >= framing::MESSAGE_LIMIT;
+            if connection.state == State::Waiting && full {
                 // Who sends so much and waits may leave, and that shows only behind it: it is read and thrown away, a
-                // turn's share at a time, and the answer is the last on this leg.
-                leg.last = true;
-                leg.buffer.consume(usize::MAX / 2);
+                // turn's share at a time, and the answer is the last on this connection.
+                connection.last = true;
+                connection.buffer.consume(usize::MAX / 2);
                 return ctx.deadlines.set(Due::Conn(token, Alarm::More), ctx.now + 1);
             }
             // The buffer was full of requests, and room has come.
-            if filled == Filled::Dry || leg.buffer.has_output() || full {
+            if filled == Filled::Dry || connection.buffer.has_output() || full {
                 return;
             }
         }
@@ -248,26 +246,26 @@
     /// Deals with the next request in the buffer; tells whether there was one.
     fn step(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
         let first = self.first();
-        let Some(leg) = self.legs.get_mut(&token) else { return false };
-        match framing::request(leg.buffer.input()) {
+        let Some(connection) = self.connections.get_mut(&token) else { return false };
+        match framing::request(connection.buffer.input()) {
             Ok(None) => {
-                // Counted from its first byte: who sends a byte now and then does not hold a leg for ever.
-                let ends = if leg.fresh {
-                    leg.since + first
-                } else if leg.buffer.input().is_empty() {
+                // Counted from its first byte: who sends a byte now and then does not hold a connection for ever.
+                let ends = if connection.fresh {
+                    connection.since + first
+                } else if connection.buffer.input().is_empty() {
                     ctx.now + IDLE
                 } else {
-                    *leg.begun.get_or_insert(ctx.now) + STALLED
+                    *connection.begun.get_or_insert(ctx.now) + STALLED
                 };
                 ctx.deadlines.set(Due::Conn(token, Alarm::Late), ends);
                 false
             }
             Ok(Some((request, length))) => {
-                leg.buffer.consume(length);
-                leg.since = ctx.now;
-                leg.fresh = false;
-                leg.begun = None;
-                leg.last |= !request.keep_alive;
+                connection.buffer.consume(length);
+                connection.since = ctx.now;
+                connection.fresh = false;
+                connection.begun = None;
+                connection.last |= !request.keep_alive;
                 ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + IDLE);
                 match self.route(ctx, token, request) {
                     Ok(()) => {}
@@ -277,7 +275,7 @@
             }
             Err(Reject(status)) => {
                 // Where this message ends and the next begins is not known.
-                leg.last = true;
+                connection.last = true;
                 self.reply(ctx, token, status, &[], b"");
                 false
             }
@@ -296,8 +294,8 @@
             "/_jobs/news" => {
                 wanted("POST")?;
                 call_back(ctx, &request.body)?;
-                if let Some(leg) = self.legs.get_mut(&token) {
-                    leg.back = true;
+                if let Some(connection) = self.connections.get_mut(&token) {
+                    connection.back = true;
                 }
                 self.reply(ctx, token, 200, &[], b"");
             }
@@ -305,8 +303,8 @@
                 let job = job_of(ctx, request)?;
                 match ctx.desk.arrive(ctx.now, token, job) {
                     Ok(_) => {
-                        if let Some(leg) = self.legs.get_mut(&token) {
-                            leg.state = State::Waiting;
+                        if let Some(connection) = self.connections.get_mut(&token) {
+                            connection.state = State::Waiting;
                         }
                         ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                     }
@@ -318,29 +316,29 @@
         Ok(())
     }
 
-    /// Lets go of the leg of a request that another process will answer; tells whether another request may follow on it.
+    /// Lets go of the connection of a request that another process will answer; tells whether another request may follow on it.
     pub fn release(&mut self, ctx: &mut Ctx<'_>, token: usize) -> Option<(TcpStream, bool)> {
         ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
         ctx.deadlines.clear(Due::Conn(token, Alarm::More));
-        let mut leg = self.legs.remove(&token)?;
-        let _ = ctx.registry.deregister(&mut leg.stream);
-        Some((leg.stream, !leg.last))
+        let mut connection = self.connections.remove(&token)?;
+        let _ = ctx.registry.deregister(&mut connection.stream);
+        Some((connection.stream, !connection.last))
     }
 
-    /// Takes on a leg with a request that the other process had sent out.
+    /// Takes on a connection with a request that the other process had sent out.
     pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, taken: Taken) {
         let token = ctx.next_token();
         self.open_as(ctx, stream, token);
-        let Some(leg) = self.legs.get_mut(&token) else { return };
-        leg.fresh = false;
-        leg.last = !taken.keep_alive;
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        connection.fresh = false;
+        connection.last = !taken.keep_alive;
         let Envelope { target, headers, body, .. } = taken.envelope;
         let keep_alive = taken.keep_alive;
         match job_of(ctx, Request { method: "POST".to_owned(), target, headers, body, keep_alive }) {
             Ok(mut job) => {
                 job.patience = taken.expires.saturating_sub(ctx.now);
                 let out = (WorkerId(taken.hop), taken.sent);
-                leg.state = State::Waiting;
+                connection.state = State::Waiting;
                 ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
                 ctx.desk.adopt(ctx.now, token, job, out, ctx.deadlines);
             }
@@ -348,10 +346,10 @@
         }
     }
 
-    /// Gives the final answer to the request of a leg.
+    /// Gives the final answer to the request of a connection.
     pub fn answer(&mut self, ctx: &mut Ctx<'_>, token: usize, answer: Answer) {
-        let Some(leg) = self.legs.get_mut(&token) else { return };
-        leg.state = State::Reading;
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        connection.state = State::Reading;
         match answer {
             Answer::Served(result) => self.reply(ctx, token, 200, &[], &result),
             Answer::Busy { come_back: Some(span) } => {
@@ -361,135 +359,149 @@
             Answer::Busy { come_back: None } => self.reply(ctx, token, 503, &[], b""),
             Answer::Failed => self.reply(ctx, token, 500, &[], b""),
         }
-        // A caller may have sent its next request already, and more of it than was read.
+        // A client may have sent its next request already, and more of it than was read.
         self.read(ctx, token);
     }
 
     fn reply(&mut self, ctx: &mut Ctx<'_>, token: usize, status: u16, extra: &[(&str, &str)], body: &[u8]) {
-        let Some(leg) = self.legs.get_mut(&token) else { return };
-        leg.last |= self.parting && !leg.back;
-        leg.since = ctx.now;
-        leg.buffer.put(&framing::write_response(status, extra, body, !leg.last));
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        connection.last |= self.parting && !connection.back;
+        connection.since = ctx.now;
+        connection.buffer.put(&framing::write_response(status, extra, body, !connection.last));
         ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + STALLED);
         self.flush(ctx, token);
     }
 
-    /// Writes what waits; tells whether the leg goes on.
+    /// Writes what waits; tells whether the connection goes on.
     fn flush(&mut self, ctx: &mut Ctx<'_>, token: usize) -> bool {
         let parting = self.parting;
-        let Some(leg) = self.legs.get_mut(&token) else { return false };
-        let flushed = leg.buffer.flush(&mut leg.stream);
-        // An answer that was on its way when callers were told to go: its leg must not be kept after it.
-        let last = leg.last || (parting && !leg.back && leg.buffer.input().is_empty());
+        let Some(connection) = self.connections.get_mut(&token) else { return false };
+        let flushed = connection.buffer.flush(&mut connection.stream);
+        // An answer that was on its way when clients were told to go: its connection must not be kept after it.
+        let last = connection.last || (parting && !connection.back && connection.buffer.input().is_empty());
         match flushed {
             Ok(false) => false,
-            Ok(true) if last && leg.state == State::Reading => {
+            Ok(true) if last && connection.state == State::Reading => {
                 // Closing with input unread would reset the connection, and the answer with it.
-                let _ = leg.stream.shutdown(Shutdown::Write);
-                leg.state = State::Ending;
-                leg.buffer.consume(usize::MAX / 2);
+                let _ = connection.stream.shutdown(Shutdown::Write);
+                connection.state = State::Ending;
+                connection.buffer.consume(usize::MAX / 2);
                 ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + LINGER);
                 ctx.deadlines.set(Due::Conn(token, Alarm::Owed), ctx.now + TAKEN);
                 true
             }
             Ok(true) => {
-                if leg.state == State::Reading {
+                if connection.state == State::Reading {
                     ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + IDLE);
                 }
                 true
             }
             Err(_) => {
                 ctx.desk.leave(token);
-                self.drop_leg(ctx, token);
+                self.drop_connection(ctx, token);
                 false
             }
         }
     }
 
-    /// A leg has rested or stalled for too long.
+    /// A connection has rested or stalled for too long.
     pub fn late(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         // What came in since the poll counts: a request that lies unread has been taken, and a close would reset it.
-        let Some(&Leg { state, since, .. }) = self.legs.get(&token) else { return };
+        let Some(&Connection { state, since, .. }) = self.connections.get(&token) else { return };
         if state != State::Waiting {
             self.read(ctx, token);
         }
-        let Some(leg) = self.legs.get_mut(&token).filter(|leg| leg.since == since) else { return };
-        let begun = leg.begun.filter(|_| !leg.fresh);
-        match leg.state {
+        let Some(connection) =
+            self.connections.get_mut(&token).filter(|connection| connection.since == since)
+        else {
+            return;
+        };
+        let begun = connection.begun.filter(|_| !connection.fresh);
+        match connection.state {
             State::Waiting => {}
-            State::Reading if leg.at_rest() => self.part(ctx, token),
+            State::Reading if connection.at_rest() => self.part(ctx, token),
             // Its first bytes have only just come.
             State::Reading if begun.is_some_and(|begun| ctx.now < begun + STALLED) => {}
-            State::Reading if !leg.buffer.has_output() => {
-                leg.last = true;
+            State::Reading if !connection.buffer.has_output() => {
+                connection.last = true;
                 self.reply(ctx, token, 408, &[], b"");
             }
             // It does not take its answer, or goes on sending after its end.
-            State::Reading | State::Ending => self.drop_leg(ctx, token),
+            State::Reading | State::Ending => self.drop_connection(ctx, token),
         }
     }
 
-    /// Ends a leg at rest: its caller hears of it, and what crosses the end is thrown away, not reset.
+    /// Ends a connection at rest: its client hears of it, and what crosses the end is thrown away, not reset.
     fn part(&mut self, ctx: &mut Ctx<'_>, token: usize) {
-        let Some(leg) = self.legs.get_mut(&token) else { return };
-        let _ = leg.stream.shutdown(Shutdown::Write);
-        leg.state = State::Ending;
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let _ = connection.stream.shutdown(Shutdown::Write);
+        connection.state = State::Ending;
         ctx.deadlines.set(Due::Conn(token, Alarm::Late), ctx.now + LINGER);
     }
 
-    fn drop_leg(&mut self, ctx: &mut Ctx<'_>, token: usize) {
-        let Some(mut leg) = self.legs.remove(&token) else { return };
-        let _ = ctx.registry.deregister(&mut leg.stream);
+    fn drop_connection(&mut self, ctx: &mut Ctx<'_>, token: usize) {
+        let Some(mut connection) = self.connections.remove(&token) else { return };
+        let _ = ctx.registry.deregister(&mut connection.stream);
         [Alarm::Late, Alarm::More, Alarm::Owed]
             .into_iter()
             .for_each(|alarm| ctx.deadlines.clear(Due::Conn(token, alarm)));
     }
 
-    /// Answers are no longer the last of their legs.
+    /// Answers are no longer the last of their connections.
     pub fn stay(&mut self) {
         self.parting = false;
     }
 
-    /// Closes the legs at rest, between two requests, and from now on every answer is the last of its leg;
+    /// Closes the connections at rest, between two requests, and from now on every answer is the last of its connection;
     /// call-backs keep theirs.
     pub fn farewell(&mut self, ctx: &mut Ctx<'_>) {
         self.parting = true;
-        let resting: Vec<usize> =
-            self.legs.iter().filter(|(_, leg)| leg.at_rest() && !leg.back).map(|(&token, _)| token).collect();
+        let resting: Vec<usize> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.at_rest() && !connection.back)
+            .map(|(&token, _)| token)
+            .collect();
         for token in resting {
             // What came in since the poll is a request taken, not one that crosses the end.
             self.read(ctx, token);
-            if self.legs.get(&token).is_some_and(Leg::at_rest) {
+            if self.connections.get(&token).is_some_and(Connection::at_rest) {
                 self.part(ctx, token);
             }
         }
     }
 
-    /// No leg is in the middle of a request, and callers have had the time to take their last answers.
+    /// No connection is in the middle of a request, and clients have had the time to take their last answers.
     pub fn at_rest(&self, now: Micros) -> bool {
-        self.legs.values().all(|leg| leg.over(now) || leg.at_rest())
+        self.connections.values().all(|connection| connection.over(now) || connection.at_rest())
     }
 }
 
-impl Spare for Callers {
-    /// Closes the leg that has been at rest for longest, of clients first; if none is, the one that has been in
+impl Spare for Clients {
+    /// Closes the connection that has been at rest for longest, of clients first; if none is, the one that has been in
     /// the middle of sending a request, which is not taken before its last byte.
     fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool {
         let now = ctx.now;
-        let order = |leg: &Leg| match leg.state {
-            State::Ending => Some((if leg.over(now) { 0 } else { 3 }, leg.since)),
-            State::Reading if leg.at_rest() => Some((1 + u8::from(leg.back), leg.since)),
-            State::Reading if !leg.buffer.has_output() => Some((4, leg.begun.unwrap_or(leg.since))),
+        let order = |connection: &Connection| match connection.state {
+            State::Ending => Some((if connection.over(now) { 0 } else { 3 }, connection.since)),
+            State::Reading if connection.at_rest() => Some((1 + u8::from(connection.back), connection.since)),
+            State::Reading if !connection.buffer.has_output() => {
+                Some((4, connection.begun.unwrap_or(connection.since)))
+            }
             _ => None,
         };
-        for _ in 0..=self.legs.len() {
-            let first = self.legs.iter().filter_map(|(&token, leg)| Some((order(leg)?, token))).min();
+        for _ in 0..=self.connections.len() {
+            let first = self
+                .connections
+                .iter()
+                .filter_map(|(&token, connection)| Some((order(connection)?, token)))
+                .min();
             let Some((place, token)) = first else { break };
-            // A request that came in since the poll has been taken: its leg is none to let go of.
+            // A request that came in since the poll has been taken: its connection is none to let go of.
             self.read(ctx, token);
-            let still = self.legs.get(&token).map(|leg| order(leg) == Some(place));
+            let still = self.connections.get(&token).map(|connection| order(connection) == Some(place));
             if still != Some(false) {
-                self.drop_leg(ctx, token);
+                self.drop_connection(ctx, token);
                 return true;
             }
         }
@@ -497,8 +509,8 @@
     }
 }
 
-impl Leg {
-    /// Its last answer, if it had one, was written so long ago that its caller has it.
+impl Connection {
+    /// Its last answer, if it had one, was written so long ago that its client has it.
     fn over(&self, now: Micros) -> bool {
         self.state == State::Ending && now >= self.since + TAKEN
     }
--- a/src/net/http/caller/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -22,7 +22,7 @@
 }
 
 impl Table {
-    fn new() -> (Table, Callers) {
+    fn new() -> (Table, Clients) {
         let info = r#"{"azs":["a"],"kinds":["k"],"ceilings":{"cancelling":true,"most_tries":4},
             "request_classes":[{"name":"book","aim_us":900000,"deadline_us":9000000,"effect":"non_idempotent"}]}"#;
         let (settings, names) = wire::settings(info).expect("the settings are sound");
@@ -31,10 +31,10 @@
         let poll = Poll::new().expect("a poll can be had");
         let mut table = Table { poll, names, deadlines: Deadlines::default(), desk, tokens: 100, now };
         let at = "127.0.0.1:0".parse().expect("it is an address");
-        let mut callers = Callers::new(TcpListener::bind(at).expect("a port is free"), 1);
-        table.with(|ctx| callers.listen(ctx)).expect("it can be watched");
-        table.with(|ctx| callers.limit(ctx, 10));
-        (table, callers)
+        let mut clients = Clients::new(TcpListener::bind(at).expect("a port is free"), 1);
+        table.with(|ctx| clients.listen(ctx)).expect("it can be watched");
+        table.with(|ctx| clients.limit(ctx, 10));
+        (table, clients)
     }
 
     fn with<T>(&mut self, run: impl FnOnce(&mut Ctx<'_>) -> T) -> T {
@@ -50,15 +50,15 @@
         })
     }
 
-    /// A client connects: its end, and the number of the leg here.
-    fn connect(&mut self, callers: &mut Callers) -> (Peer, usize) {
-        let peer = Peer::connect(callers.listener.local_addr().expect("it is bound")).expect("it listens");
-        let before = callers.legs.len();
+    /// A client connects: its end, and the number of the connection here.
+    fn connect(&mut self, clients: &mut Clients) -> (Peer, usize) {
+        let peer = Peer::connect(clients.listener.local_addr().expect("it is bound")).expect("it listens");
+        let before = clients.connections.len();
         until(|| {
-            self.with(|ctx| callers.ready(ctx, 1));
-            callers.legs.len() > before
+            self.with(|ctx| clients.ready(ctx, 1));
+            clients.connections.len() > before
         });
-        (peer, callers.legs.keys().copied().max().expect("there is one"))
+        (peer, clients.connections.keys().copied().max().expect("there is one"))
     }
 }
 
@@ -77,99 +77,112 @@
 }
 
 #[test]
-fn a_request_that_comes_in_as_its_leg_has_rested_long_enough_is_taken() {
+fn a_request_that_comes_in_as_its_connection_has_rested_long_enough_is_taken() {
     for rested in [false, true] {
-        let (mut table, mut callers) = Table::new();
-        let (mut peer, leg) = table.connect(&mut callers);
+        let (mut table, mut clients) = Table::new();
+        let (mut peer, connection) = table.connect(&mut clients);
         if rested {
             peer.write_all(b"GET /up HTTP/1.1\r\n\r\n").expect("it is read");
             until(|| {
-                table.with(|ctx| callers.ready(ctx, leg));
-                !callers.legs[&leg].fresh
+                table.with(|ctx| clients.ready(ctx, connection));
+                !clients.connections[&connection].fresh
             });
         }
         table.now += IDLE + SECOND;
         peer.write_all(REQUEST).expect("it is read");
-        table.with(|ctx| callers.due(ctx, leg, Alarm::Late));
-        assert_eq!((table.desk.owed(), callers.legs[&leg].state), (1, State::Waiting), "rested: {rested}");
+        table.with(|ctx| clients.due(ctx, connection, Alarm::Late));
+        assert_eq!(
+            (table.desk.owed(), clients.connections[&connection].state),
+            (1, State::Waiting),
+            "rested: {rested}"
+        );
     }
 }
 
 #[test]
-fn a_leg_that_has_rested_long_enough_is_ended_and_what_crosses_that_is_not_reset() {
-    let (mut table, mut callers) = Table::new();
-    let (mut peer, leg) = table.connect(&mut callers);
+fn a_connection_that_has_rested_long_enough_is_ended_and_what_crosses_that_is_not_reset() {
+    let (mut table, mut clients) = Table::new();
+    let (mut peer, connection) = table.connect(&mut clients);
     table.now += FIRST;
-    table.with(|ctx| callers.due(ctx, leg, Alarm::Late));
+    table.with(|ctx| clients.due(ctx, connection, Alarm::Late));
     peer.write_all(REQUEST).expect("the way there is open");
-    table.with(|ctx| callers.ready(ctx, leg));
-    assert_eq!((table.desk.owed(), callers.legs[&leg].state), (0, State::Ending), "it came after the end");
+    table.with(|ctx| clients.ready(ctx, connection));
+    assert_eq!(
+        (table.desk.owed(), clients.connections[&connection].state),
+        (0, State::Ending),
+        "it came after the end"
+    );
     table.now += LINGER;
     peer.write_all(REQUEST).expect("the way there is open");
-    table.with(|ctx| callers.due(ctx, leg, Alarm::Late));
-    assert!(callers.legs.is_empty());
+    table.with(|ctx| clients.due(ctx, connection, Alarm::Late));
+    assert!(clients.connections.is_empty());
     assert_eq!(rest(peer), "", "an end, and no reset");
 }
 
 #[test]
-fn room_is_made_by_a_leg_on_which_nothing_lies_unread() {
-    let (mut table, mut callers) = Table::new();
-    let (mut first, busy) = table.connect(&mut callers);
+fn room_is_made_by_a_connection_on_which_nothing_lies_unread() {
+    let (mut table, mut clients) = Table::new();
+    let (mut first, busy) = table.connect(&mut clients);
     table.now += 1;
-    let (second, idle) = table.connect(&mut callers);
+    let (second, idle) = table.connect(&mut clients);
     first.write_all(REQUEST).expect("it is read");
-    assert!(table.with(|ctx| callers.shed(ctx)), "the second makes room");
-    assert!(!callers.has(idle) && table.desk.owed() == 1 && callers.legs[&busy].state == State::Waiting);
+    assert!(table.with(|ctx| clients.shed(ctx)), "the second makes room");
+    assert!(
+        !clients.has(idle) && table.desk.owed() == 1 && clients.connections[&busy].state == State::Waiting
+    );
     assert_eq!(rest(second), "");
-    assert!(!table.with(|ctx| callers.shed(ctx)), "a leg with a request in work never does");
+    assert!(!table.with(|ctx| clients.shed(ctx)), "a connection with a request in work never does");
 }
 
 #[test]
 fn the_program_does_not_exit_before_a_last_answer_has_had_time_to_be_taken() {
     for closes in [true, false] {
-        let (mut table, mut callers) = Table::new();
-        let (mut peer, leg) = table.connect(&mut callers);
+        let (mut table, mut clients) = Table::new();
+        let (mut peer, connection) = table.connect(&mut clients);
         peer.write_all(REQUEST).expect("it is read");
         until(|| {
-            table.with(|ctx| callers.ready(ctx, leg));
+            table.with(|ctx| clients.ready(ctx, connection));
             table.desk.owed() == 1
         });
-        table.with(|ctx| callers.farewell(ctx));
-        table.with(|ctx| callers.answer(ctx, leg, Answer::Served(b"r".to_vec())));
-        assert!(!callers.at_rest(table.now), "the answer may be under way");
+        table.with(|ctx| clients.farewell(ctx));
+        table.with(|ctx| clients.answer(ctx, connection, Answer::Served(b"r".to_vec())));
+        assert!(!clients.at_rest(table.now), "the answer may be under way");
         // A client that goes on sending on what stays open must not make the exit reset its answer.
         peer.write_all(REQUEST).expect("the way there is open");
-        table.with(|ctx| callers.ready(ctx, leg));
+        table.with(|ctx| clients.ready(ctx, connection));
         if closes {
             drop(peer);
             until(|| {
-                table.with(|ctx| callers.ready(ctx, leg));
-                callers.at_rest(table.now)
+                table.with(|ctx| clients.ready(ctx, connection));
+                clients.at_rest(table.now)
             });
-            assert!(callers.legs.is_empty());
+            assert!(clients.connections.is_empty());
         } else {
             table.now += TAKEN;
             let due = table.deadlines.next_due(table.now);
-            assert_eq!(due, Some(Due::Conn(leg, Alarm::Owed)), "the loop looks again then");
-            assert!(callers.at_rest(table.now));
+            assert_eq!(due, Some(Due::Conn(connection, Alarm::Owed)), "the loop looks again then");
+            assert!(clients.at_rest(table.now));
         }
     }
 }
 
 #[test]
 fn a_client_that_sends_much_and_leaves_while_it_waits_has_gone() {
-    let (mut table, mut callers) = Table::new();
-    let (mut peer, leg) = table.connect(&mut callers);
+    let (mut table, mut clients) = Table::new();
+    let (mut peer, connection) = table.connect(&mut clients);
     let client = std::thread::spawn(move || {
         peer.write_all(REQUEST).expect("it is read");
         peer.write_all(&vec![b'x'; 8 << 20]).expect("it is read, to the last byte");
     });
     until(|| {
-        table.with(|ctx| callers.ready(ctx, leg));
+        table.with(|ctx| clients.ready(ctx, connection));
         assert!(
-            callers.legs.get(&leg).is_none_or(|leg| leg.buffer.input().len() < 2 * framing::MESSAGE_LIMIT)
+            clients
+                .connections
+                .get(&connection)
+                .is_none_or(|connection| connection.buffer.input().len() < 2 * framing::MESSAGE_LIMIT)
         );
-        callers.legs.is_empty()
+        clients.connections.is_empty()
     });
     assert_eq!(table.desk.owed(), 0);
     client.join().expect("it could send all");
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -321,7 +321,7 @@
         }
         let dial = self.hops.get(&hop)?.dial;
         let mut made = TcpStream::connect(dial);
-        // Out of descriptors, say: work in hand comes before callers at rest. Nothing has been sent yet.
+        // Out of descriptors, say: work in hand comes before clients at rest. Nothing has been sent yet.
         if made.is_err() && spare.shed(ctx) {
             made = TcpStream::connect(dial);
         }
@@ -564,7 +564,7 @@
             if status != 500 {
                 note!("a next hop answered {status}");
             }
-            // What a caller did wrong must not be held against the next hop, nor tried on all the others.
+            // What a client did wrong must not be held against the next hop, nor tried on all the others.
             let ending = if (400..500).contains(&status) { Ending::Unusable } else { Ending::Error };
             ctx.desk.answered(ctx.now, attempt, ending, report);
         }
--- a/src/net/operators/door.rs
+++ b/src/net/operators/door.rs
@@ -74,7 +74,7 @@
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
-                    // Out of descriptors, say: operators come before callers at rest.
+                    // Out of descriptors, say: operators come before clients at rest.
                     note!("accepting an operator's call: {error}");
                     spare.shed(ctx);
                     ctx.deadlines.set(Due::Door, ctx.now + AGAIN);
@@ -124,7 +124,7 @@
         if end.is_none() && filled == Filled::Dry {
             return None;
         }
-        // The end of what the caller has to say ends its line as well.
+        // The end of what the client has to say ends its line as well.
         let order = read(&input[..end.unwrap_or(input.len())]);
         if input.is_empty() {
             self.drop_call(ctx, token);
--- a/src/net/operators/drain.rs
+++ b/src/net/operators/drain.rs
@@ -3,7 +3,7 @@
 
 use calicolb::api::Micros;
 
-/// From the beginning of a drain to the parting with the callers' connections. Until then callers are served
+/// From the beginning of a drain to the parting with the clients' connections. Until then clients are served
 /// on: the front goes on sending for 0.3 s, and the scheduler that was restarted before this one may not serve
 /// yet, so that who is sent away finds nobody. Of what is taken later than 2 s after LAMEDUCK nothing may be
 /// left on a connection 4 s after it.
@@ -59,7 +59,7 @@
         self.why == Some(Why::Ending)
     }
 
-    /// The time to part with the callers' connections has come.
+    /// The time to part with the clients' connections has come.
     pub fn part(&mut self) {
         self.parted = true;
     }
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/kin.rs
@@ -47,7 +47,7 @@
     News(String),
     /// What the module tells itself on the other side.
     Load(Vec<u8>),
-    /// A request that goes on at the heir. Its caller's connection comes along with this word.
+    /// A request that goes on at the heir. Its client's connection comes along with this word.
     Bequest(Box<Bequest>),
     /// An operator wants clients sent away (`true`), or welcomed again.
     Drain(bool),
@@ -75,7 +75,7 @@
     /// The next hop that took it, and when it was sent there.
     pub hop: u32,
     pub sent: Micros,
-    /// When its caller leaves.
+    /// When its client leaves.
     pub expires: Micros,
 }
 
@@ -239,7 +239,7 @@
         Some(TcpStream::from_std(descriptor.into()))
     }
 
-    /// Leaves a request to the heir, with its caller's connection; tells whether that could be done.
+    /// Leaves a request to the heir, with its client's connection; tells whether that could be done.
     pub fn bequeath(&mut self, stream: &TcpStream, bequest: Bequest) -> bool {
         let Some(link) = &mut self.heir else { return false };
         let Ok(mut line) = serde_json::to_vec(&Word::Bequest(Box::new(bequest))) else { return false };
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -144,7 +144,7 @@
     fn call(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, target: &str) -> Option<Call> {
         let discovery = self.discovery?;
         let mut made = TcpStream::connect(discovery);
-        // Out of descriptors, say: without the list nothing can be sent at all, so that callers at rest make room.
+        // Out of descriptors, say: without the list nothing can be sent at all, so that clients at rest make room.
         if made.is_err() && spare.shed(ctx) {
             made = TcpStream::connect(discovery);
         }
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -1,9 +1,9 @@
-//! What the loop asks of a protocol. It goes through the protocols and asks whose a connection, a caller or a next hop
+//! What the loop asks of a protocol. It goes through the protocols and asks whose a connection, a client or a next hop
 //! is, so that another protocol adds a folder and nothing here or there.
 
 use crate::net::Ctx;
 use crate::net::core::deadlines::Alarm;
-use crate::net::core::desk::{Answer, AttemptId, CallerId, Part};
+use crate::net::core::desk::{Answer, AttemptId, ClientId, Part};
 use crate::net::core::envelope::Payload;
 use calicolb::api::{Micros, WorkerId};
 use std::io;
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
     /// For connections that come in.
-    pub callers: usize,
+    pub clients: usize,
     /// For connections that go out to next hops.
     pub hops: usize,
 }
@@ -33,7 +33,7 @@
     fn shed(&mut self, ctx: &mut Ctx<'_>) -> bool;
 }
 
-/// One protocol: its connections, callers and next hops.
+/// One protocol: its connections, clients and next hops.
 pub trait Protocol: Spare {
     /// This is one of its connections or listeners.
     fn has(&self, token: usize) -> bool;
@@ -44,14 +44,14 @@
     /// A time that was set for it has come.
     fn due(&mut self, ctx: &mut Ctx<'_>, token: usize, alarm: Alarm);
 
-    /// This is one of its callers.
-    fn serves(&self, caller: CallerId) -> bool;
+    /// This is one of its clients.
+    fn serves(&self, client: ClientId) -> bool;
 
-    /// Gives a caller its final answer.
-    fn answer(&mut self, ctx: &mut Ctx<'_>, caller: CallerId, answer: Answer);
+    /// Gives a client its final answer.
+    fn answer(&mut self, ctx: &mut Ctx<'_>, client: ClientId, answer: Answer);
 
-    /// Passes on to a caller what its next hop told on the way to the end.
-    fn relay(&mut self, _ctx: &mut Ctx<'_>, _caller: CallerId, _part: Part) {}
+    /// Passes on to a client what its next hop told on the way to the end.
+    fn relay(&mut self, _ctx: &mut Ctx<'_>, _client: ClientId, _part: Part) {}
 
     /// This is one of its next hops.
     fn drives(&self, hop: WorkerId) -> bool;
@@ -83,13 +83,13 @@
     /// So many descriptors may be used from now on.
     fn limit(&mut self, ctx: &mut Ctx<'_>, shares: Shares);
 
-    /// Callers are parted with: those at rest now, the others after their answers.
+    /// Clients are parted with: those at rest now, the others after their answers.
     fn farewell(&mut self, ctx: &mut Ctx<'_>);
 
-    /// Callers are welcome to stay again.
+    /// Clients are welcome to stay again.
     fn stay(&mut self);
 
-    /// No caller is in the middle of a request, or has still to take its last answer.
+    /// No client is in the middle of a request, or has still to take its last answer.
     fn at_rest(&self, now: Micros) -> bool;
 
     /// What operators are shown of it, by name.
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -13,7 +13,7 @@
 use crate::net::gearman::Gearman;
 use crate::net::http::Http;
 use crate::net::http::call_back::call_back;
-use crate::net::http::caller::{Callers, Taken};
+use crate::net::http::client::{Clients, Taken};
 use crate::net::http::next_hop::NextHops;
 use crate::net::operators::door::{CALLS, Door, Order};
 use crate::net::operators::drain::{Drain, PARTING, Why};
@@ -40,7 +40,7 @@
 const MEETING: Token = Token(4);
 /// Numbers above this one are for connections.
 const FIRST: usize = 15;
-/// SIGKILL comes so long after SIGTERM at the soonest, beyond the longest patience of a caller, ...
+/// SIGKILL comes so long after SIGTERM at the soonest, beyond the longest patience of a client, ...
 const KILL_MARGIN: Micros = 700_000;
 /// ... of which no more than this counts.
 const KILL_PATIENCE: Micros = 3_000_000;
@@ -151,7 +151,7 @@
             deadlines: Deadlines::default(),
             tokens: FIRST,
             signals,
-            http: Http { callers: Callers::new(listener, LISTENER), hops },
+            http: Http { clients: Clients::new(listener, LISTENER), hops },
             others: Vec::new(),
             wishes: Vec::new(),
             routes,
@@ -256,7 +256,7 @@
         ctx.desk.limit(most_open);
         // Alike for all protocols: which of them is in use is not known beforehand.
         let count = 1 + parts.others.len();
-        let each = Shares { callers: shares.callers / count, hops: shares.hops / count };
+        let each = Shares { clients: shares.clients / count, hops: shares.hops / count };
         parts.protocols().for_each(|protocol| protocol.limit(&mut ctx, each));
     }
 
@@ -268,7 +268,7 @@
         // The heir needs the address.
         self.peers = None;
         let (mut ctx, parts) = self.split(now);
-        parts.http.callers.stop_listening(&mut ctx);
+        parts.http.clients.stop_listening(&mut ctx);
         parts.http.farewell(&mut ctx);
         parts.kin.stop_listening();
         let handover = Handover {
@@ -313,13 +313,13 @@
     }
 
     /// Leaves to the heir what would still be out when SIGKILL comes: long jobs that a next hop has taken. Their
-    /// call-backs come to the address that both share, so all that answering takes is the caller's connection.
+    /// call-backs come to the address that both share, so all that answering takes is the client's connection.
     fn bequeath(&mut self, now: Micros) {
         let (mut ctx, parts) = self.split(now);
         let left = ctx.desk.bequeath();
         note!("{} requests are left to the next process", left.len());
-        for (caller, hop, sent, expires, request) in left {
-            let Some((stream, keep_alive)) = parts.http.callers.release(&mut ctx, caller) else { continue };
+        for (client, hop, sent, expires, request) in left {
+            let Some((stream, keep_alive)) = parts.http.clients.release(&mut ctx, client) else { continue };
             let envelope = (*request).clone();
             if !parts.kin.bequeath(&stream, Bequest { envelope, keep_alive, hop: hop.0, sent, expires }) {
                 note!("a request could not be left to the next process");
@@ -368,7 +368,7 @@
                     let (mut ctx, parts) = self.split(now);
                     let Bequest { envelope, keep_alive, hop, sent, expires } = *bequest;
                     let taken = Taken { envelope, keep_alive, hop, sent, expires };
-                    parts.http.callers.adopt(&mut ctx, stream, taken);
+                    parts.http.clients.adopt(&mut ctx, stream, taken);
                 }
             }
             (Word::Drain(drained), Side::Heir) => self.heir_open = !drained,
@@ -424,7 +424,7 @@
                 self.grant(now, wish);
             }
             self.begun |= self.desk.known() > 0;
-            self.http.callers.open = self.desk.known() > 0 && self.welcome();
+            self.http.clients.open = self.desk.known() > 0 && self.welcome();
             self.tell_kin();
             done = if self.done(now) { done + 1 } else { 0 };
         }
@@ -596,14 +596,14 @@
         let rank = self.rank;
         let (mut ctx, mut parts) = self.split(now);
         match work {
-            Work::Answer { caller, answer } => {
-                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(caller)) {
-                    protocol.answer(&mut ctx, caller, answer);
+            Work::Answer { client, answer } => {
+                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(client)) {
+                    protocol.answer(&mut ctx, client, answer);
                 }
             }
-            Work::Relay { caller, part } => {
-                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(caller)) {
-                    protocol.relay(&mut ctx, caller, part);
+            Work::Relay { client, part } => {
+                if let Some(protocol) = parts.protocols().find(|protocol| protocol.serves(client)) {
+                    protocol.relay(&mut ctx, client, part);
                 }
             }
             Work::Send { attempt, hop, payload, wait } => {
@@ -677,7 +677,7 @@
         }
     }
 
-    /// Begins to send clients away. The work goes on, new work too; when callers have had the time to hear of
+    /// Begins to send clients away. The work goes on, new work too; when clients have had the time to hear of
     /// it, their connections are parted with. After SIGTERM only what can be done before the end is taken.
     fn begin_drain(&mut self, now: Micros, why: Why) {
         if why == Why::Ending && (self.patient || !self.drain.ending()) {
@@ -686,7 +686,7 @@
             self.desk.stop(now + self.grace.saturating_sub(LAST_ANSWER));
         }
         if why == Why::Ending && self.retired && !self.drain.ending() {
-            // Callers were parted with when the heir took over.
+            // Clients were parted with when the heir took over.
             self.drain.part();
             self.deadlines.set(Due::Bequeath, now + self.grace.saturating_sub(BEQUEATH));
         }
@@ -695,7 +695,7 @@
             note!("clients are sent away: {} requests are open", self.desk.owed());
             self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
         }
-        self.http.callers.open = self.desk.known() > 0 && self.welcome();
+        self.http.clients.open = self.desk.known() > 0 && self.welcome();
     }
 
     /// Ends a drain; tells whether the scheduler is open.
@@ -707,22 +707,22 @@
             self.deadlines.clear(Due::Farewell);
             self.http.stay();
             self.others.iter_mut().for_each(|other| other.stay());
-            self.http.callers.open = self.desk.known() > 0;
+            self.http.clients.open = self.desk.known() > 0;
         }
         open
     }
 }
 
-/// How many descriptors of these may go to callers and to next hops, beside the program's own, and how many
+/// How many descriptors of these may go to clients and to next hops, beside the program's own, and how many
 /// requests may be open.
 fn shares(sockets: usize, own: usize) -> (Shares, usize) {
-    // A third is kept for next hops: however many callers come, work can be placed.
+    // A third is kept for next hops: however many clients come, work can be placed.
     let usable = sockets.saturating_sub(own).max(8);
     let to_hops = usable / 3;
-    let to_callers = usable - to_hops;
-    // Requests in work hold a leg each, a third of all descriptors at most: the rest of the legs is for
-    // call-backs, without which no work would end, and for callers at rest.
-    (Shares { callers: to_callers, hops: to_hops }, (sockets / 3).min(to_callers * 9 / 10))
+    let to_clients = usable - to_hops;
+    // Requests in work hold a connection each, a third of all descriptors at most: the rest of the connections is for
+    // call-backs, without which no work would end, and for clients at rest.
+    (Shares { clients: to_clients, hops: to_hops }, (sockets / 3).min(to_clients * 9 / 10))
 }
 
 struct Parts<'a> {
