Move the handing over of knowledge out of the policy files

What is handed to the process that takes over is carried as it is; nothing of it is a decision.

Change: Dispatcher::knowledge and on_handed stand in crates/decisions/src/handover.rs, word for word. The dispatcher's fields are visible within the package for it.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! file of `src/rules`.
 
 pub mod api;
+mod handover;
 mod peer;
 pub mod rules;
 mod state;
--- a/crates/decisions/src/rules/list.rs
+++ b/crates/decisions/src/rules/list.rs
@@ -60,7 +60,7 @@
         worker.weight = if member.weight.is_finite() && member.weight > 0.0 { member.weight } else { 1.0 };
     }
 
-    pub(super) fn ask_list(&mut self) {
+    pub(crate) fn ask_list(&mut self) {
         if self.settings.list_on_request && !self.list.subscribed {
             self.list.subscribed = true;
             self.out.push(Action::Subscribe(true));
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -63,25 +63,25 @@
 
 /// One dispatcher's decisions.
 pub struct Dispatcher {
-    settings: Settings,
+    pub(crate) settings: Settings,
     /// What is to be done.
-    out: Vec<Action>,
-    rng: fastrand::Rng,
-    workers: Vec<Worker>,
-    index: Table<WorkerId, usize>,
-    know: Knowledge,
-    maps: Vec<SizeMap>,
-    maps_stale: bool,
-    requests: Table<RequestId, Request>,
-    queue: Queue,
+    pub(crate) out: Vec<Action>,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) index: Table<WorkerId, usize>,
+    pub(crate) know: Knowledge,
+    pub(crate) maps: Vec<SizeMap>,
+    pub(crate) maps_stale: bool,
+    pub(crate) requests: Table<RequestId, Request>,
+    pub(crate) queue: Queue,
     /// Another process has taken over: this one ends its work, and that one alone speaks for both.
-    succeeded: bool,
-    list: Listing,
-    spill_from: usize,
+    pub(crate) succeeded: bool,
+    pub(crate) list: Listing,
+    pub(crate) spill_from: usize,
     /// The zone, if it is known, and the ranks of each cohort.
-    cohorts: Vec<(Option<u8>, Vec<u32>)>,
+    pub(crate) cohorts: Vec<(Option<u8>, Vec<u32>)>,
     /// The other dispatchers, and what is assumed of them.
-    company: Company,
+    pub(crate) company: Company,
     /// What has been spent of what all dispatchers share, for operators.
     pub spent: Spending,
 }
--- a/crates/decisions/src/rules/talk.rs
+++ b/crates/decisions/src/rules/talk.rs
@@ -128,28 +128,6 @@
         self.out.extend(others.map(|&other| Action::Tell { to: Some(other), body: body.clone() }));
     }
 
-    /// What was learned, for the process that takes over.
-    pub fn knowledge(&self) -> serde_json::Value {
-        serde_json::json!([self.workers, self.maps, self.know])
-    }
-
-    pub(super) fn on_handed(&mut self, handed: serde_json::Value) {
-        let fits = |(workers, maps, know): &(Vec<Worker>, Vec<SizeMap>, Knowledge)| {
-            let covered = workers.iter().all(|worker| know.covers(worker));
-            covered && know.like(&self.know) && maps.len() == self.maps.len()
-        };
-        match serde_json::from_value(handed).ok().filter(fits) {
-            Some((workers, maps, know)) => {
-                self.index = workers.iter().enumerate().map(|(at, worker)| (worker.id, at)).collect();
-                (self.workers, self.maps, self.know) = (workers, maps, know);
-                let ranks = self.know.zones.len().max(self.company.size() as usize);
-                self.know.zones.resize(ranks, None);
-            }
-            None => self.out.push(Action::Log("what another process handed on does not fit".to_owned())),
-        }
-        self.ask_list(); // at once: whatever the list has to tell will soon count as told
-    }
-
     /// Takes on a request that the other process has out at this worker, for good or ill.
     pub(super) fn adopt(&mut self, now: Micros, id: RequestId, worker: WorkerId, sent: Micros) {
         let (Some(&at), Some(request)) = (self.index.get(&worker), self.requests.get_mut(&id)) else {
