Send no request to a worker again before its earlier attempt there has surely ended

Where copies are allowed, Action::Cancel in src/net/core/desk.rs ended the attempt at once, while the word of it was on its way, and nothing in may_go kept the module from the same worker. A reset before the 202 and a time-out are alike: the worker may run on. Ruled out: barred copies, there an attempt ends only once its worker has heard.

Change: each end says whether the attempt may still be running at its worker (Outcome::running); a later answer to the DELETE, or the worker's own word of the job's end, is told as Note::Over. The module sends a request to no worker where an attempt of it is out or may still run (may_go, so the check before the first byte holds it too). A connection ended before the 202 is never taken for certain: the worker may just have taken the job. Gearman has no word for a give-up: a job that was handed out now ends as one that runs on, not as one whose worker has heard.

The interface of the tests has the new field; no assertion is changed. One test's name is corrected (an_attempt_whose_time_...).

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -357,6 +357,9 @@
     Progress(f64),
     /// The worker has not said that it took the job, though it would have done so long since.
     Silent,
+    /// The attempt has ended as one that may still be running (see [`Outcome::running`]); now its worker has said that it
+    /// is over there.
+    Over,
 }
 
 /// The end of an attempt.
@@ -372,6 +375,8 @@
     pub ending: Ending,
     /// Time since it was sent.
     pub elapsed: Micros,
+    /// It may still be running there: its worker has neither said that it ended nor heard that it is given up.
+    pub running: bool,
     /// The request has its final answer.
     pub concluded: bool,
     /// The worker's load report, if one came along.
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -17,8 +17,9 @@
         if request.done || attempt >= self.settings.limits.tries as usize {
             return false;
         }
-        // Rule 2.
+        // Rule 2, and nothing goes where an earlier attempt has not surely ended, copies allowed or not.
         let before = &request.attempts[..attempt];
+        let twice = Request::may_run(before, at);
         let mut risky = before.iter().filter(|attempt| attempt.state != State::NeverRan);
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe => true,
@@ -31,7 +32,7 @@
         };
         // Rule 3: nothing at all after being told, so the grace is never needed; nor by a list that is too old.
         let old = self.list.until.is_some_and(|until| now >= until);
-        harmless && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
+        harmless && !twice && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
     }
 
     /// Every rule on where a job may go now; that none of its attempts is out any more is asked when it goes.
@@ -165,6 +166,9 @@
     }
 
     pub(super) fn on_note(&mut self, now: Micros, id: RequestId, attempt: u32, note: Note) {
+        if note == Note::Over {
+            self.requests.entry(id).and_modify(|request| request.over(attempt));
+        }
         let Some((at, nr)) = self.own(id, attempt) else { return };
         match note {
             Note::Started => self.on_started(now, id, attempt),
@@ -189,17 +193,18 @@
                 own.progress = Some((now, done));
                 own.end = now + ((1.0 - done) / pace).min(3600.0 * SECOND as f64) as Micros;
             }
-            Note::Silent | Note::Progress(_) => {}
+            Note::Silent | Note::Progress(_) | Note::Over => {}
         }
     }
 
     pub(super) fn on_outcome(&mut self, now: Micros, outcome: Outcome) {
-        let Outcome { request: id, attempt, ending, elapsed, concluded, .. } = outcome;
+        let Outcome { request: id, attempt, ending, elapsed, running, concluded, .. } = outcome;
         let Some((at, nr)) = self.own(id, attempt) else { return };
         let own = self.workers[at].own.swap_remove(nr);
         let mut speed = None;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let state = if ending.never_ran() { State::NeverRan } else { State::MayHaveRan };
+        let ran = if running { State::MayRun } else { State::MayHaveRan };
+        let state = if ending.never_ran() { State::NeverRan } else { ran };
         request.attempts[attempt as usize].state = state;
         request.done |= concluded;
         let (class, hint) = (request.class, request.hint);
@@ -244,7 +249,7 @@
         if request.done || request.held || request.out() {
             return;
         }
-        let risky = request.attempts.iter().any(|attempt| attempt.state == State::MayHaveRan);
+        let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
         let once = matches!(self.settings.classes[request.class].effect, Effect::Unsafe) && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -216,6 +216,8 @@
     Out,
     NeverRan,
     MayHaveRan,
+    /// It is not waited for any more, and may still be running at its worker.
+    MayRun,
 }
 
 pub(crate) struct Attempt {
@@ -255,6 +257,18 @@
 }
 
 impl Request {
+    /// An attempt of these may still be running at this worker.
+    pub(crate) fn may_run(attempts: &[Attempt], at: usize) -> bool {
+        let there = |attempt: &Attempt| matches!(attempt.state, State::Out | State::MayRun);
+        attempts.iter().any(|attempt| attempt.worker == at && there(attempt))
+    }
+
+    /// An attempt that may still have been running is over.
+    pub(crate) fn over(&mut self, attempt: u32) {
+        let ended = self.attempts.get_mut(attempt as usize).filter(|own| own.state == State::MayRun);
+        ended.into_iter().for_each(|own| own.state = State::MayHaveRan);
+    }
+
     /// An attempt of it is out.
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.state == State::Out)
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -152,6 +152,8 @@
     /// The next hop is being told that it is given up.
     told_off: bool,
     over: bool,
+    /// It is over for the module, and may still be running at its next hop.
+    loose: bool,
     /// It was ended by news of this kind, which may yet be repeated.
     ended_by: Option<Ending>,
 }
@@ -166,6 +168,7 @@
             unwanted: false,
             told_off: false,
             over: false,
+            loose: false,
             ended_by: None,
         }
     }
@@ -371,7 +374,7 @@
 
     /// An attempt has ended before its first byte, with this.
     pub fn unbegun(&mut self, now: Micros, id: AttemptId, ending: Ending) {
-        self.end(now, id, ending, None);
+        self.end(now, id, ending, false, None);
     }
 
     /// The last byte of an attempt has been written.
@@ -454,7 +457,8 @@
             Some(attempt) => {
                 // The last byte decides: without it the next hop cannot have begun.
                 let ending = if attempt.written_at.is_some() { Ending::Broken } else { Ending::Unreachable };
-                self.end(now, id, ending, None);
+                let running = ending == Ending::Broken;
+                self.end(now, id, ending, running, None);
             }
             None => {}
         }
@@ -468,14 +472,36 @@
     }
 
     /// A next hop has heard that an attempt is given up. Where it has not, whether it runs is not known, and the attempt
-    /// ends with what the hop tells, or with its time.
+    /// ends with what the hop tells, or with its time. One that has ended here already is over there too, if the hop had
+    /// taken it and so was told in words: what the end of a connection meant to a hop that was just taking it is not known.
     pub fn called_off(&mut self, now: Micros, id: AttemptId) {
-        self.end(now, id, Ending::Cancelled, None);
+        let entry = self.entries.get_mut(&id.request);
+        let attempt = entry.and_then(|entry| entry.attempts.get_mut(id.number as usize));
+        match attempt.filter(|attempt| attempt.loose && attempt.taken) {
+            Some(_) => self.surely_over(id),
+            None => self.end(now, id, Ending::Cancelled, false, None),
+        }
+    }
+
+    /// An attempt is given up, and its next hop cannot be told.
+    pub fn runs_on(&mut self, now: Micros, id: AttemptId) {
+        self.end(now, id, Ending::Cancelled, true, None);
+    }
+
+    /// An attempt that had ended here, and might still have been running, is over at its next hop too.
+    fn surely_over(&mut self, id: AttemptId) {
+        let entry = self.entries.get_mut(&id.request);
+        let attempt = entry.and_then(|entry| entry.attempts.get_mut(id.number as usize));
+        let Some(attempt) = attempt.filter(|attempt| attempt.loose) else { return };
+        attempt.loose = false;
+        note!(debug: request = id.request, attempt = id.number, hop = attempt.hop.0, "an attempt is surely over");
+        let note = Note::Over;
+        self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.number, note });
     }
 
     /// An attempt has ended without a result, as the next hop said on its connection.
     pub fn answered(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
-        self.end(now, id, ending, report);
+        self.end(now, id, ending, false, report);
     }
 
     /// A call-back about the request of this name from this next hop; tells whether it met an open attempt.
@@ -494,6 +520,10 @@
         let attempt = &entry.attempts[nr];
         // Before its last byte is written nothing can be known of an attempt: the news is of an older one.
         if attempt.over || attempt.written_at.is_none() {
+            let ended = matches!(news, News::Served(_) | News::Over(_));
+            if ended && attempt.over {
+                self.surely_over(AttemptId { request: number, number: nr as u32 });
+            }
             return false;
         }
         // The same news as ended an older attempt there, before the hop has taken this one: a repeat, whose
@@ -512,7 +542,7 @@
                 if let Some(attempt) = self.attempt(id) {
                     attempt.ended_by = Some(ending);
                 }
-                self.end(now, id, ending, report);
+                self.end(now, id, ending, false, report);
             }
         }
         true
@@ -734,7 +764,7 @@
         entry.attempts.push(Attempt::new(hop, now));
         // The client may have left, or its time may have run out, in the batch that the module answers here.
         if entry.concluded || ends <= now || id.number >= self.most_tries {
-            return self.end(now, id, Ending::Moot, None);
+            return self.end(now, id, Ending::Moot, false, None);
         }
         deadlines.set(Due::Attempt(id.request, id.number), ends);
         note!(debug: request = id.request, attempt = id.number, hop = hop.0, "an attempt is sent");
@@ -748,7 +778,7 @@
 
     fn give_up(&mut self, now: Micros, id: AttemptId, ending: Ending) {
         self.tell_off(id);
-        self.end(now, id, ending, None);
+        self.end(now, id, ending, !ending.never_ran(), None);
     }
 
     /// The next hop of an attempt is to be told that it is given up, once: a second word could be answered before the
@@ -763,13 +793,13 @@
 
     fn serve(&mut self, now: Micros, id: AttemptId, result: Vec<u8>, report: Option<Report>) {
         self.conclude(id.request, Answer::Served(result));
-        self.end(now, id, Ending::Ok, report);
+        self.end(now, id, Ending::Ok, false, report);
     }
 
-    /// Ends an attempt, once.
-    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
+    /// Ends an attempt, once; it may still be `running` at its next hop.
+    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, running: bool, report: Option<Report>) {
         let Some(attempt) = self.attempt(id) else { return };
-        attempt.over = true;
+        (attempt.over, attempt.loose) = (true, running);
         let (worker, elapsed) = (attempt.hop, now.saturating_sub(attempt.sent));
         // What a client has a part of ends with the attempt that it came from: the module has done with it.
         if self.entries.get(&id.request).is_some_and(|entry| entry.streaming) {
@@ -783,6 +813,7 @@
             worker,
             ending,
             elapsed,
+            running,
             concluded,
             report,
         }));
--- a/src/net/core/desk/tests.rs
+++ b/src/net/core/desk/tests.rs
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn a_attempt_whose_time_is_up_is_given_up_and_answered_for() {
+fn an_attempt_whose_time_is_up_is_given_up_and_answered_for() {
     let mut table = Table::new();
     let attempt = table.arrive(1);
     table.desk.written(table.now, attempt);
@@ -235,3 +235,65 @@
     table.desk.carry_out(table.now, cancel(), &mut table.deadlines);
     assert_eq!(table.turn(), []);
 }
+
+#[test]
+fn where_copies_are_allowed_a_hop_that_was_told_in_words_is_free_for_the_request_once_it_has_heard() {
+    let mut table = Table::new();
+    let attempt = table.arrive(0);
+    table.desk.written(table.now, attempt);
+    table.desk.taken(attempt);
+    let cancel = Action::Cancel { request: RequestId(attempt.request), attempt: attempt.number };
+    table.desk.carry_out(table.now, cancel, &mut table.deadlines);
+    let running = |table: &mut Table| match table.desk.events.pop_front() {
+        Some(Event::Outcome(outcome)) => outcome.running,
+        other => panic!("the module is told the end, not {other:?}"),
+    };
+    assert!(running(&mut table), "the word is on its way");
+    let over = |table: &mut Table| {
+        matches!(table.desk.events.pop_front(), Some(Event::Note { note: Note::Over, .. }))
+    };
+    table.desk.called_off(table.now, attempt);
+    assert!(over(&mut table));
+    table.desk.called_off(table.now, attempt);
+    assert!(table.desk.events.is_empty(), "it is told once");
+}
+
+#[test]
+fn what_the_end_of_a_connection_meant_to_a_hop_that_was_just_taking_the_job_is_not_known() {
+    for tells in [true, false] {
+        let mut table = Table::new();
+        let attempt = table.arrive(0);
+        table.desk.written(table.now, attempt);
+        let cancel = Action::Cancel { request: RequestId(attempt.request), attempt: attempt.number };
+        table.desk.carry_out(table.now, cancel, &mut table.deadlines);
+        assert!(matches!(table.desk.events.pop_front(), Some(Event::Outcome(Outcome { running: true, .. }))));
+        table.desk.called_off(table.now, attempt);
+        assert!(
+            table.desk.events.is_empty(),
+            "its connection was ended, and it may have taken the job before"
+        );
+        // What the hop itself tells of the job's end is believed, and answers nobody.
+        let news = if tells { News::Served(b"r".to_vec()) } else { News::Over(Ending::Broken) };
+        assert!(!table.news(news));
+        assert!(matches!(table.desk.events.pop_front(), Some(Event::Note { note: Note::Over, .. })));
+    }
+}
+
+#[test]
+fn a_connection_that_breaks_leaves_a_job_that_may_run_on_and_one_that_the_hop_ends_does_not() {
+    let outcome = |broke: bool| {
+        let mut table = Table::new();
+        let attempt = table.arrive(0);
+        table.desk.written(table.now, attempt);
+        if broke {
+            table.desk.broke(table.now, attempt);
+        } else {
+            table.news(News::Over(Ending::Broken));
+        }
+        match table.desk.events.pop_front() {
+            Some(Event::Outcome(Outcome { ending: Ending::Broken, running, .. })) => running,
+            other => panic!("the module is told the end, not {other:?}"),
+        }
+    };
+    assert_eq!((outcome(true), outcome(false)), (true, false));
+}
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -210,13 +210,15 @@
     }
 
     fn give_up(&mut self, ctx: &mut Ctx<'_>, attempt: AttemptId, _hop: WorkerId, _name: &str) {
-        if let Some(token) = self.fleet.give_up(attempt)
-            && self.offers.remove(&attempt).is_some()
-        {
-            ctx.deadlines.clear(Due::Conn(token, Alarm::Owed));
+        let conn = self.fleet.give_up(attempt);
+        if self.offers.remove(&attempt).is_some() {
+            if let Some(token) = conn {
+                ctx.deadlines.clear(Due::Conn(token, Alarm::Owed));
+            }
+            return ctx.desk.called_off(ctx.now, attempt);
         }
-        // There are no words for it: the worker runs on, and what it tells later meets nothing.
-        ctx.desk.called_off(ctx.now, attempt);
+        // It was handed out, and there are no words for it: the worker runs on, and what it tells later meets nothing.
+        ctx.desk.runs_on(ctx.now, attempt);
     }
 
     fn release(&mut self, _ctx: &mut Ctx<'_>, _attempt: AttemptId) {}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -366,7 +366,11 @@
         }
         _ => match ending {
             Some(ending) => {
-                Ok(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }))
+                // The wire does not tell when such an attempt has ended at its worker.
+                let running = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
+                let outcome =
+                    Outcome { request, attempt, worker, ending, elapsed, running, concluded, report };
+                Ok(Event::Outcome(outcome))
             }
             None => bad("OUTCOME: field 'state_code' is missing"),
         },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -147,7 +147,10 @@
     ) -> Vec<Action> {
         let report = free_slots.map(|free| Report { free_slots: Some(free), ..Report::default() });
         let (request, elapsed) = (RequestId(id), 100 * MS);
-        self.tell(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }))
+        // What broke or was too late may run on; who was called off has heard of it.
+        let running = matches!(ending, Ending::Broken | Ending::TimedOut);
+        let outcome = Outcome { request, attempt, worker, ending, elapsed, running, concluded, report };
+        self.tell(Event::Outcome(outcome))
     }
 
     /// Lets the timers that the module has set fire, every 10 ms, for this long.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -210,7 +210,9 @@
     let report = Some(Report { errors_per_s: Some(3.0), ..Report::default() });
     let (request, worker, elapsed) = (RequestId(1), WorkerId(11), 100 * MS);
     let (attempt, ending, concluded) = (0, Ending::Ok, true);
-    bench.tell(Event::Outcome(Outcome { request, attempt, worker, ending, elapsed, concluded, report }));
+    let running = false;
+    let outcome = Outcome { request, attempt, worker, ending, elapsed, running, concluded, report };
+    bench.tell(Event::Outcome(outcome));
     bench.now += 5 * SECOND;
     assert!(sends(&bench.arrive(2, 1, 10 * MS)).is_empty(), "it must not run twice");
     assert_eq!(sends(&bench.arrive(3, 0, 10 * MS)).len(), 1, "a trial");
@@ -239,8 +241,8 @@
         one.arrive(id, 0, 300 * MS);
         one.now += 900 * MS;
         let (request, worker, elapsed) = (RequestId(id), WorkerId(12), 900 * MS);
-        let (attempt, ending, concluded, report) = (0, Ending::Ok, true, None);
-        let outcome = Outcome { request, attempt, worker, ending, elapsed, concluded, report };
+        let (attempt, ending, running, concluded, report) = (0, Ending::Ok, false, true, None);
+        let outcome = Outcome { request, attempt, worker, ending, elapsed, running, concluded, report };
         for action in one.tell(Event::Outcome(outcome)) {
             if let Action::Tell { to: Some(1), body } = action {
                 two.tell(Event::Peer { from: 0, body });
@@ -282,8 +284,8 @@
             let elapsed = if worker.0 % 2 == 0 { size / 2 } else { size * 2 };
             veteran.now += elapsed;
             let (request, attempt, ending) = (RequestId(request), 0, Ending::Ok);
-            let (concluded, report) = (true, None);
-            let outcome = Outcome { request, attempt, worker, ending, elapsed, concluded, report };
+            let (running, concluded, report) = (false, true, None);
+            let outcome = Outcome { request, attempt, worker, ending, elapsed, running, concluded, report };
             veteran.tell(Event::Outcome(outcome));
         }
     }
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -9,7 +9,7 @@
 use common::{MS, SECOND, T0, settings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const WORKERS: u32 = 6;
 
@@ -22,7 +22,7 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    (0..20_u8, any::<u32>(), 1..3_000_u64).prop_map(|(what, pick, size)| Step { what, pick, size })
+    (0..21_u8, any::<u32>(), 1..3_000_u64).prop_map(|(what, pick, size)| Step { what, pick, size })
 }
 
 #[derive(Default)]
@@ -32,6 +32,8 @@
     answered: bool,
     /// Worker, time of sending, ending.
     attempts: Vec<(u32, Micros, Option<Ending>)>,
+    /// Attempts that have ended, and may still be running at their workers.
+    running: BTreeSet<usize>,
 }
 
 struct Ledger {
@@ -99,6 +101,10 @@
                 let (worker, sent, _) = job.attempts[attempt];
                 job.attempts[attempt].2 = Some(ending);
                 job.answered |= ending == Ending::Ok;
+                let running = ending == Ending::Broken || ending == Ending::TimedOut;
+                if running {
+                    job.running.insert(attempt);
+                }
                 let report = step
                     .size
                     .is_multiple_of(3)
@@ -109,6 +115,7 @@
                     worker: WorkerId(worker),
                     ending,
                     elapsed: self.now - sent,
+                    running,
                     concluded: job.answered,
                     report,
                 }))
@@ -140,6 +147,12 @@
                 self.jobs.get_mut(&id)?.answered = true;
                 Some(Event::Lapsed(RequestId(id)))
             }
+            19 => {
+                // A worker says of an attempt that had ended here that it is over there too.
+                let (&id, job) = self.jobs.iter_mut().find(|(_, job)| !job.running.is_empty())?;
+                let attempt = job.running.pop_first()? as u32;
+                Some(Event::Note { request: RequestId(id), attempt, note: Note::Over })
+            }
             _ => {
                 self.now += step.size * MS / 4;
                 None
@@ -193,6 +206,10 @@
                 }
             }
         }
+        // Copies allowed or not.
+        let there = |nr: &usize| job.attempts[*nr].0 == worker;
+        let ended = |nr: &usize| job.attempts[*nr].2.is_some() && !job.running.contains(nr);
+        assert!((0..job.attempts.len()).filter(there).all(|nr| ended(&nr)), "{id} may still run at {worker}");
         if !settings.limits.copies {
             assert!(job.attempts.iter().all(|attempt| attempt.2.is_some()), "second copy of {id}");
         }
