Take settings up whole in the decision module, between two events

Event::Settings brings other settings: the module takes them up whole, or, where a field that cannot change differs or a list of places would become shorter, not at all, with a line for the log. Knowledge and buckets are kept, tokens cut to the new bound. An open request keeps the tightest effect that was in force since it came; tries and copies hold at once, also at the first byte of an attempt that was decided before; a worker that is cold only by new figures gets nothing for one window.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -53,7 +53,7 @@
 }
 
 /// What running a request twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Nothing: repeats are harmless.
     Safe,
@@ -64,12 +64,13 @@
         /// How long they remember.
         span: Micros,
     },
-    /// Harm: it must never run twice.
+    /// Harm: it must never run twice. What nothing is known of is taken to be so.
+    #[default]
     Unsafe,
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time, plus `stretch` times the job's own work, earns the full worth.
     pub aim: Micros,
@@ -92,7 +93,7 @@
 }
 
 /// One tenant's agreed share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second, over all dispatchers, that count as within its share; 0: not stated.
     pub quota_per_s: f64,
@@ -123,7 +124,7 @@
 }
 
 /// What the site allows a dispatcher.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Attempts for one request at most.
     pub tries: u32,
@@ -144,7 +145,7 @@
 }
 
 /// Figures of the four rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RuleFigures {
     /// Grace after the client's deadline in which a final answer still counts.
     pub answer_slack: Micros,
@@ -163,7 +164,7 @@
 }
 
 /// Prices, in shares of the result.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Prices {
     /// Each attempt that leaves its zone, per first try.
     pub cross_zone: f64,
@@ -176,7 +177,7 @@
 }
 
 /// All that a dispatcher is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// This dispatcher's number, from 0.
     pub rank: u32,
@@ -426,6 +427,9 @@
     /// The list may be acted on until this time: what may have been missed of it counts as told for too long from then
     /// on. `None`: nothing has been missed.
     ListUntil(Option<Micros>),
+    /// Other settings are in force from now on, whole; or, where one of them cannot change, none. Classes and tenants keep
+    /// their places: what is no longer wanted stays in its list, and nothing new arrives for it.
+    Settings(Box<Settings>),
     /// The client has left, or the answer is overdue; the request is over.
     Lapsed(RequestId),
     /// A message from another dispatcher.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod api;
 mod handover;
 mod peer;
+pub mod renewal;
 pub mod rules;
 mod state;
--- a/crates/decisions/src/rules/admission.rs
+++ b/crates/decisions/src/rules/admission.rs
@@ -61,7 +61,7 @@
 
     pub(super) fn usable(&self, at: usize, now: Micros, request: &Request) -> bool {
         // A job that must not run twice is lost if a trial goes wrong. Those that try a worker first try it again.
-        let once = self.settings.classes[request.class].effect == Effect::Unsafe;
+        let once = request.effect == Effect::Unsafe;
         let worker = &self.workers[at];
         let barred = worker.trust.on_trial(now) && (once || !worker.home || !worker.own.is_empty());
         !barred && !self.avoids(now, at) && self.may_send(now, request, at)
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -8,7 +8,7 @@
     pub fn may_begin(&self, now: Micros, id: RequestId, attempt: u32) -> bool {
         let (request, nr) = (self.requests.get(&id), attempt as usize);
         let at = request.and_then(|request| request.attempts.get(nr)).map(|own| own.worker);
-        request.zip(at).is_some_and(|(request, at)| self.may_go(now, request, nr, at))
+        request.zip(at).is_some_and(|(job, at)| self.alone(job, nr) && self.may_go(now, job, nr, at))
     }
 
     /// The rules on where the attempt of this number may go that hold up to its first byte.
@@ -20,7 +20,7 @@
         // Rule 2.
         let before = &request.attempts[..attempt];
         let mut risky = before.iter().filter(|attempt| attempt.state != State::NeverRan);
-        let harmless = match self.settings.classes[request.class].effect {
+        let harmless = match request.effect {
             Effect::Safe => true,
             Effect::Unsafe => risky.next().is_none(),
             // The group's memory runs from the first send; half of it is kept as margin for the journey.
@@ -77,7 +77,7 @@
         if doubled || !self.may_send(now, &self.requests[&id], at) {
             return false;
         }
-        let Request { size, slots, class, .. } = self.requests[&id];
+        let Request { size, slots, effect, .. } = self.requests[&id];
         let mut lanes = Vec::new();
         self.lane_ends(at, now, &mut lanes);
         lanes.sort_unstable();
@@ -96,7 +96,7 @@
             self.spent.cold_jobs += 1;
         }
         self.out.push(Action::Send { request: id, worker: worker.id, timeout: None });
-        let repeats = self.settings.classes[class].effect != Effect::Unsafe;
+        let repeats = effect != Effect::Unsafe;
         if repeats && self.settings.limits.cancel && self.settings.tells_start {
             self.queue.unstarted.insert((now + START_NEWS, id));
             self.wake_at(now, now + START_NEWS);
@@ -106,13 +106,12 @@
     }
 
     /// Every final answer of this dispatcher: a refusal where it is certain that nothing ran, else a failure.
-    pub(super) fn finish(&mut self, now: Micros, id: RequestId) {
+    pub(crate) fn finish(&mut self, now: Micros, id: RequestId) {
         self.unhold(id);
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
         request.done = true;
         let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
-        let effect = self.settings.classes[request.class].effect;
-        if clear || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
+        if clear || matches!(request.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
             let pause = (self.know.mean_time / 4.0) as Micros;
@@ -173,8 +172,7 @@
                 // run twice is tried elsewhere, any other can only be waited for.
                 self.workers[at].own[nr].awaits_start = false;
                 self.strike(now, at, 1);
-                let effect = self.settings.classes[self.requests[&id].class].effect;
-                if effect == Effect::Safe && self.settings.limits.cancel {
+                if self.requests[&id].effect == Effect::Safe && self.settings.limits.cancel {
                     self.out.push(Action::Cancel { request: id, attempt });
                 }
             }
@@ -245,7 +243,7 @@
             return;
         }
         let risky = request.attempts.iter().any(|attempt| attempt.state == State::MayHaveRan);
-        let once = matches!(self.settings.classes[request.class].effect, Effect::Unsafe) && risky;
+        let once = request.effect == Effect::Unsafe && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
         if ending == Ending::Unusable {
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -136,6 +136,7 @@
                 self.list.subscribed = false;
                 self.ask_list();
             }
+            Event::Settings(settings) => self.on_settings(now, *settings),
             Event::Handed(knowledge) => self.on_handed(knowledge),
             Event::Succeeded(succeeded) => {
                 self.succeeded = succeeded;
--- a/crates/decisions/src/rules/release.rs
+++ b/crates/decisions/src/rules/release.rs
@@ -26,7 +26,8 @@
         let map = &mut self.maps[spec.kind.map_or(0, |kind| kind.0 + 1)];
         self.maps_stale |= map.sizes.add(work, RANGE_SIZES * 2);
         let Arrival { hint, expires, skill, .. } = arrival;
-        let told = Request { class, skill, slots, hint, size, expires, ..Request::default() };
+        let told =
+            Request { class, effect: spec.effect, skill, slots, hint, size, expires, ..Request::default() };
         let request = Request { deadline, order, yields: over, value, doubt, ..told };
         self.requests.insert(arrival.request, request);
         if let Some((worker, sent)) = arrival.out {
@@ -90,7 +91,7 @@
 
     /// Goes through the held jobs, earliest deadline first: sends what can start, plans what can wait,
     /// turns to the later deadline what has missed its aim, and drops what is hopeless.
-    pub(super) fn pump(&mut self, now: Micros) {
+    pub(crate) fn pump(&mut self, now: Micros) {
         let soon = now + 2 * self.settings.tick;
         while let Some(&(_, id)) = self.queue.expiries.first().filter(|first| first.0 <= soon) {
             self.finish(now, id);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -82,7 +82,7 @@
         Knowledge {
             kinds: (0..settings.kinds.max(1)).map(|_| Kind::default()).collect(),
             classes: settings.classes.iter().map(|_| ClassModel::default()).collect(),
-            buckets: settings.tenants.iter().map(|_| Bucket { tokens: 3.0, at: now }).collect(),
+            buckets: settings.tenants.iter().map(|_| Bucket::new(now)).collect(),
             mean_foreign: vec![0.0; settings.zones.max(1)],
             mean_time: 1_000_000.0,
             most_slots: 1,
@@ -227,6 +227,8 @@
 #[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
+    /// What a repeat would do, by the tightest word on that since it came.
+    pub(crate) effect: Effect,
     /// What its worker must be able to do.
     pub(crate) skill: u32,
     pub(crate) slots: usize,
@@ -305,12 +307,29 @@
 }
 
 impl Bucket {
+    /// As it is at the start.
+    pub(crate) fn new(now: Micros) -> Self {
+        Bucket { tokens: 3.0, at: now }
+    }
+
+    /// How many tokens may be saved where so many come a second.
+    fn most(rate: f64) -> f64 {
+        (rate * 5.0).max(3.0)
+    }
+
+    /// Tokens came at the old rate up to now; what is saved is cut to what the new one lets be saved.
+    pub(crate) fn renew(&mut self, now: Micros, old: f64, new: f64) {
+        let gone = now.saturating_sub(self.at) as f64 / 1e6;
+        self.at = now;
+        self.tokens = (self.tokens + gone * old.max(0.0)).min(Self::most(old)).min(Self::most(new));
+    }
+
     /// Takes a token, where there is one; they come at `rate` a second, and five seconds' worth, but three at least,
     /// may be saved.
     pub(crate) fn take(&mut self, now: Micros, rate: f64) -> bool {
         let gone = now.saturating_sub(self.at) as f64 / 1e6;
         self.at = now;
-        self.tokens = (self.tokens + gone * rate).min((rate * 5.0).max(3.0));
+        self.tokens = (self.tokens + gone * rate).min(Self::most(rate));
         let there = self.tokens >= 1.0;
         self.tokens -= if there { 1.0 } else { 0.0 };
         there
