Bring settings into force on SIGHUP, all keys or none, and show them as a flat document

config::document turns settings into keys in dots and back, checks a document whole with the key at fault, tells which change tightens, and gives differences. Turn::take_up spreads what is new over the desk, next hops, Gearman functions and the list's clock, or refuses it with its key. SIGHUP uses it; equal settings touch nothing. The start's message for a faulty class now names the class and the field, and its test asks for that.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -101,6 +101,11 @@
         ListClock { mode, grace, state: State::Broken(now), called: None, missed }
     }
 
+    /// Another grace is in force; tells whether it differs.
+    pub fn set_grace(&mut self, grace: Micros) -> bool {
+        std::mem::replace(&mut self.grace, grace) != grace
+    }
+
     /// How the list is come by.
     pub fn mode(&self) -> Mode {
         self.mode
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration: the one place where anything is read, checked and given defaults, from the platform's JSON and
 //! variables or from an operator file. Every message names the key at fault.
 
+pub mod document;
 pub mod list;
 pub mod operator;
 mod platform;
@@ -8,6 +9,7 @@
 
 use self::list::Update;
 use calicolb::api::{ClassIx, KindIx, Member, Micros, Settings, ZoneIx};
+pub use calicolb::renewal::Fault;
 use calicolb::wire::Names;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -85,6 +87,19 @@
     pub name: String,
 }
 
+/// What can come into force while the program runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Renewal {
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' indices.
+    pub names: Names,
+    /// When a next hop closes an idle connection.
+    pub conn_idle: Micros,
+    /// Requests that may be open at once.
+    pub most_open: usize,
+}
+
 /// All that the program is told.
 pub struct Config {
     /// Its name.
@@ -120,3 +135,11 @@
     /// Requests that may be open at once.
     pub most_open: usize,
 }
+
+impl Config {
+    /// What of it can come into force while the program runs.
+    pub fn renewal(&self) -> Renewal {
+        let (settings, names) = (self.settings.clone(), self.names.clone());
+        Renewal { settings, names, conn_idle: self.conn_idle, most_open: self.most_open }
+    }
+}
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,10 +1,15 @@
 //! The platform's form: a JSON file and variables that may stand in for some of its keys.
 
 use super::*;
+use calicolb::api::Effect;
 use calicolb::wire;
 use serde_json::{Map, Value};
+use std::collections::BTreeSet;
 use std::path::Path;
 
+/// The longest span that settings may name, in microseconds: ten years.
+const LONGEST: Micros = 10 * 365 * 24 * 3_600 * 1_000_000;
+
 /// Which of a key and the variable in its place counts where both are there.
 #[derive(Clone, Copy, PartialEq)]
 enum Precedence {
@@ -52,23 +57,8 @@
         let passed = passed.map(|text| descriptor("RELAY_PASSED_SOCKET", &text)).transpose()?;
         let limits = root.section("limits")?;
         let settings = root.map.get("settings").ok_or("'settings' is missing")?;
-        let ceilings = match settings.get("ceilings") {
-            Some(Value::Object(map)) => Some(Section { at: "settings.ceilings.", map }),
-            Some(_) => return Err("'settings.ceilings' is not an object".to_owned()),
-            None => None,
-        };
-        let ceiling = |key: &str, default: u64| match &ceilings {
-            Some(section) => Ok::<_, String>(section.whole(key)?.unwrap_or(default)),
-            None => Ok(default),
-        };
-        let read = wire::settings(&settings.to_string());
-        let (mut module, names) = read.map_err(|error| format!("'settings': {error}"))?;
-        if module.classes.is_empty() {
-            return Err("'settings.request_classes' is missing or empty".to_owned());
-        }
-        // `retry_after` says what the simulator's clients are given. Here a refusal is an HTTP answer, which
-        // may carry Retry-After whatever that says: the module is told that its advice gets through.
-        module.limits.retry_advice = true;
+        let told_of = renewal(settings).map_err(|fault| format!("'settings.{}' {}", fault.key, fault.why))?;
+        let Renewal { settings: module, names, conn_idle, most_open } = told_of;
         let known = match root.map.get("known") {
             None | Some(Value::Null) => None,
             Some(value) => {
@@ -96,14 +86,100 @@
             known,
             fixed: Vec::new(),
             gearman: None,
-            conn_idle: ceiling("conn_idle_us", DEFAULT_CONN_IDLE)?,
-            most_open: ceiling("max_open", DEFAULT_MOST_OPEN)? as usize,
+            conn_idle,
+            most_open,
             settings: module,
             names,
         })
     }
 }
 
+/// The settings, checked whole.
+pub(super) fn renewal(settings: &Value) -> Result<Renewal, Fault> {
+    let ceiling = |key: &str, default: u64| {
+        let at = format!("ceilings.{key}");
+        let section = match settings.get("ceilings") {
+            Some(Value::Object(map)) => Section { at: "", map },
+            Some(_) => return Err(Fault::new("ceilings", "is not an object")),
+            None => return Ok(default),
+        };
+        let told = section.whole(key).map_err(|_| Fault::new(at, "is not a number from 0 on"))?;
+        Ok(told.unwrap_or(default))
+    };
+    let (mut module, names) = wire::settings_of(settings)?;
+    if module.classes.is_empty() {
+        return Err(Fault::new("request_classes", "is missing or empty"));
+    }
+    sound(&module, &names)?;
+    // `retry_after` says what the simulator's clients are given. Here a refusal is an HTTP answer, which
+    // may carry Retry-After whatever that says: the module is told that its advice gets through.
+    module.limits.retry_advice = true;
+    let conn_idle = ceiling("conn_idle_us", DEFAULT_CONN_IDLE)?;
+    within("ceilings.conn_idle_us", conn_idle)?;
+    let most_open = ceiling("max_open", DEFAULT_MOST_OPEN)? as usize;
+    Ok(Renewal { settings: module, names, conn_idle, most_open })
+}
+
+/// That a span can be added to any time.
+fn within(key: &str, span: Micros) -> Result<(), Fault> {
+    if span > LONGEST {
+        return Err(Fault::new(key, format!("is {span}: {LONGEST} microseconds are the most")));
+    }
+    Ok(())
+}
+
+/// That no figure is beyond what can be reckoned with, and each name is there once.
+fn sound(settings: &Settings, names: &Names) -> Result<(), Fault> {
+    let least = |key: String, figure: f64| {
+        if figure >= 0.0 { Ok(()) } else { Err(Fault::new(key, format!("is {figure}: 0 is the least"))) }
+    };
+    once("request_classes", names.classes())?;
+    once("orgs", names.tenants())?;
+    for (name, class) in names.classes().zip(&settings.classes) {
+        let at = |field: &str| format!("request_classes.{name}.{field}");
+        within(&at("aim_us"), class.aim)?;
+        within(&at("deadline_us"), class.deadline)?;
+        if let Effect::Keyed { span, .. } = class.effect {
+            within(&at("memory_span_us"), span)?;
+        }
+        least(at("worth"), class.worth)?;
+        least(at("late_worth"), class.late_worth)?;
+    }
+    for (name, tenant) in names.tenants().zip(&settings.tenants) {
+        least(format!("orgs.{name}.quota_rps"), tenant.quota_per_s)?;
+        least(format!("orgs.{name}.share"), tenant.share)?;
+    }
+    least("over_share_worth".to_owned(), settings.over_share_worth)?;
+    let (limits, rules) = (&settings.limits, &settings.rules);
+    for (key, span) in [
+        ("ceilings.connect_timeout_us", limits.connect_timeout),
+        ("ceilings.max_retry_after_us", limits.retry_advice_max),
+        ("rules.answer_slack_us", rules.answer_slack),
+        ("rules.drain_grace_us", rules.drain_grace),
+        ("rules.cold_us", rules.cold),
+        ("rules.fall_us", rules.fall_window),
+        ("rules.ask_every_us", rules.ask_every),
+        ("tick_us", settings.tick),
+    ] {
+        within(key, span)?;
+    }
+    least("rules.start_capacity".to_owned(), rules.start_capacity)?;
+    least("rules.fall_multiple".to_owned(), rules.fall_multiple)
+}
+
+fn once<'a>(list: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Fault> {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if name.is_empty() {
+            return Err(Fault::new(list, "has one without a name"));
+        }
+        if !seen.insert(name) {
+            return Err(Fault::new(format!("{list}.{name}"), "is there twice"));
+        }
+    }
+    Ok(())
+}
+
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("'{key}': '{text}' is not an address with a port"))
 }
@@ -248,7 +324,7 @@
         wrong("[\"127.0.0.3:7946\"]", "[7]", "'peers[0]'");
         wrong("127.0.0.4:7946", "all", "'peers_all'");
         wrong("_open\":50", "_open\":\"50\"", "'settings.ceilings.max_open'");
-        wrong("read_like", "odd", "'settings'");
+        wrong("read_like", "odd", "'settings.request_classes.look.effect'");
         wrong("\"limits\":", "\"known\":7,\"limits\":", "'known'");
         wrong("\"request_classes\"", "\"classes\"", "'settings.request_classes'");
         assert!(Config::load(|_| None).err().is_some_and(|message| message.contains("RELAY_CONFIG")));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub use calicolb_decisions::{api, rules};
 
+pub mod renewal;
 pub mod wire;
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -8,6 +8,7 @@
 use crate::net::core::journey;
 use crate::net::core::roster::{Roster, Source};
 use calicolb::api::*;
+use calicolb::renewal::{Fault, key_of};
 use calicolb::rules::Dispatcher;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::mem;
@@ -626,6 +627,36 @@
         self.most_open = most_open;
     }
 
+    // ---- Settings --------------------------------------------------------------------------------
+
+    /// The module's settings in force.
+    pub fn settings(&self) -> &Settings {
+        self.dispatcher.settings()
+    }
+
+    /// Whether these could be taken up now.
+    ///
+    /// # Errors
+    /// The field of the module's that stands in the way.
+    pub fn could_take(&self, new: &Settings) -> Result<(), Fault> {
+        self.dispatcher.could_take(new).map_err(|refused| Fault::new(key_of(refused.field), refused.why))
+    }
+
+    /// Takes up settings that [`Desk::could_take`] let pass. No action of the module's waits between two batches, so what
+    /// it decided by the old ones has been carried out by them.
+    pub fn take_up(&mut self, now: Micros, settings: Settings, deadlines: &mut Deadlines) {
+        let (limits, classes) = (&settings.limits, &settings.classes);
+        (self.most_tries, self.copies) = (limits.tries, limits.copies);
+        self.takes = journey::silence(limits.connect_timeout);
+        self.slots = classes.iter().map(|class| class.slots).collect();
+        self.figures.grow(classes.len());
+        let mut actions = Vec::new();
+        self.dispatcher.on_event(now, Event::Settings(Box::new(settings)), &mut actions);
+        for action in actions {
+            self.carry_out(now, action, deadlines);
+        }
+    }
+
     // ---- The module ------------------------------------------------------------------------------
 
     /// Hands all that was gathered to the module, and gives what is to be done.
@@ -645,9 +676,9 @@
         mem::take(&mut self.work)
     }
 
-    /// Events wait for the module.
+    /// Events wait for the module, or work of its to be carried out.
     pub fn has_news(&self) -> bool {
-        !self.events.is_empty()
+        !self.events.is_empty() || !self.work.is_empty()
     }
 
     /// What was counted since the start.
--- a/src/net/core/figures.rs
+++ b/src/net/core/figures.rs
@@ -29,6 +29,11 @@
         Figures(vec![Tally::default(); classes])
     }
 
+    /// There are so many classes now; what was counted stays.
+    pub fn grow(&mut self, classes: usize) {
+        self.0.resize(classes.max(self.0.len()), Tally::default());
+    }
+
     /// The counts of a class.
     pub fn of(&mut self, class: ClassIx) -> &mut Tally {
         &mut self.0[class.0]
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -9,7 +9,7 @@
 mod tests;
 mod workers;
 
-use crate::config::{Function, GearmanConfig};
+use crate::config::{Function, GearmanConfig, Grade};
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::deadlines::{Alarm, Due};
@@ -17,7 +17,9 @@
 use crate::net::core::envelope::Payload;
 use crate::net::core::roster::Source;
 use crate::net::protocol::{Protocol, Shares, Spare};
-use calicolb::api::{Ending, ListKind, Member, Micros, Report, Standing, WorkerId};
+use calicolb::api::{Class, Ending, ListKind, Member, Micros, Report, Standing, WorkerId};
+use calicolb::renewal::Fault;
+use calicolb::wire::Names;
 use calicolb_gearman::ConnId;
 use calicolb_gearman::book::{Book, End};
 use calicolb_gearman::fleet::{Fleet, HopNr, Offered};
@@ -303,6 +305,37 @@
         self.parting = false;
     }
 
+    fn could_take(&self, names: &Names, classes: &[Class]) -> Result<(), Fault> {
+        for function in &self.config.functions {
+            let effect = |grade: &Grade| classes.get(grade.class.0).map(|class| class.effect);
+            for grade in &function.grades {
+                let Some(class) = self.config.classes.get(grade.class.0) else { continue };
+                if names.class(class).is_err() {
+                    let why = format!("is the class of the function '{}', and cannot go", function.name);
+                    return Err(Fault::new(format!("request_classes.{class}"), why));
+                }
+                if effect(grade) != effect(&function.grades[1]) {
+                    let why = format!("differs from that of the other classes of '{}'", function.name);
+                    return Err(Fault::new(format!("request_classes.{class}.effect"), why));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn take_up(&mut self, classes: &[Class]) {
+        for function in &mut self.config.functions {
+            // A background job that was given no time of its own has its class's.
+            let as_class = function.background == function.grades[1].patience;
+            for grade in &mut function.grades {
+                grade.patience = classes.get(grade.class.0).map_or(grade.patience, |class| class.deadline);
+            }
+            if as_class {
+                function.background = function.grades[1].patience;
+            }
+        }
+    }
+
     fn at_rest(&self, _now: Micros) -> bool {
         self.conns.values().all(|conn| !conn.buffer.has_output())
     }
--- a/src/net/http/next_hop.rs
+++ b/src/net/http/next_hop.rs
@@ -80,6 +80,13 @@
         Rest { bound: most, most, breaks: 0.0, moved: 0 }
     }
 
+    /// Connections may rest for so long at most from now on. What was found out about breaks still counts.
+    fn take_up(&mut self, most: Micros) {
+        let lowered = self.bound < self.most;
+        self.bound = if lowered { self.bound.min(most) } else { most };
+        self.most = most;
+    }
+
     fn bound(&mut self, now: Micros) -> Micros {
         if self.bound < self.most && now > self.moved + CALM {
             (self.bound, self.moved) = ((self.bound * 2).min(self.most), now);
@@ -106,6 +113,11 @@
     }
 }
 
+/// How long a connection may rest that its next hop closes after `idle`.
+fn rest_of(idle: Micros) -> Micros {
+    idle.saturating_sub(IDLE_MARGIN).max(idle / 2)
+}
+
 /// See the head of this file.
 pub struct NextHops {
     hops: HashMap<WorkerId, Hop>,
@@ -131,7 +143,7 @@
             out: HashMap::new(),
             risen: Vec::new(),
             connect_timeout,
-            rest: Rest::new(idle.saturating_sub(IDLE_MARGIN).max(idle / 2)),
+            rest: Rest::new(rest_of(idle)),
             most,
             opened: 0,
             reused: 0,
@@ -183,6 +195,12 @@
         self.hops.remove(&id);
     }
 
+    /// Other settings are in force. Connections that rest are looked at when they are wanted.
+    pub fn take_up(&mut self, connect_timeout: Micros, idle: Micros) {
+        self.connect_timeout = connect_timeout;
+        self.rest.take_up(rest_of(idle));
+    }
+
     /// Closes the idle connections to a next hop.
     pub fn close_idle(&mut self, ctx: &mut Ctx<'_>, id: WorkerId) {
         let idle = self.hops.get_mut(&id).map(|hop| std::mem::take(&mut hop.idle)).unwrap_or_default();
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -71,6 +71,13 @@
         self.keep_time(ctx);
     }
 
+    /// After it was told of a change a scheduler may go on as before for so long from now on.
+    pub fn take_up(&mut self, ctx: &mut Ctx<'_>, grace: Micros) {
+        if self.clock.set_grace(grace) {
+            self.keep_time(ctx);
+        }
+    }
+
     /// The list as it is known, for another process to begin with.
     pub fn list(&self) -> Update {
         let hosts = self.listed.values().filter_map(|line| serde_json::to_value(line).ok()).collect();
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -5,7 +5,9 @@
 use crate::net::core::deadlines::Alarm;
 use crate::net::core::desk::{Answer, AttemptId, ClientId, Part};
 use crate::net::core::envelope::Payload;
-use calicolb::api::{Micros, WorkerId};
+use calicolb::api::{Class, Micros, WorkerId};
+use calicolb::renewal::Fault;
+use calicolb::wire::Names;
 use std::io;
 
 /// What a protocol wants of the whole program.
@@ -92,6 +94,17 @@
     /// No client is in the middle of a request, or has still to take its last answer.
     fn at_rest(&self, now: Micros) -> bool;
 
+    /// Whether it could go by these classes, each at its old place.
+    ///
+    /// # Errors
+    /// The key of the settings that stands in the way.
+    fn could_take(&self, _names: &Names, _classes: &[Class]) -> Result<(), Fault> {
+        Ok(())
+    }
+
+    /// Other settings are in force: these are the classes, each at its old place.
+    fn take_up(&mut self, _classes: &[Class]) {}
+
     /// What operators are shown of it, by name.
     fn figures(&self) -> Vec<(&'static str, u64)> {
         Vec::new()
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -22,7 +22,7 @@
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
-use calicolb::api::{ListKind, Micros, WorkerId};
+use calicolb::api::{Class, ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
@@ -106,6 +106,8 @@
     peer_config: Option<PeerConfig>,
     sockets: usize,
     most_open: usize,
+    /// When a next hop closes an idle connection.
+    conn_idle: Micros,
     /// Clients were served already: a list of next hops was known.
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
@@ -136,12 +138,11 @@
             }
             None => None,
         };
-        let (asked, grace) = (config.settings.list_on_request, config.settings.rules.drain_grace);
-        let routes = RouteSet::new(config.discovery, asked, grace, clock.now());
+        let (asked, drain) = (config.settings.list_on_request, config.settings.rules.drain_grace);
+        let routes = RouteSet::new(config.discovery, asked, drain, clock.now());
         let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, 0);
-        let patience = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let mut turn = Turn {
-            grace: patience.min(KILL_PATIENCE) + KILL_MARGIN,
+            grace: grace(&config.settings.classes),
             rank: config.settings.rank,
             desk: Desk::new(config.settings, config.seed, clock.now(), 0),
             poll,
@@ -170,6 +171,7 @@
             peer_config: config.peers,
             sockets: config.sockets,
             most_open: config.most_open,
+            conn_idle: config.conn_idle,
             begun: false,
             patient: false,
             appliance: config.discovery.is_none(),
@@ -637,29 +639,6 @@
         }
     }
 
-    /// SIGHUP: the configuration is read again. What the module knows, and all that is open, stays; a file
-    /// that cannot be read changes nothing.
-    fn reload(&mut self, now: Micros) {
-        if self.appliance {
-            return note!("SIGHUP: the operator file is read at the start only; the old one stays in force");
-        }
-        let config = match Config::reload(|name| std::env::var(name).ok()) {
-            Ok(config) => config,
-            Err(message) => return note!("SIGHUP: configuration: {message}; the old one stays in force"),
-        };
-        if let Some(discovery) = config.discovery {
-            note!("SIGHUP: discovery is at {discovery}");
-        }
-        let (mut ctx, parts) = self.split(now);
-        parts.routes.move_to(&mut ctx, config.discovery);
-        if let (Some(peers), Some(told)) = (parts.peers, &config.peers) {
-            peers.learn(told.each.clone(), told.all);
-        }
-        if let (Some(old), Some(told)) = (&mut self.peer_config, config.peers) {
-            (old.each, old.all) = (told.each, told.all);
-        }
-    }
-
     /// Does what a protocol wants of the whole program.
     fn grant(&mut self, now: Micros, wish: Wish) {
         match wish {
@@ -713,6 +692,12 @@
     }
 }
 
+/// From SIGTERM to the earliest SIGKILL, where clients of these classes may be waiting.
+fn grace(classes: &[Class]) -> Micros {
+    let patience = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    patience.min(KILL_PATIENCE) + KILL_MARGIN
+}
+
 /// How many descriptors of these may go to clients and to next hops, beside the program's own, and how many
 /// requests may be open.
 fn shares(sockets: usize, own: usize) -> (Shares, usize) {
@@ -751,5 +736,6 @@
     }
 }
 
+mod renewal;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/net/turn/renewal.rs
@@ -0,0 +1,75 @@
+//! Settings that come into force while the program runs: all of them between two batches of the module, or none.
+
+use super::Turn;
+use crate::config::{Config, Fault, Renewal};
+use crate::log::note;
+use calicolb::api::Micros;
+use calicolb::renewal::merge;
+
+impl Turn {
+    /// SIGHUP: the configuration is read again. The addresses of discovery and of the other schedulers are taken up, and
+    /// of the settings all that may change, or, where something cannot, nothing. What the module knows, and all that is
+    /// open, stays; a file that cannot be read changes nothing.
+    pub(super) fn reload(&mut self, now: Micros) {
+        if self.appliance {
+            return note!("SIGHUP: the operator file is read at the start only; the old one stays in force");
+        }
+        let config = match Config::reload(|name| std::env::var(name).ok()) {
+            Ok(config) => config,
+            Err(message) => return note!("SIGHUP: configuration: {message}; the old one stays in force"),
+        };
+        if let Some(discovery) = config.discovery {
+            note!("SIGHUP: discovery is at {discovery}");
+        }
+        let (mut ctx, parts) = self.split(now);
+        parts.routes.move_to(&mut ctx, config.discovery);
+        if let (Some(peers), Some(told)) = (parts.peers, &config.peers) {
+            peers.learn(told.each.clone(), told.all);
+        }
+        if let (Some(old), Some(told)) = (&mut self.peer_config, &config.peers) {
+            (old.each, old.all) = (told.each.clone(), told.all);
+        }
+        if let Err(fault) = self.take_up(now, config.renewal()) {
+            note!("SIGHUP: 'settings.{}' {}; the old settings stay in force", fault.key, fault.why);
+        }
+    }
+
+    /// Takes up these settings, all of them or none; where they are in force already, nothing is touched. What was
+    /// gathered in this turn is decided by the new ones; no request and no connection is dropped.
+    ///
+    /// # Errors
+    /// The first key that cannot change while the program runs: nothing has changed then.
+    pub fn take_up(&mut self, now: Micros, new: Renewal) -> Result<(), Fault> {
+        let old = (self.desk.settings(), &self.names);
+        let (settings, names) = merge(old, (&new.settings, &new.names))?;
+        let Renewal { conn_idle, most_open, .. } = new;
+        let level = (self.conn_idle, self.most_open) == (conn_idle, most_open);
+        if level && settings == *old.0 && names == *old.1 {
+            return Ok(());
+        }
+        // What workers take under an operator file is told by the classes that there are.
+        let added = names.classes().nth(self.names.classes().count()).filter(|_| self.appliance);
+        if let Some(class) = added {
+            let why = "is a class that an operator file does not name: it needs a restart";
+            return Err(Fault::new(format!("request_classes.{class}"), why));
+        }
+        self.others.iter().try_for_each(|other| other.could_take(&names, &settings.classes))?;
+        self.desk.could_take(&settings)?;
+        // From here on nothing fails.
+        let (limits, grace) = (settings.limits.clone(), settings.rules.drain_grace);
+        let classes = settings.classes.clone();
+        self.desk.take_up(now, settings, &mut self.deadlines);
+        self.names = names;
+        (self.conn_idle, self.most_open) = (conn_idle, most_open);
+        if !self.drain.ending() {
+            self.grace = super::grace(&classes);
+        }
+        let (mut ctx, parts) = self.split(now);
+        parts.routes.take_up(&mut ctx, grace);
+        parts.http.hops.take_up(limits.connect_timeout, conn_idle);
+        parts.others.iter_mut().for_each(|other| other.take_up(&classes));
+        self.share_out(now);
+        note!("other settings are in force");
+        Ok(())
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,8 +1,15 @@
 //! Wire text to and from the types of [`api`](crate::api). Nothing is decided here.
 
+mod names;
+
+pub use self::names::Names;
+
+use self::names::{Extra, index};
 use crate::api::*;
+use crate::renewal::{Fault, key_at};
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use serde::Deserialize;
+use serde_json::Value;
 use std::fmt;
 use std::str::FromStr;
 
@@ -22,95 +29,6 @@
     Err(WireError(what.into()))
 }
 
-/// The names behind the indices of one instance's settings.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    x0: Extra,
-    x1: Extra,
-}
-
-impl Names {
-    /// The names of these classes and tenants, zones and kinds of machine, each in their order. Reports have free slots
-    /// as `x0`.
-    pub fn new(classes: Vec<String>, tenants: Vec<String>, zones: Vec<String>, kinds: Vec<String>) -> Names {
-        Names { zones, kinds, classes, tenants, x0: Extra::FreeSlots, x1: Extra::Unknown }
-    }
-
-    /// The zone of this name.
-    pub fn zone(&self, name: &str) -> Result<ZoneIx, WireError> {
-        index("zone", &self.zones, name).map(ZoneIx)
-    }
-
-    /// The kind of machine of this name.
-    pub fn kind(&self, name: &str) -> Result<KindIx, WireError> {
-        index("kind", &self.kinds, name).map(KindIx)
-    }
-
-    /// The class of this name.
-    pub fn class(&self, name: &str) -> Result<ClassIx, WireError> {
-        index("class", &self.classes, name).map(ClassIx)
-    }
-
-    /// The names of the classes, in their order.
-    pub fn classes(&self) -> impl Iterator<Item = &str> {
-        self.classes.iter().map(String::as_str)
-    }
-
-    /// The tenant of this name.
-    pub fn tenant(&self, name: &str) -> Result<TenantIx, WireError> {
-        index("tenant", &self.tenants, name).map(TenantIx)
-    }
-
-    /// A load report from its named values. The simulator and the stock workers name some of them
-    /// differently; both are read here, so that no wire's names are lost on the way to the module.
-    pub fn report<'a>(&self, pairs: impl Iterator<Item = (&'a str, f64)>) -> Report {
-        let mut report = Report::default();
-        for (name, value) in pairs {
-            let extra = match name {
-                "x0" => self.x0,
-                "x1" => self.x1,
-                _ => Extra::Unknown,
-            };
-            let place = match (name, extra) {
-                ("outstanding" | "inflight", _) => &mut report.outstanding,
-                ("backlog" | "queue", _) => &mut report.backlog,
-                ("utilization" | "util", _) => &mut report.utilization,
-                ("recent_ms" | "latency_ms", _) => &mut report.recent_ms,
-                ("throughput" | "qps", _) => &mut report.throughput,
-                ("errors_per_s" | "eps", _) => &mut report.errors_per_s,
-                (_, Extra::FreeSlots) => &mut report.free_slots,
-                (_, Extra::FreeMemory) => &mut report.free_memory,
-                _ => continue,
-            };
-            *place = Some(value);
-        }
-        report
-    }
-}
-
-/// What a report value without a name of its own stands for.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Extra {
-    #[default]
-    Unknown,
-    FreeSlots,
-    FreeMemory,
-}
-
-impl Extra {
-    fn meaning(text: &str) -> Self {
-        match text {
-            "free slots" => Extra::FreeSlots,
-            "free memory" => Extra::FreeMemory,
-            _ => Extra::Unknown,
-        }
-    }
-}
-
 /// A line of a batch that stands on its own.
 #[derive(Debug)]
 pub enum Line<'a> {
@@ -178,13 +96,6 @@
     }
 }
 
-fn index(what: &str, names: &[String], value: &str) -> Result<usize, WireError> {
-    match names.iter().position(|name| name == value) {
-        Some(at) => Ok(at),
-        None => bad(format!("{what} '{value}' is not in the settings")),
-    }
-}
-
 /// Reads one line of a batch, other than an entry of a list.
 pub fn line(text: &str) -> Result<Line<'_>, WireError> {
     let fields = Fields::split(text);
@@ -615,20 +526,33 @@
 
 /// Reads the settings of an instance, and the names behind its indices.
 pub fn settings(json: &str) -> Result<(Settings, Names), WireError> {
-    let info: Info = serde_json::from_str(json).or_else(|error| bad(format!("UP: info: {error}")))?;
+    let value: Value = serde_json::from_str(json).or_else(|error| bad(format!("UP: info: {error}")))?;
+    settings_of(&value).or_else(|fault| bad(format!("UP: info: {fault}")))
+}
+
+/// The same, of JSON that has been read already.
+///
+/// # Errors
+/// The key at fault, and what is wrong there.
+pub fn settings_of(value: &Value) -> Result<(Settings, Names), Fault> {
+    let read: Result<Info, _> = serde_path_to_error::deserialize(value);
+    let info = read.map_err(|error| {
+        Fault::new(key_at(error.path(), value), format!("cannot be read: {}", error.inner()))
+    })?;
     let mut classes = Vec::new();
     for (at, class) in info.request_classes.iter().enumerate() {
+        let at_fault = |field: &str| format!("request_classes.{}.{field}", class.name);
         let group = match class.group.as_str() {
             "zone" => Group::Zone,
             "cell" => Group::Cell,
             "all" | "" => Group::All,
-            other => return bad(format!("UP: unknown group '{other}'")),
+            other => return Err(Fault::new(at_fault("group"), format!("is of no group known: '{other}'"))),
         };
         let effect = match class.effect.as_str() {
             "read_like" => Effect::Safe,
             "idempotency_key" => Effect::Keyed { group, span: class.memory_span_us },
             "non_idempotent" => Effect::Unsafe,
-            other => return bad(format!("UP: unknown effect '{other}'")),
+            other => return Err(Fault::new(at_fault("effect"), format!("is of no effect known: '{other}'"))),
         };
         let kind = info.extra.class_kind.get(at).and_then(|&kind| usize::try_from(kind).ok());
         let stretch = class.aim_stretch.or(info.extra.class_stretch.get(at).copied());
@@ -715,6 +639,7 @@
         tenants: info.orgs.into_iter().map(|org| org.name).collect(),
         x0,
         x1,
+        ..Names::default()
     };
     Ok((settings, names))
 }
