Test that no rule on sends breaks whatever settings change in mid-stream

The ledger of tests/rules_kept.rs moves to tests/common/ledger.rs and keeps every check; beside it, it books which effects were in force for each open request, lets attempts begin some time after they were decided, and asks may_begin then. Its first run found a hole: a request that went on as keyed while its class was safe could be sent again once that was keyed again, though nobody had to remember what ran in between; it now counts as unsafe.

--- a/crates/decisions/src/renewal.rs
+++ b/crates/decisions/src/renewal.rs
@@ -57,12 +57,10 @@
     }
 }
 
-/// The tighter of two effects that were in force for a request one after the other; `risky`: it may have run meanwhile.
-fn tighter(before: Effect, now: Effect, risky: bool) -> Effect {
+/// The tighter of two effects.
+fn tighter(before: Effect, now: Effect) -> Effect {
     match (before, now) {
-        _ if before == now => now,
         (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
-        (Effect::Safe, _) if risky => Effect::Unsafe,
         (Effect::Safe, keyed) | (keyed, Effect::Safe) => keyed,
         (Effect::Keyed { group: one, span: first }, Effect::Keyed { group: other, span: second }) => {
             let span = first.min(second);
@@ -110,12 +108,6 @@
         }
     }
 
-    /// No other attempt is out where there may be no copies: they may have been barred after this one was decided.
-    pub(crate) fn alone(&self, request: &Request, attempt: usize) -> bool {
-        let out = |(nr, other): (usize, &Attempt)| nr != attempt && other.state == State::Out;
-        self.settings.limits.copies || !request.attempts.iter().enumerate().any(out)
-    }
-
     /// Takes up new settings whole, or, with a line for the log, not at all.
     pub(crate) fn on_settings(&mut self, now: Micros, new: Settings) {
         if let Err(Refused { field, why }) = self.could_take(&new) {
@@ -148,15 +140,16 @@
 
     /// Open requests keep the tightest effect that was in force since they came.
     fn renew_effects(&mut self, new: &Settings) {
-        let both = self.settings.classes.iter().zip(&new.classes);
-        if both.clone().all(|(old, new)| old.effect == new.effect) {
+        let old = &self.settings.classes;
+        if old.iter().zip(&new.classes).all(|(old, new)| old.effect == new.effect) {
             return;
         }
         for request in self.requests.values_mut() {
-            if let Some(class) = new.classes.get(request.class) {
-                let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
-                request.effect = tighter(request.effect, class.effect, risky);
-            }
+            let both = old.get(request.class).zip(new.classes.get(request.class));
+            let Some((old, new)) = both.filter(|(old, new)| old.effect != new.effect) else { continue };
+            let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
+            let forgotten = risky && old.effect == Effect::Safe;
+            request.effect = if forgotten { Effect::Unsafe } else { tighter(request.effect, new.effect) };
         }
     }
 
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -8,7 +8,7 @@
     pub fn may_begin(&self, now: Micros, id: RequestId, attempt: u32) -> bool {
         let (request, nr) = (self.requests.get(&id), attempt as usize);
         let at = request.and_then(|request| request.attempts.get(nr)).map(|own| own.worker);
-        request.zip(at).is_some_and(|(job, at)| self.alone(job, nr) && self.may_go(now, job, nr, at))
+        request.zip(at).is_some_and(|(request, at)| self.may_go(now, request, nr, at))
     }
 
     /// The rules on where the attempt of this number may go that hold up to its first byte.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings and events for the tests of the decision module.
 #![allow(dead_code)]
 
+pub mod ledger;
+
 use calicolb::api::*;
 use calicolb::rules::Dispatcher;
 
@@ -67,6 +69,25 @@
     }
 }
 
+/// Settings that differ in all that the rules hang on.
+pub fn variants() -> Vec<Settings> {
+    let mut keyed = settings();
+    for (class, group) in keyed.classes.iter_mut().zip([Group::Zone, Group::All]) {
+        class.effect = Effect::Keyed { group, span: 2 * SECOND };
+        class.late_worth = 0.5;
+    }
+    let mut late = settings();
+    late.classes.iter_mut().for_each(|class| class.late_worth = 0.3);
+    late.limits.copies = false;
+    late.tells_start = true;
+    let mut peers = settings();
+    peers.limits.peers = true;
+    peers.instances = 12;
+    peers.limits.tries = 2;
+    peers.classes[0].effect = Effect::Keyed { group: Group::Cell, span: SECOND };
+    vec![settings(), keyed, late, peers]
+}
+
 pub fn member(id: u32) -> Member {
     Member {
         worker: WorkerId(id),
