Keep agreed versions of the configuration: five voters, a learner, stores

Nothing agrees on a configuration today: each scheduler has its own file, and a change is a restart of each.

A change counts only on the version that it was checked against; one that was overtaken is checked again by its proposer and sent again, or void.

--- /dev/null
+++ b/crates/agreed/src/document.rs
@@ -0,0 +1,125 @@
+//! The document: a flat, ordered map from dotted keys to JSON values, opaque to this package.
+
+use crate::bounds;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// From dotted keys to values.
+pub type Document = BTreeMap<String, Value>;
+
+/// Why a document isn't usable.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize, thiserror::Error)]
+#[error("{key}: {why}")]
+pub struct Fault {
+    /// The key at fault.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl Fault {
+    pub(crate) fn new(key: &str, why: impl Into<String>) -> Fault {
+        Fault { key: key.chars().take(bounds::KEY_BYTES).collect(), why: why.into() }
+    }
+}
+
+/// Supplied by the program: is the whole document usable?
+pub trait Check {
+    /// Looks at the whole document.
+    ///
+    /// # Errors
+    /// The key at fault and the reason.
+    fn check(&self, whole: &Document) -> Result<(), Fault>;
+}
+
+impl<F: Fn(&Document) -> Result<(), Fault>> Check for F {
+    fn check(&self, whole: &Document) -> Result<(), Fault> {
+        self(whole)
+    }
+}
+
+/// The bytes that the digest is of: JSON without spaces, the keys of every object in order, whatever order the
+/// program's JSON library keeps.
+pub(crate) fn canonical(document: &Document) -> Vec<u8> {
+    let mut out = vec![b'{'];
+    for (i, (key, value)) in document.iter().enumerate() {
+        if i > 0 {
+            out.push(b',');
+        }
+        text(&mut out, key);
+        out.push(b':');
+        write(&mut out, value);
+    }
+    out.push(b'}');
+    out
+}
+
+fn text(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(Value::from(text).to_string().as_bytes());
+}
+
+fn write(out: &mut Vec<u8>, value: &Value) {
+    match value {
+        Value::Array(values) => {
+            out.push(b'[');
+            for (i, value) in values.iter().enumerate() {
+                if i > 0 {
+                    out.push(b',');
+                }
+                write(out, value);
+            }
+            out.push(b']');
+        }
+        Value::Object(map) => {
+            let ordered: BTreeMap<&String, &Value> = map.iter().collect();
+            out.push(b'{');
+            for (i, (key, value)) in ordered.into_iter().enumerate() {
+                if i > 0 {
+                    out.push(b',');
+                }
+                text(out, key);
+                out.push(b':');
+                write(out, value);
+            }
+            out.push(b'}');
+        }
+        plain => out.extend_from_slice(plain.to_string().as_bytes()),
+    }
+}
+
+/// Bytes of a document in its canonical form.
+#[must_use]
+pub fn size(document: &Document) -> usize {
+    canonical(document).len()
+}
+
+fn depth(value: &Value) -> usize {
+    match value {
+        Value::Array(values) => 1 + values.iter().map(depth).max().unwrap_or(0),
+        Value::Object(map) => 1 + map.values().map(depth).max().unwrap_or(0),
+        _ => 0,
+    }
+}
+
+/// Whether a document is within the bounds of this package.
+pub(crate) fn within_bounds(document: &Document) -> Result<(), Fault> {
+    if document.len() > bounds::KEYS {
+        return Err(Fault::new("", format!("{} keys, {} at most", document.len(), bounds::KEYS)));
+    }
+    for (key, value) in document {
+        if key.is_empty() || key.len() > bounds::KEY_BYTES {
+            return Err(Fault::new(
+                key,
+                format!("a key has 1 to {} bytes, not {}", bounds::KEY_BYTES, key.len()),
+            ));
+        }
+        if depth(value) > bounds::DEPTH {
+            return Err(Fault::new(key, format!("nested more than {} deep", bounds::DEPTH)));
+        }
+    }
+    let bytes = size(document);
+    if bytes > bounds::DOCUMENT_BYTES {
+        return Err(Fault::new("", format!("{bytes} bytes, {} at most", bounds::DOCUMENT_BYTES)));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/agreed/src/lib.rs
@@ -0,0 +1,31 @@
+//! Agreed configuration, without I/O (but for the file store) and without a clock.
+//!
+//! * [`Voter`]: one of the control machines that decide together, by Omni-Paxos, which numbered [`Version`] of a
+//!   configuration [`Document`] follows which. It is driven by ticks and messages.
+//! * [`Learner`]: what a scheduler keeps of it: the version in force, whether it is behind, what to ask for.
+//! * [`store`]: where a voter keeps what it has promised, so that a restart doesn't break its word.
+//!
+//! The document is opaque here: the program supplies the [`Check`] of a whole document, and for each key which
+//! direction tightens ([`Rules`]). See `docs/agreed.md`.
+
+pub mod bounds;
+mod change;
+mod digest;
+mod document;
+mod envelope;
+mod learner;
+mod replica;
+mod shelf;
+pub mod store;
+mod tighten;
+mod touch;
+mod voter;
+
+pub use change::{Change, Delta, Mismatch, Version};
+pub use digest::{Digest, NotADigest};
+pub use document::{Check, Document, Fault, size};
+pub use learner::{Ask, InForce, Learner, Message, Rules, Taken};
+pub use replica::ProposalId;
+pub use store::Store;
+pub use tighten::{Tighter, tightened};
+pub use voter::{Answer, Outcome, Refused, Start, Ticket, Voter, VoterId};
