--- /dev/null
+++ b/crates/agreed/src/history.rs
@@ -0,0 +1,87 @@
+//! What was decided, as far as this voter has taken it in, and the deltas it keeps for learners.
+
+use crate::bounds;
+use crate::change::{Delta, Version};
+use crate::digest::Digest;
+use crate::outcome::Answer;
+use crate::replica::{Entry, Replica};
+use crate::shelf::Image;
+use std::collections::VecDeque;
+
+pub(crate) struct History {
+    replica: Replica,
+    /// Index of the log up to which the replica has taken it in.
+    applied: usize,
+    deltas: VecDeque<(Delta, usize)>,
+    delta_bytes: usize,
+}
+
+impl History {
+    pub(crate) fn of(image: &Image) -> History {
+        let (replica, applied) = (image.snapshot.clone(), image.compacted);
+        History { replica, applied, deltas: VecDeque::new(), delta_bytes: 0 }
+    }
+
+    pub(crate) fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    pub(crate) fn version(&self) -> &Version {
+        &self.replica.version
+    }
+
+    /// Takes in what was decided. `passing` are entries that were seen on the way to a snapshot.
+    pub(crate) fn advance(&mut self, image: &Image, passing: &[Entry]) {
+        if self.applied < image.compacted {
+            // Skipped by a snapshot: the deltas go on only when the entries that led there were seen on the way.
+            for entry in passing {
+                self.take(entry);
+            }
+            if self.replica.version != image.snapshot.version {
+                self.deltas.clear();
+                self.delta_bytes = 0;
+            }
+            self.replica = image.snapshot.clone();
+            self.applied = image.compacted;
+        }
+        let decided = image.decided.min(image.end());
+        for entry in image.entries(self.applied, decided) {
+            self.take(entry);
+        }
+        self.applied = self.applied.max(decided);
+    }
+
+    fn take(&mut self, entry: &Entry) {
+        let Some(delta) = self.replica.take(entry) else { return };
+        let bytes = delta.change.bytes();
+        self.delta_bytes += bytes;
+        self.deltas.push_back((delta, bytes));
+        while self.deltas.len() > bounds::DELTAS || self.delta_bytes > bounds::DELTA_BYTES {
+            let Some((_, bytes)) = self.deltas.pop_front() else { break };
+            self.delta_bytes -= bytes;
+        }
+    }
+
+    pub(crate) fn since(&self, seq: u64, digest: Digest) -> Answer {
+        let version = self.version();
+        if seq > version.seq {
+            return Answer::Ahead;
+        }
+        if (seq, digest) == (version.seq, version.digest) {
+            return Answer::Level;
+        }
+        let lacking = usize::try_from(version.seq - seq).unwrap_or(usize::MAX);
+        let whole = crate::document::size(&version.document);
+        let first = self.deltas.len().checked_sub(lacking);
+        let deltas = first.map(|first| self.deltas.range(first..));
+        match deltas {
+            Some(deltas)
+                if deltas.clone().next().is_some_and(|(delta, _)| delta.from_digest == digest)
+                    && deltas.clone().map(|(_, bytes)| bytes).sum::<usize>() <= whole =>
+            {
+                Answer::Deltas(deltas.map(|(delta, _)| delta.clone()).collect())
+            }
+            _ => Answer::Whole(version.clone()),
+        }
+    }
+}
