--- a/crates/agreed/src/store/memory.rs
+++ b/crates/agreed/src/store/memory.rs
@@ -29,13 +29,7 @@
     /// # Errors
     /// When it is in use, or what is on it isn't a sound journal.
     pub fn open(&self) -> Result<MemoryStore, StoreError> {
-        let mut inner = self.inner();
-        if inner.in_use {
-            return Err(StoreError::Locked);
-        }
-        inner.in_use = true;
-        drop(inner);
-        Journal::on(MemoryMedium(self.clone()))
+        Journal::on(MemoryMedium::open(self)?)
     }
 
     /// All bytes that were written.
@@ -80,6 +74,22 @@
 #[derive(Debug)]
 pub struct MemoryMedium(Platter);
 
+impl MemoryMedium {
+    /// Takes a platter into use.
+    ///
+    /// # Errors
+    /// When it is in use.
+    pub fn open(platter: &Platter) -> Result<MemoryMedium, StoreError> {
+        let mut inner = platter.inner();
+        if inner.in_use {
+            return Err(StoreError::Locked);
+        }
+        inner.in_use = true;
+        drop(inner);
+        Ok(MemoryMedium(platter.clone()))
+    }
+}
+
 impl Drop for MemoryMedium {
     fn drop(&mut self) {
         self.0.inner().in_use = false;
