Play five voters and learners on a seeded network, with claims and the defects they catch

Loss, delay, doubling, reordering, one-way cuts, two against three, pauses of 5 s, kills (two of five, all), restarts from the store. At every step: no version lost once agreed, none in force that was not agreed, no half version, nothing goes back; a minority says so within 21 ticks; all level after 150 calm ticks; in force within 50 ticks of a leader's death. Eleven defects, each caught by its claim.

--- a/crates/agreed/src/learner.rs
+++ b/crates/agreed/src/learner.rs
@@ -192,7 +192,13 @@
             None => ASK_FIRST_US,
         };
         self.asked = Some((now, pause));
-        Some(Ask { seq: self.held.seq, digest: self.held.digest })
+        Some(self.holds())
+    }
+
+    /// The version held, as a control machine is asked for what followed it.
+    #[must_use]
+    pub fn holds(&self) -> Ask {
+        Ask { seq: self.held.seq, digest: self.held.digest }
     }
 
     /// Why the version held isn't in force, when it isn't usable here.
--- a/crates/agreed/src/voter.rs
+++ b/crates/agreed/src/voter.rs
@@ -15,6 +15,7 @@
 use omnipaxos::messages::Message;
 use omnipaxos::messages::sequence_paxos::PaxosMsg;
 use omnipaxos::storage::SnapshotType;
+use omnipaxos::util::LogSync;
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
 use std::collections::VecDeque;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -116,25 +117,22 @@
         if verdict == Verdict::Drop {
             return;
         }
-        let mut passing = Vec::new();
-        if let Message::SequencePaxos(message) = &envelope.body {
-            match &message.msg {
+        let mut body = envelope.body;
+        let passing = match &mut body {
+            Message::SequencePaxos(message) => match &mut message.msg {
                 PaxosMsg::ProposalForward(entries) if !self.takes_forwarded(entries) => return,
-                PaxosMsg::AcceptSync(sync) => {
-                    if sync.log_sync.sync_idx < self.omni.get_decided_idx() {
-                        return;
-                    }
-                    if let Some(SnapshotType::Delta(Snapshot::Since(entries))) =
-                        &sync.log_sync.decided_snapshot
-                    {
-                        passing.clone_from(entries);
-                    }
+                PaxosMsg::AcceptSync(sync) if sync.log_sync.sync_idx < self.omni.get_decided_idx() => return,
+                PaxosMsg::AcceptSync(sync) => self.complete(&mut sync.log_sync),
+                PaxosMsg::Promise(promise) => {
+                    promise.log_sync.as_mut().map_or(Some(vec![]), |sync| self.complete(sync))
                 }
-                _ => {}
-            }
-        }
+                _ => Some(vec![]),
+            },
+            Message::BLE(_) => Some(vec![]),
+        };
+        let Some(passing) = passing else { return };
         self.guarded(&passing, |omni| {
-            omni.handle_incoming(envelope.body);
+            omni.handle_incoming(body);
             if verdict == Verdict::TakeAndReconnect {
                 omni.reconnected(from);
             }
@@ -217,6 +215,23 @@
         self.history.since(seq, digest)
     }
 
+    /// Makes the snapshot of a message whole when it holds only the entries since this voter's decided ones, and
+    /// returns these; none when they don't follow them. The consensus crate would merge them itself, but onto a
+    /// snapshot of its log up to the other's decided index, of which this voter may have less, or other entries.
+    fn complete(&self, sync: &mut LogSync<Entry>) -> Option<Vec<Entry>> {
+        let Some(SnapshotType::Delta(Snapshot::Since(entries))) = &mut sync.decided_snapshot else {
+            return Some(vec![]);
+        };
+        let entries = std::mem::take(entries);
+        if self.omni.get_decided_idx().checked_add(entries.len()) != Some(sync.sync_idx) {
+            return None;
+        }
+        let mut replica = self.history.replica().clone();
+        replica.take_all(&entries);
+        sync.decided_snapshot = Some(SnapshotType::Complete(Snapshot::Whole(replica)));
+        Some(entries)
+    }
+
     /// A leader takes a forwarded proposal only within the bounds.
     fn takes_forwarded(&self, entries: &[Entry]) -> bool {
         let leads = self.omni.get_current_leader() == Some((self.id, true));
--- /dev/null
+++ b/crates/agreed/tests/net/parts.rs
@@ -0,0 +1,282 @@
+//! The parts under test behind two narrow traits, and the same parts with one defect each.
+
+use calicolb_agreed::store::{MemoryStore, Platter, Store, StoreError};
+use calicolb_agreed::{
+    Answer, Ask, Change, Check, Delta, Digest, Document, Fault, InForce, Learner, Message, Outcome, Refused,
+    Rules, Taken, Ticket, Tighter, Version, Voter,
+};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// One thing that is wrong with all control machines or all learners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// Nothing.
+    None,
+    /// A voter says that a change is agreed as soon as it was proposed.
+    AcknowledgesEarly,
+    /// A voter shows and tells its own proposals as if they were decided.
+    ShowsUndecided,
+    /// A store is empty after a restart.
+    StoreForgets,
+    /// A store says that a batch is durable before it is.
+    StoreNeverSyncs,
+    /// A voter always says that it has a majority.
+    AlwaysMajority,
+    /// A voter misses nine of ten ticks.
+    SlowTicks,
+    /// A voter that wakes after a pause isn't told of it.
+    PauseUnnoticed,
+    /// A learner takes any delta for the next one.
+    AnyDelta,
+    /// A learner takes a change key by key, and may be seen in between.
+    KeyByKey,
+    /// A learner takes up again an old version of which it hears.
+    GoesBack,
+    /// A learner never asks.
+    NeverAsks,
+}
+
+pub const IDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+/// What both sides hold for usable: nothing is 13, and `q0` and `q1` are together at most 20.
+pub struct Usable;
+
+impl Check for Usable {
+    fn check(&self, whole: &Document) -> Result<(), Fault> {
+        let of = |key: &str| whole.get(key).and_then(serde_json::Value::as_i64).unwrap_or(0);
+        if let Some((key, _)) = whole.iter().find(|(_, value)| **value == 13) {
+            return Err(Fault { key: key.clone(), why: "13".into() });
+        }
+        let sum = of("q0") + of("q1");
+        if sum > 20 { Err(Fault { key: "q0".into(), why: format!("{sum} with q1") }) } else { Ok(()) }
+    }
+}
+
+impl Rules for Usable {
+    fn tighter(&self, key: &str) -> Tighter {
+        if key.starts_with('q') { Tighter::Less } else { Tighter::Unknown }
+    }
+}
+
+/// A control machine, as its host sees it.
+pub trait Control {
+    fn tick(&mut self);
+    fn missed(&mut self, ticks: u64);
+    fn receive(&mut self, from: u64, bytes: &[u8]);
+    fn outgoing(&mut self) -> Vec<(u64, Vec<u8>)>;
+    fn propose(&mut self, change: Change) -> Result<Ticket, Refused>;
+    fn settled(&mut self) -> Vec<(Ticket, Outcome)>;
+    fn agreed(&self) -> Version;
+    fn has_majority(&self) -> bool;
+    fn leads(&self) -> bool;
+    fn since(&self, seq: u64, digest: Digest) -> Answer;
+}
+
+/// A learner, as its host sees it.
+pub trait Hearing {
+    fn hear(&mut self, now: u64, message: Message) -> Taken;
+    fn in_force(&self, now: u64) -> Arc<InForce>;
+    fn behind(&self, now: u64) -> bool;
+    fn wants(&mut self, now: u64) -> Option<Ask>;
+    fn holds(&self) -> Ask;
+}
+
+/// A store that may say it has synced when it hasn't.
+pub struct SimStore {
+    store: MemoryStore,
+    platter: Platter,
+    lazy: Option<(usize, Vec<u8>)>,
+}
+
+impl Store for SimStore {
+    fn load(&mut self) -> Result<Vec<Vec<u8>>, StoreError> {
+        self.store.load()
+    }
+    fn append(&mut self, batch: &[u8]) -> Result<(), StoreError> {
+        self.store.append(batch)
+    }
+    fn replace(&mut self, batch: &[u8]) -> Result<(), StoreError> {
+        self.store.replace(batch)
+    }
+    fn bytes(&self) -> u64 {
+        self.store.bytes()
+    }
+}
+
+impl Drop for SimStore {
+    fn drop(&mut self) {
+        // What was never synced goes with the process: the disk is as it was when it started, some bytes added.
+        if let Some((kept, before)) = self.lazy.take() {
+            let bytes = self.platter.bytes();
+            self.platter.set_bytes(bytes[..bytes.len().min(before.len() + kept)].to_vec());
+        }
+    }
+}
+
+pub struct Part {
+    voter: Voter<SimStore>,
+    defect: Defect,
+    ticks: u64,
+    early: VecDeque<(Ticket, Outcome)>,
+    shown: Option<Version>,
+}
+
+impl Part {
+    pub fn start(id: u64, platter: &Platter, seed: u64, defect: Defect) -> Box<dyn Control> {
+        if defect == Defect::StoreForgets {
+            platter.set_bytes(Vec::new());
+        }
+        let lazy = (defect == Defect::StoreNeverSyncs).then(|| (40, platter.bytes()));
+        let store = SimStore { store: platter.open().unwrap(), platter: platter.clone(), lazy };
+        let voter = Voter::new(id, &IDS, store, seed).unwrap();
+        Box::new(Part { voter, defect, ticks: 0, early: VecDeque::new(), shown: None })
+    }
+}
+
+impl Control for Part {
+    fn tick(&mut self) {
+        self.ticks += 1;
+        if self.defect != Defect::SlowTicks || self.ticks.is_multiple_of(10) {
+            self.voter.tick();
+        }
+    }
+    fn missed(&mut self, ticks: u64) {
+        if self.defect != Defect::PauseUnnoticed {
+            self.voter.missed(ticks);
+        }
+    }
+    fn receive(&mut self, from: u64, bytes: &[u8]) {
+        self.voter.receive(from, bytes);
+    }
+    fn outgoing(&mut self) -> Vec<(u64, Vec<u8>)> {
+        self.voter.outgoing()
+    }
+    fn propose(&mut self, change: Change) -> Result<Ticket, Refused> {
+        let ticket = self.voter.propose(change.clone(), &Usable)?;
+        let now = self.agreed();
+        let next = Version::new(now.seq + 1, change.on(&now.document));
+        if self.defect == Defect::AcknowledgesEarly {
+            self.early.push_back((ticket, Outcome::Agreed { seq: next.seq, digest: next.digest }));
+        }
+        if self.defect == Defect::ShowsUndecided {
+            self.shown = Some(next);
+        }
+        Ok(ticket)
+    }
+    fn settled(&mut self) -> Vec<(Ticket, Outcome)> {
+        let told = self.voter.settled(&Usable);
+        if self.defect == Defect::AcknowledgesEarly { self.early.drain(..).collect() } else { told }
+    }
+    fn agreed(&self) -> Version {
+        let agreed = self.voter.agreed().clone();
+        self.shown.clone().filter(|shown| shown.seq > agreed.seq).unwrap_or(agreed)
+    }
+    fn has_majority(&self) -> bool {
+        self.defect == Defect::AlwaysMajority || self.voter.has_majority()
+    }
+    fn leads(&self) -> bool {
+        self.voter.leader() == Some(self.voter.id())
+    }
+    fn since(&self, seq: u64, digest: Digest) -> Answer {
+        match &self.shown {
+            Some(shown) if shown.seq > seq && shown.seq > self.voter.agreed().seq => {
+                Answer::Whole(shown.clone())
+            }
+            _ => self.voter.since(seq, digest),
+        }
+    }
+}
+
+/// A learner with a defect that replaces what it makes of a message.
+pub struct Ear {
+    learner: Learner,
+    defect: Defect,
+    loose: Version,
+    silence_us: u64,
+    half: Option<Delta>,
+    had: BTreeMap<u64, Version>,
+}
+
+impl Ear {
+    pub fn listen(silence_us: u64, defect: Defect) -> Box<dyn Hearing> {
+        let learner = Learner::new(silence_us, Box::new(Usable));
+        Box::new(Ear {
+            learner,
+            defect,
+            loose: Version::default(),
+            silence_us,
+            half: None,
+            had: BTreeMap::new(),
+        })
+    }
+
+    fn is_loose(&self) -> bool {
+        matches!(self.defect, Defect::AnyDelta | Defect::KeyByKey | Defect::GoesBack)
+    }
+
+    /// Begins again with what the defect makes of things.
+    fn force(&mut self, now: u64, version: Version) -> Taken {
+        self.loose = version.clone();
+        self.learner = Learner::with(self.silence_us, Box::new(Usable), version);
+        let here = Message::Here { seq: self.loose.seq, majority: true };
+        self.learner.hear(now, here);
+        Taken::InForce
+    }
+}
+
+impl Hearing for Ear {
+    fn hear(&mut self, now: u64, message: Message) -> Taken {
+        match (self.defect, message) {
+            (Defect::AnyDelta, Message::Delta { delta, .. }) if delta.seq > self.loose.seq => {
+                let version = Version::new(delta.seq, delta.change.on(&self.loose.document));
+                self.force(now, version)
+            }
+            (Defect::KeyByKey, Message::Delta { delta, .. }) if delta.from_digest == self.loose.digest => {
+                // The first key now, the others with the next message, whatever it is.
+                let mut first = delta.change.clone();
+                first.set = first.set.into_iter().take(1).collect();
+                first.unset.clear();
+                let document = Arc::new(first.on(&self.loose.document));
+                let version = Version { seq: delta.seq, digest: delta.digest, document };
+                self.half = Some(delta);
+                self.force(now, version)
+            }
+            (Defect::KeyByKey, message) => {
+                if let Some(delta) = self.half.take() {
+                    let version = Version::new(delta.seq, delta.change.on(&self.loose.document));
+                    self.force(now, version);
+                }
+                self.learner.hear(now, message)
+            }
+            (Defect::GoesBack, Message::Delta { delta, .. }) if self.had.contains_key(&delta.seq) => {
+                let version = self.had[&delta.seq].clone();
+                self.force(now, version)
+            }
+            (_, message) => {
+                let taken = self.learner.hear(now, message);
+                if self.is_loose() {
+                    let in_force = self.learner.in_force(now);
+                    let (seq, digest) = (in_force.seq, in_force.digest);
+                    self.loose = Version { seq, digest, document: in_force.document.clone() };
+                    if in_force.tightened_to.is_none() {
+                        self.had.insert(seq, self.loose.clone());
+                    }
+                }
+                taken
+            }
+        }
+    }
+    fn in_force(&self, now: u64) -> Arc<InForce> {
+        self.learner.in_force(now)
+    }
+    fn behind(&self, now: u64) -> bool {
+        self.learner.behind(now)
+    }
+    fn wants(&mut self, now: u64) -> Option<Ask> {
+        if self.defect == Defect::NeverAsks { None } else { self.learner.wants(now) }
+    }
+    fn holds(&self) -> Ask {
+        self.learner.holds()
+    }
+}
