Test settings taken up on SIGHUP over sockets, and place what an heir is told by name

The scenarios can set a value in the file, weigh the program, and say that a line was never logged. Classes may now stand in another order at an heir, so that the elder tells its names and the heir places what was learned by them. Operators see scheduler.settings.taken_up.

--- a/crates/decisions/src/handover.rs
+++ b/crates/decisions/src/handover.rs
@@ -1,8 +1,10 @@
 //! The handing over of what was learned to the process that takes over: it is carried, nothing of it is decided.
 
-use crate::api::Action;
+use crate::api::{Action, Micros};
 use crate::rules::Dispatcher;
-use crate::state::{Knowledge, SizeMap, Worker};
+use crate::state::{Bucket, Knowledge, SizeMap, Worker};
+use calicolb_knowledge::classes::ClassModel;
+use serde::Deserialize;
 
 impl Dispatcher {
     /// What was learned, for the process that takes over.
@@ -10,6 +12,26 @@
         serde_json::json!([self.workers, self.maps, self.know])
     }
 
+    /// What was learned, with classes and tenants at other places: for each place where it was before, if anywhere. What
+    /// cannot be read stays as it is, and will not fit.
+    pub fn placed(
+        mut knowledge: serde_json::Value,
+        classes: &[Option<usize>],
+        tenants: &[Option<usize>],
+        now: Micros,
+    ) -> serde_json::Value {
+        let Some(know) = knowledge.get_mut(2) else { return knowledge };
+        let read = (Vec::deserialize(&know["classes"]), Vec::deserialize(&know["buckets"]));
+        let (Ok(known), Ok(buckets)): (Result<Vec<ClassModel>, _>, Result<Vec<Bucket>, _>) = read else {
+            return knowledge;
+        };
+        let known = classes.iter().map(|from| known.get((*from)?).cloned());
+        know["classes"] = known.map(|class| serde_json::json!(class.unwrap_or_default())).collect();
+        let buckets = tenants.iter().map(|from| buckets.get((*from)?));
+        know["buckets"] = buckets.map(|of| serde_json::json!(of.unwrap_or(&Bucket::new(now)))).collect();
+        knowledge
+    }
+
     pub(crate) fn on_handed(&mut self, handed: serde_json::Value) {
         let fits = |(workers, maps, know): &(Vec<Worker>, Vec<SizeMap>, Knowledge)| {
             let covered = workers.iter().all(|worker| know.covers(worker));
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -4,7 +4,7 @@
 use crate::config::Grade;
 use crate::net::core::deadlines::Deadlines;
 use crate::net::core::desk::{Desk, Work};
-use calicolb::api::ClassIx;
+use calicolb::api::{Class, ClassIx, Effect};
 use calicolb::wire::{self, Names};
 use mio::Poll;
 use std::io::Write;
@@ -150,3 +150,23 @@
     // ... written: it may have run, and must not run twice.
     assert_eq!(lost(1 << 20), (true, vec![Answer::Failed]));
 }
+
+#[test]
+fn functions_go_by_the_classes_that_are_in_force_and_keep_theirs() {
+    let (table, mut gearman) = Table::new();
+    let class = |deadline, effect| Class { deadline, effect, ..table.desk.settings().classes[0].clone() };
+    let book = class(7 * SECOND, Effect::Unsafe);
+    assert_eq!(gearman.could_take(&table.names, std::slice::from_ref(&book)), Ok(()));
+    gearman.take_up(std::slice::from_ref(&book));
+    assert!(gearman.config.functions[0].grades.iter().all(|grade| grade.patience == 7 * SECOND));
+    assert_eq!(gearman.config.functions[0].background, SECOND, "it was given a time of its own");
+    // Without its class a function cannot be; nor where its classes differ in what a repeat does.
+    let other = Names::new(vec!["look".to_owned()], vec![], vec![], vec![]);
+    let fault = gearman.could_take(&other, std::slice::from_ref(&book)).expect_err("its class has gone");
+    assert_eq!(fault.key, "request_classes.book");
+    gearman.config.functions[0].grades[0].class = ClassIx(1);
+    gearman.config.classes.push("look".to_owned());
+    let both = Names::new(vec!["book".to_owned(), "look".to_owned()], vec![], vec![], vec![]);
+    let fault = gearman.could_take(&both, &[book, class(SECOND, Effect::Safe)]).expect_err("they differ");
+    assert_eq!(fault.key, "request_classes.look.effect");
+}
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/kin.rs
@@ -10,6 +10,7 @@
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::core::envelope::Envelope;
 use calicolb::api::Micros;
+use calicolb::wire::Names;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use rustix::net::{
@@ -60,12 +61,32 @@
     pub routes: Update,
     /// What the module has learned, in its own words.
     pub knowledge: Value,
+    /// The names that its places stand for; an elder of before does not tell them.
+    #[serde(default)]
+    pub names: Option<Listed>,
     /// The names of the requests that are open.
     pub open: Vec<String>,
     /// Clients are being sent away, as an operator asked.
     pub drained: bool,
 }
 
+/// Classes and tenants in the order of their places.
+#[derive(Serialize, Deserialize)]
+pub struct Listed {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+}
+
+impl Listed {
+    pub fn new(names: &Names) -> Self {
+        let texts = |name: &str| name.to_owned();
+        Listed {
+            classes: names.classes().map(texts).collect(),
+            tenants: names.tenants().map(texts).collect(),
+        }
+    }
+}
+
 /// A request that an elder sent out and will not live to answer.
 #[derive(Serialize, Deserialize)]
 pub struct Bequest {
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -18,7 +18,7 @@
 use crate::net::operators::door::{CALLS, Door, Order};
 use crate::net::operators::drain::{Drain, PARTING, Why};
 use crate::net::platform::inherit;
-use crate::net::platform::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
+use crate::net::platform::kin::{Bequest, Handover, Kin, Listed, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
@@ -108,6 +108,8 @@
     most_open: usize,
     /// When a next hop closes an idle connection.
     conn_idle: Micros,
+    /// How often other settings came into force.
+    renewals: u64,
     /// Clients were served already: a list of next hops was known.
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
@@ -172,6 +174,7 @@
             sockets: config.sockets,
             most_open: config.most_open,
             conn_idle: config.conn_idle,
+            renewals: 0,
             begun: false,
             patient: false,
             appliance: config.discovery.is_none(),
@@ -206,7 +209,7 @@
         ctx.deadlines.clear(Due::Elder);
         let (known, drained) = match handover {
             Some(handover) => {
-                ctx.desk.inherit(handover.knowledge);
+                ctx.desk.inherit(renewal::placed(handover.knowledge, &handover.names, ctx.names, now));
                 (Some(handover.routes), handover.drained)
             }
             None => (known, false),
@@ -276,6 +279,7 @@
         let handover = Handover {
             routes: parts.routes.list(),
             knowledge: ctx.desk.hand_over(),
+            names: Some(Listed::new(ctx.names)),
             open: ctx.desk.share(),
             drained: parts.drain.asked(),
         };
@@ -525,6 +529,7 @@
                 };
                 let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
                 let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
+                let others = others.chain([("settings.taken_up", self.renewals)]);
                 self.desk.figures().write(self.names.classes(), present, others)
             }
             // What this process no longer takes is the heir's to send away.
--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -3,8 +3,12 @@
 use super::Turn;
 use crate::config::{Config, Fault, Renewal};
 use crate::log::note;
+use crate::net::platform::kin::Listed;
 use calicolb::api::Micros;
 use calicolb::renewal::merge;
+use calicolb::rules::Dispatcher;
+use calicolb::wire::Names;
+use serde_json::Value;
 
 impl Turn {
     /// SIGHUP: the configuration is read again. The addresses of discovery and of the other schedulers are taken up, and
@@ -69,7 +73,18 @@
         parts.http.hops.take_up(limits.connect_timeout, conn_idle);
         parts.others.iter_mut().for_each(|other| other.take_up(&classes));
         self.share_out(now);
+        self.renewals += 1;
         note!("other settings are in force");
         Ok(())
     }
 }
+
+/// What another process learned, by the places that classes and tenants have here: there they may have come and gone in
+/// another order.
+pub(super) fn placed(knowledge: Value, told: &Option<Listed>, names: &Names, now: Micros) -> Value {
+    let Some(told) = told else { return knowledge };
+    let place = |list: &[String], name: &str| list.iter().position(|other| other == name);
+    let classes: Vec<_> = names.classes().map(|name| place(&told.classes, name)).collect();
+    let tenants: Vec<_> = names.tenants().map(|name| place(&told.tenants, name)).collect();
+    Dispatcher::placed(knowledge, &classes, &tenants, now)
+}
--- a/tests/renewal.rs
+++ b/tests/renewal.rs
@@ -5,6 +5,7 @@
 
 use calicolb::api::*;
 use calicolb::renewal::{MOST_RETIRED_CLASSES, MOST_RETIRED_TENANTS, merge};
+use calicolb::rules::Dispatcher;
 use calicolb::wire::Names;
 use common::ledger::{play, play_renewals, play_repeats, step, step_or_renewal};
 use common::{Bench, MS, SECOND, T0, answers, class, member, sends, settings, variants};
@@ -221,7 +222,9 @@
     renew(&mut bench, |new| new.limits.tries = 1);
     assert!(!bench.dispatcher.may_begin(bench.now, RequestId(1), 1), "it would be one too many");
     // A job that waits for its second try, which is no longer to be had, is answered there and then.
-    let mut bench = Bench::with_workers(settings(), &[1]);
+    let mut settings = settings();
+    settings.classes[0].late_worth = 0.5;
+    let mut bench = Bench::with_workers(settings, &[1]);
     let sent = sends(&bench.arrive(1, 0, 200 * MS));
     bench.outcome(1, 0, sent[0].1, Ending::Unreachable);
     assert_eq!(answers(&renew(&mut bench, |new| new.limits.tries = 1)), [(1, true)]);
@@ -364,3 +367,33 @@
     let last = size(&bench);
     assert!(last < first * 2, "{first} bytes are known after a thousand renewals, {last} after four");
 }
+
+#[test]
+fn what_was_learned_comes_to_the_places_that_classes_and_tenants_have_at_another_process() {
+    let mut elder = Bench::with_workers(two_tenants(10.0), &[1, 2]);
+    for id in 0..20 {
+        elder.now += SECOND;
+        let sent = sends(&elder.arrive(id, 0, 200 * MS));
+        elder.now += 300 * MS;
+        elder.outcome(id, 0, sent[0].1, Ending::Ok);
+    }
+    renew(&mut elder, |new| new.tenants[1].quota_per_s = 1.0);
+    let known = elder.dispatcher.knowledge();
+    // There the classes stand the other way round, with one between them, and one tenant has gone.
+    let mut settings = two_tenants(10.0);
+    settings.classes.push(class(Effect::Safe));
+    let mut heir = Bench::with_workers(settings, &[1, 2]);
+    let done = heir.tell(Event::Handed(known.clone()));
+    assert!(matches!(&done[..], [Action::Log(line)] if line.contains("does not fit")), "{done:?}");
+    let placed = Dispatcher::placed(known.clone(), &[Some(1), None, Some(0)], &[Some(1), None], heir.now);
+    assert_eq!(heir.tell(Event::Handed(placed)), []);
+    let taken = heir.dispatcher.knowledge();
+    let class = |known: &Value, at: usize| known[2]["classes"][at].clone();
+    assert_eq!((class(&taken, 0), class(&taken, 2)), (class(&known, 1), class(&known, 0)));
+    assert_ne!(class(&taken, 2), class(&taken, 1), "nothing is known of the new one");
+    assert_eq!(tokens(&heir), [5.0, 3.0]);
+    // What is no knowledge stays what it is, and breaks nothing.
+    for odd in [Value::Null, Value::from(7), serde_json::json!([[], [], {"classes": 7}])] {
+        assert_eq!(Dispatcher::placed(odd.clone(), &[Some(0)], &[], heir.now), odd);
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -26,7 +26,9 @@
 //! stands for any value, and what is not named is not compared. `watch` is the head of a watch that opens. `raw TEXT` and `chunk TEXT` are written as they
 //! are, the latter as one chunk; `\r`, `\n`, `\0`, `\t` and `\xHH` in them are those bytes. `#N` is N bytes of padding. `TERM`,
 //! `HUP`, `STOP` or `CONT` to `program` is the signal; `send file d2` rewrites the configuration with discovery at the listener `d2`,
-//! `send file raw TEXT` puts that text in its place. Every wait is for a condition, with one generous limit.
+//! `send file raw TEXT` puts that text in its place, and after `set POINTER JSON` it has that value at that place.
+//! `never TEXT` says that no log line had this in it so far. `weigh program` remembers its memory; `gained KIB` says that it has no more than so much more now.
+//! Every wait is for a condition, with one generous limit.
 
 use calicolb_gearman::packet::{From, Kind, Read as Found, read, write};
 use rustix::net::{AddressFamily, SocketType};
@@ -77,6 +79,8 @@
     settings: Vec<(String, String)>,
     /// When `mark` was last said.
     marked: Instant,
+    /// The program's memory when `weigh` was last said, in KiB.
+    weight: u64,
     /// The program stands still.
     held: bool,
     /// What has been laid meanwhile: the connection's place, whether it was ended, and how often it was not to be found.
@@ -288,6 +292,7 @@
             passed,
             settings: settings.iter().map(|(at, value)| (at.to_string(), value.to_string())).collect(),
             marked: Instant::now(),
+            weight: 0,
             held: false,
             pending: Vec::new(),
             refusing: Vec::new(),
@@ -313,6 +318,15 @@
         Ok(())
     }
 
+    /// The memory that the program has, in KiB.
+    fn resident(&self) -> Result<u64, String> {
+        let path = format!("/proc/{}/status", self.program.id());
+        let status = fs::read_to_string(path).map_err(|error| error.to_string())?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| "the system does not say".to_owned())
+    }
+
     /// Waits for a log line with this text; gives what follows it.
     fn hear(&mut self, text: &str) -> Result<String, String> {
         // One limit for all lines: a program that goes on logging must not hold the test for ever.
@@ -445,6 +459,29 @@
                 };
                 fs::write(&self.file, text).map_err(|error| error.to_string())
             }
+            ("never", first) => {
+                let text = format!("{first} {rest}");
+                self.heard.extend(self.log.try_iter());
+                match self.heard.iter().find(|line| line.contains(&text)) {
+                    Some(line) => Err(format!("the log says '{line}'")),
+                    None => Ok(()),
+                }
+            }
+            ("set", at) => {
+                self.settings.retain(|(before, _)| before != at);
+                self.settings.push((at.to_owned(), rest.to_owned()));
+                Ok(())
+            }
+            ("weigh", "program") => {
+                self.weight = self.resident()?;
+                Ok(())
+            }
+            ("gained", most) => {
+                let most: u64 = most.parse().map_err(|_| format!("'{most}' is no number"))?;
+                let now = self.resident()?;
+                let gained = now.saturating_sub(self.weight);
+                if gained <= most { Ok(()) } else { Err(format!("it has gained {gained} KiB, to {now}")) }
+            }
             ("start", "heir") => {
                 let (program, log) = run(&self.file, 1024, self.passed.as_ref());
                 self.elders.push(std::mem::replace(&mut self.program, program));
