--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -9,6 +9,7 @@
 use calicolb::rules::Dispatcher;
 use calicolb::wire::Names;
 use serde_json::Value;
+use std::time::Instant;
 
 impl Turn {
     /// SIGHUP: the configuration is read again. The addresses of discovery and of the other schedulers are taken up, and
@@ -44,6 +45,7 @@
     /// # Errors
     /// The first key that cannot change while the program runs: nothing has changed then.
     pub fn take_up(&mut self, now: Micros, new: Renewal) -> Result<(), Fault> {
+        let begun = Instant::now();
         let old = (self.desk.settings(), &self.names);
         let (settings, names) = merge(old, (&new.settings, &new.names))?;
         let Renewal { conn_idle, most_open, .. } = new;
@@ -74,7 +76,8 @@
         parts.others.iter_mut().for_each(|other| other.take_up(&classes));
         self.share_out(now);
         self.renewals += 1;
-        note!("other settings are in force");
+        let spent = begun.elapsed().as_micros();
+        note!("other settings are in force: {spent} us, {} requests are open", self.desk.owed());
         Ok(())
     }
 }
