--- /dev/null
+++ b/crates/agreed/src/voter.rs
@@ -0,0 +1,320 @@
+//! One of the control machines that decide together.
+
+use crate::bounds;
+use crate::change::{Change, Version};
+use crate::digest::Digest;
+use crate::document::{Check, Document, Fault, within_bounds};
+use crate::envelope::Envelope;
+use crate::history::History;
+use crate::outcome::{Answer, Outcome, Refused, StartError, Ticket, VoterId};
+use crate::proposals::Proposals;
+use crate::replica::{Entry, ProposalId, Snapshot};
+use crate::shelf::{Shared, Shelf};
+use crate::store::{Store, StoreError};
+use crate::touch::{Own, Touch, Verdict};
+use omnipaxos::messages::Message;
+use omnipaxos::messages::sequence_paxos::PaxosMsg;
+use omnipaxos::storage::SnapshotType;
+use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
+use std::collections::VecDeque;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// One of the control machines. Every call that may write returns after the store did; messages that depend on it
+/// are in [`Voter::outgoing`] only then.
+pub struct Voter<S: Store> {
+    id: VoterId,
+    omni: OmniPaxos<Entry, Shared<S>>,
+    shelf: Shared<S>,
+    touch: Touch,
+    start: u64,
+    tick: u64,
+    stopped: bool,
+    history: History,
+    proposals: Proposals,
+    outgoing: VecDeque<(VoterId, Vec<u8>)>,
+    log_bound: usize,
+}
+
+impl<S: Store> Voter<S> {
+    /// A voter with what its store holds. `seed` decides who is preferred when several could lead at once.
+    ///
+    /// # Errors
+    /// When the numbers don't fit or the store fails.
+    pub fn new(id: VoterId, voters: &[VoterId], store: S, seed: u64) -> Result<Voter<S>, StartError> {
+        let mut nodes = voters.to_vec();
+        nodes.sort_unstable();
+        nodes.dedup();
+        let within = nodes.iter().all(|node| (1..=bounds::VOTERS as u64).contains(node));
+        if nodes.len() != voters.len() || nodes.len() < 3 || !within || !nodes.contains(&id) {
+            return Err(StartError::Voters);
+        }
+        let shelf = Shared::new(Shelf::open(store)?);
+        let start = shelf.lock().image.start;
+        let peers: Vec<VoterId> = nodes.iter().copied().filter(|node| *node != id).collect();
+        let cluster = ClusterConfig { configuration_id: 1, nodes, flexible_quorum: None };
+        let server = ServerConfig {
+            pid: id,
+            election_tick_timeout: bounds::ROUND_TICKS,
+            resend_message_tick_timeout: bounds::RESEND_TICKS,
+            buffer_size: 64,
+            leader_priority: u32::try_from((seed ^ id.wrapping_mul(0x9e37_79b9)) % 1_000).unwrap_or(0),
+            ..ServerConfig::default()
+        };
+        let omni = cluster.build_for_server(server, shelf.clone()).map_err(|_| StartError::Voters)?;
+        let history = History::of(&shelf.lock().image);
+        let mut voter = Voter {
+            id,
+            omni,
+            shelf,
+            touch: Touch::new(start, peers.into_iter()),
+            start,
+            tick: 0,
+            stopped: false,
+            history,
+            proposals: Proposals::default(),
+            outgoing: VecDeque::new(),
+            log_bound: bounds::LOG,
+        };
+        voter.step(&[]);
+        if voter.stopped { Err(StartError::Store(StoreError::Refusing)) } else { Ok(voter) }
+    }
+
+    /// This voter's number.
+    #[must_use]
+    pub fn id(&self) -> VoterId {
+        self.id
+    }
+
+    /// Folds the log into a snapshot whenever it has this many decided entries, 1 to [`bounds::LOG`].
+    pub fn set_log_bound(&mut self, entries: usize) {
+        self.log_bound = entries.clamp(1, bounds::LOG);
+    }
+
+    /// To be called at a steady pace, say every 100 ms. When the host was held up for longer, it tells the ticks that
+    /// it missed by [`Voter::missed`] before it does anything else.
+    pub fn tick(&mut self) {
+        self.tick += 1;
+        self.touch.pass(1);
+        self.guarded(&[], OmniPaxos::tick);
+        self.proposals.give_up(self.tick);
+        let seq = self.agreed().seq;
+        if self.proposals.is_due_again(seq, self.tick) && self.has_majority() {
+            self.send(seq);
+        }
+    }
+
+    /// Ticks that the host missed: what was heard before counts as that much older.
+    pub fn missed(&mut self, ticks: u64) {
+        self.tick = self.tick.saturating_add(ticks);
+        self.touch.pass(ticks);
+    }
+
+    /// Takes in a message of another voter. What isn't one is dropped.
+    pub fn receive(&mut self, from: VoterId, bytes: &[u8]) {
+        let Some(envelope) = Envelope::decode(bytes, from, self.id).filter(|_| !self.stopped) else { return };
+        let verdict = self.touch.judge(from, &envelope);
+        if verdict == Verdict::Drop {
+            return;
+        }
+        let mut passing = Vec::new();
+        if let Message::SequencePaxos(message) = &envelope.body {
+            match &message.msg {
+                PaxosMsg::ProposalForward(entries) if !self.takes_forwarded(entries) => return,
+                PaxosMsg::AcceptSync(sync) => {
+                    if sync.log_sync.sync_idx < self.omni.get_decided_idx() {
+                        return;
+                    }
+                    if let Some(SnapshotType::Delta(Snapshot::Since(entries))) =
+                        &sync.log_sync.decided_snapshot
+                    {
+                        passing.clone_from(entries);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.guarded(&passing, |omni| {
+            omni.handle_incoming(envelope.body);
+            if verdict == Verdict::TakeAndReconnect {
+                omni.reconnected(from);
+            }
+        });
+    }
+
+    /// Messages to send, with their receivers. Each may get lost.
+    pub fn outgoing(&mut self) -> Vec<(VoterId, Vec<u8>)> {
+        self.outgoing.drain(..).collect()
+    }
+
+    /// Proposes a change. What becomes of it is told by [`Voter::settled`].
+    ///
+    /// # Errors
+    /// Why not; nothing has changed then.
+    pub fn propose(&mut self, change: Change, check: &dyn Check) -> Result<Ticket, Refused> {
+        if self.stopped {
+            return Err(Refused::Stopped);
+        }
+        if !self.has_majority() {
+            return Err(Refused::NoMajority);
+        }
+        if self.proposals.is_full() {
+            return Err(Refused::TooMany);
+        }
+        usable(&change, &self.agreed().document, check).map_err(Refused::Faulty)?;
+        let ticket = self.proposals.push(change, self.tick);
+        self.send_next(check);
+        Ok(ticket)
+    }
+
+    /// What became of proposals since the last call. To be called after each message and tick: it is here that a
+    /// change that was overtaken by another is checked on the version that is there now, and sent again or void.
+    pub fn settled(&mut self, check: &dyn Check) -> Vec<(Ticket, Outcome)> {
+        self.send_next(check);
+        self.proposals.take_settled()
+    }
+
+    /// The latest version that this voter knows to be decided.
+    #[must_use]
+    pub fn agreed(&self) -> &Version {
+        self.history.version()
+    }
+
+    /// Whether this voter is in touch with a majority and has all that its leader had when last heard. It turns
+    /// false at most [`bounds::LAPSE_TICKS`] after the voter was cut off.
+    #[must_use]
+    pub fn has_majority(&self) -> bool {
+        if self.stopped {
+            return false;
+        }
+        match self.omni.get_current_leader() {
+            Some((leader, true)) if leader == self.id => self.touch.is_followed(self.id),
+            Some((leader, true)) => self.touch.follows(leader, self.omni.get_decided_idx()),
+            _ => false,
+        }
+    }
+
+    /// Whom this voter follows, itself included.
+    #[must_use]
+    pub fn leader(&self) -> Option<VoterId> {
+        self.omni.get_current_leader().map(|(leader, _)| leader)
+    }
+
+    /// Whether the store failed (or the log broke); such a voter is silent until it is started anew.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Bytes that the store takes up.
+    #[must_use]
+    pub fn store_bytes(&self) -> u64 {
+        self.shelf.lock().bytes()
+    }
+
+    /// What a learner lacks that has this version.
+    #[must_use]
+    pub fn since(&self, seq: u64, digest: Digest) -> Answer {
+        self.history.since(seq, digest)
+    }
+
+    /// A leader takes a forwarded proposal only within the bounds.
+    fn takes_forwarded(&self, entries: &[Entry]) -> bool {
+        let leads = self.omni.get_current_leader() == Some((self.id, true));
+        let bytes: usize = entries.iter().map(|entry| entry.change.bytes()).sum();
+        leads && self.undecided() < bounds::UNDECIDED && bytes <= 2 * bounds::DOCUMENT_BYTES
+    }
+
+    fn undecided(&self) -> usize {
+        self.omni.get_accepted_idx().saturating_sub(self.omni.get_decided_idx())
+    }
+
+    /// Lets the consensus crate act, then takes up what came of it. The crate panics on what it holds for impossible:
+    /// a voter to which that happens is silent from then on.
+    fn guarded(&mut self, passing: &[Entry], act: impl FnOnce(&mut OmniPaxos<Entry, Shared<S>>)) {
+        if self.stopped {
+            return;
+        }
+        if catch_unwind(AssertUnwindSafe(|| act(&mut self.omni))).is_err() {
+            self.stop();
+            return;
+        }
+        self.step(passing);
+    }
+
+    fn stop(&mut self) {
+        self.stopped = true;
+        self.outgoing.clear();
+        self.proposals.give_up_all();
+    }
+
+    fn step(&mut self, passing: &[Entry]) {
+        if self.shelf.lock().commit().is_err() {
+            self.stop();
+            return;
+        }
+        self.history.advance(&self.shelf.lock().image, passing);
+        let first = self.proposals.first().map(|first| self.proposal_id(first.ticket));
+        if let Some(mark) = first.and_then(|id| self.history.replica().made_by(id)) {
+            self.proposals.agree(mark);
+        }
+        if self.shelf.lock().is_long(self.log_bound) {
+            let folded = self.omni.snapshot(None, true).is_ok();
+            if !folded || self.shelf.lock().commit().is_err() {
+                self.stop();
+                return;
+            }
+        }
+        let mut messages = Vec::new();
+        self.omni.take_outgoing_messages(&mut messages);
+        let leader = self.omni.get_current_leader();
+        let own = Own {
+            decided: self.omni.get_decided_idx(),
+            leader: leader.filter(|(_, accepts)| *accepts).map_or(0, |(leader, _)| leader),
+            leads: leader == Some((self.id, true)) && self.touch.is_followed(self.id),
+        };
+        for message in messages {
+            let wrapped = self.touch.wrap(message, own);
+            if let Some((to, bytes)) = wrapped.and_then(|(to, envelope)| Some((to, envelope.encode()?))) {
+                self.outgoing.push_back((to, bytes));
+            }
+        }
+        while self.outgoing.len() > bounds::OUTGOING {
+            self.outgoing.pop_front();
+        }
+    }
+
+    fn proposal_id(&self, ticket: Ticket) -> ProposalId {
+        ProposalId { voter: self.id, start: self.start, number: ticket.0 }
+    }
+
+    /// Sends the first proposal when it wasn't yet, or when it was overtaken and can't count any more.
+    fn send_next(&mut self, check: &dyn Check) {
+        while !self.stopped && self.has_majority() {
+            let version = self.history.version();
+            let Some(first) = self.proposals.unsent(version.seq) else { return };
+            match usable(&first.change, &version.document, check) {
+                Ok(()) => return self.send(version.seq),
+                Err(fault) => self.proposals.settle(Outcome::Void(fault)),
+            }
+        }
+    }
+
+    /// Sends the first proposal, unless too many entries wait for a decision.
+    fn send(&mut self, base: u64) {
+        let Some(first) = self.proposals.first().filter(|_| self.undecided() < bounds::UNDECIDED) else {
+            return;
+        };
+        let entry = Entry { id: self.proposal_id(first.ticket), base, change: first.change.clone() };
+        self.proposals.mark_sent(base, self.tick);
+        self.guarded(&[], |omni| {
+            // Refused only while the five are being changed, which isn't done.
+            let _ = omni.append(entry);
+        });
+    }
+}
+
+fn usable(change: &Change, document: &Document, check: &dyn Check) -> Result<(), Fault> {
+    let whole = change.on(document);
+    within_bounds(&whole)?;
+    check.check(&whole)
+}
