Let control machines agree on the settings, and schedulers learn them on a watch

`calicolb control` is one of the machines that agree on numbered versions: one thread, with the HTTP interface for versions (whole and as a watch), changes, what is in force, its state, and talk between the machines over kept connections with bounded queues. Its settings stand in an operator file with a `control` node.

A scheduler whose configuration names `control` machines watches one of them, by the hash of its name, takes a version up between two turns, tells which it has, and shows it at the operators' door. It only calls out. Without the key it is off, and one line at the start says so.

What `rank`, `zone` and `n_instances` are is each scheduler's own; a version that names them is refused. The calls to discovery and the clock are shared for it.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
   calicolb serve --operator deploy/appliance.kdl
   calicolb serve --operator deploy/appliance.kdl --listen 127.0.0.1:9080 --log-format json
   calicolb check --operator deploy/appliance.kdl
+  calicolb control --operator deploy/control.kdl
   RELAY_CONFIG=/run/balancer/config.json calicolb";
 
 /// What to do.
@@ -34,6 +35,25 @@
         #[arg(long, value_name = "FILE")]
         operator: PathBuf,
     },
+    /// Be one of the machines that agree on the settings of all schedulers, until SIGTERM.
+    Control(Control),
+}
+
+/// How to be a control machine.
+#[derive(Clone, Debug, Args)]
+pub struct Control {
+    /// The operator file, with a `control` node.
+    #[arg(long, value_name = "FILE")]
+    pub operator: PathBuf,
+    /// Say what is wrong with the file, if anything, and no more.
+    #[arg(long)]
+    pub check: bool,
+    /// How the log is written.
+    #[arg(long, value_enum, default_value_t)]
+    pub log_format: Format,
+    /// The least level that is logged: error, warn, info, debug.
+    #[arg(long, value_name = "LEVEL")]
+    pub log_level: Option<Level>,
 }
 
 /// How to serve.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,8 @@
 //! The configuration: the one place where anything is read, checked and given defaults, from the platform's JSON and
 //! variables or from an operator file. Every message names the key at fault.
 
+pub mod agreed;
+pub mod control;
 pub mod document;
 pub mod list;
 pub mod operator;
@@ -100,6 +102,18 @@
     pub most_open: usize,
 }
 
+/// What a scheduler that learns agreed settings is told.
+pub struct LearnerConfig {
+    /// The control machines.
+    pub machines: Vec<SocketAddr>,
+    /// Who has heard nothing of a majority for so long is behind.
+    pub silence: Micros,
+    /// The settings to begin with, without the keys that are each scheduler's own, ...
+    pub settings: document::Document,
+    /// ... and those keys.
+    pub own: document::Document,
+}
+
 /// All that the program is told.
 pub struct Config {
     /// Its name.
@@ -134,6 +148,8 @@
     pub conn_idle: Micros,
     /// Requests that may be open at once.
     pub most_open: usize,
+    /// The control machines, if settings are agreed.
+    pub control: Option<LearnerConfig>,
 }
 
 impl Config {
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -59,20 +59,27 @@
 
 fn read(name: &str, text: &str, over: Addresses) -> Result<Config, Report> {
     let reading = Reading::new(name, text);
-    let document = match KdlDocument::parse_v2(text) {
-        Ok(document) => document,
+    let Some(document) = parse(&reading, text) else {
+        return Err(Report::new(reading.end(()).expect_err("a fault was noted")));
+    };
+    let config = Appliance { reading: &reading, document: &document }.read(over);
+    let whole = reading.end(config).map_err(|faults: Faults| Report::new(faults))?;
+    whole.ok_or_else(|| miette::miette!("{name}: it cannot be used, though no fault was found in it"))
+}
+
+/// Takes a file apart; each thing that is no KDL is noted as a fault.
+pub(super) fn parse(reading: &Reading, text: &str) -> Option<KdlDocument> {
+    match KdlDocument::parse_v2(text) {
+        Ok(document) => Some(document),
         Err(error) => {
             for fault in error.diagnostics {
                 let message = fault.message.unwrap_or_else(|| "this is no KDL".to_owned());
                 let mend = fault.help.or(fault.label).unwrap_or_else(|| "see the shipped example".to_owned());
                 reading.fault(fault.span, message, mend);
             }
-            return Err(Report::new(reading.end(()).expect_err("a fault was noted")));
+            None
         }
-    };
-    let config = Appliance { reading: &reading, document: &document }.read(over);
-    let whole = reading.end(config).map_err(|faults: Faults| Report::new(faults))?;
-    whole.ok_or_else(|| miette::miette!("{name}: it cannot be used, though no fault was found in it"))
+    }
 }
 
 struct Appliance<'a> {
@@ -166,6 +173,7 @@
             names: Names::new(class_names, tenant_names, vec!["site".to_owned()], kind_names),
             conn_idle,
             most_open: most_open as usize,
+            control: None,
         })
     }
 
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -88,6 +88,7 @@
             gearman: None,
             conn_idle,
             most_open,
+            control: control(&root, settings)?,
             settings: module,
             names,
         })
@@ -189,6 +190,39 @@
     number.ok_or_else(|| format!("'{key}': '{text}' is not the number of a descriptor from 3 on"))
 }
 
+/// The least silence that can be told from a pause between two lines of a watch.
+const LEAST_SILENCE_MS: u64 = 3_000;
+const DEFAULT_SILENCE_MS: u64 = 5_000;
+const MOST_SILENCE_MS: u64 = 3_600_000;
+
+fn control(root: &Section<'_>, settings: &Value) -> Result<Option<LearnerConfig>, String> {
+    let silence = root.whole("control_silence_ms")?.unwrap_or(DEFAULT_SILENCE_MS);
+    if !(LEAST_SILENCE_MS..=MOST_SILENCE_MS).contains(&silence) {
+        return Err(format!(
+            "'control_silence_ms' is {silence}: it must be from {LEAST_SILENCE_MS} to {MOST_SILENCE_MS}"
+        ));
+    }
+    let machines = addresses(root, "control")?;
+    let Some(machines) = machines.filter(|machines| !machines.is_empty()) else { return Ok(None) };
+    let settings = document::to_document(settings);
+    let own = agreed::own(&settings);
+    Ok(Some(LearnerConfig { machines, silence: silence * 1_000, own, settings: agreed::shared(settings) }))
+}
+
+/// A list of addresses, if there is one of this key.
+fn addresses(root: &Section<'_>, key: &str) -> Result<Option<Vec<SocketAddr>>, String> {
+    let list = match root.map.get(key) {
+        None | Some(Value::Null) => return Ok(None),
+        Some(Value::Array(list)) => list,
+        Some(_) => return Err(format!("'{key}' is not a list")),
+    };
+    let each = list.iter().enumerate().map(|(nr, value)| {
+        let key = format!("{key}[{nr}]");
+        address(&key, value.as_str().ok_or_else(|| format!("'{key}' is not text"))?)
+    });
+    each.collect::<Result<_, String>>().map(Some)
+}
+
 fn seed(root: &Section<'_>) -> Result<u64, String> {
     match root.map.get("seed") {
         None => Ok(0),
@@ -201,17 +235,7 @@
 
 fn peers(root: &Section<'_>, settings: &Settings) -> Result<Option<PeerConfig>, String> {
     let Some(listen) = root.text("peer_listen")?.filter(|_| settings.limits.peers) else { return Ok(None) };
-    let mut each = Vec::new();
-    match root.map.get("peers") {
-        None => {}
-        Some(Value::Array(list)) => {
-            for (nr, value) in list.iter().enumerate() {
-                let key = format!("peers[{nr}]");
-                each.push(address(&key, value.as_str().ok_or_else(|| format!("'{key}' is not text"))?)?);
-            }
-        }
-        Some(_) => return Err("'peers' is not a list".to_owned()),
-    }
+    let each = addresses(root, "peers")?.unwrap_or_default();
     let all = root.text("peers_all")?.map(|text| address("peers_all", text)).transpose()?;
     Ok(Some(PeerConfig { listen: address("peer_listen", listen)?, each, all }))
 }
@@ -323,6 +347,9 @@
         wrong("900", "3", "'limits.sockets'");
         wrong("[\"127.0.0.3:7946\"]", "[7]", "'peers[0]'");
         wrong("127.0.0.4:7946", "all", "'peers_all'");
+        wrong("\"limits\":", "\"control\":[\"here\"],\"limits\":", "'control[0]'");
+        wrong("\"limits\":", "\"control\":\"127.0.0.1:1\",\"limits\":", "'control'");
+        wrong("\"limits\":", "\"control_silence_ms\":2999,\"limits\":", "'control_silence_ms'");
         wrong("_open\":50", "_open\":\"50\"", "'settings.ceilings.max_open'");
         wrong("read_like", "odd", "'settings.request_classes.look.effect'");
         wrong("\"limits\":", "\"known\":7,\"limits\":", "'known'");
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,8 +6,9 @@
 mod net;
 
 use clap::Parser;
-use cli::{Cli, Command, Serve};
+use cli::{Cli, Command, Control, Serve};
 use config::Config;
+use config::control::ControlConfig;
 use config::operator::Addresses;
 use std::process::ExitCode;
 use tracing::Level;
@@ -19,6 +20,7 @@
     match Cli::parse().command {
         None => serve(&Serve::default()),
         Some(Command::Serve(how)) => serve(&how),
+        Some(Command::Control(how)) => control(&how),
         Some(Command::Check { operator }) => match Config::operator(&operator, Addresses::default()) {
             Ok(config) => {
                 println!(
@@ -66,3 +68,24 @@
         }
     }
 }
+
+fn control(how: &Control) -> ExitCode {
+    let config = match ControlConfig::operator(&how.operator) {
+        Ok(config) => config,
+        Err(report) => return unusable(&report),
+    };
+    if how.check {
+        let (id, count) = (config.id, config.machines.len());
+        println!("{} is sound: control machine {id} of {count}", how.operator.display());
+        return ExitCode::SUCCESS;
+    }
+    log::start(how.log_format, how.log_level.unwrap_or(Level::INFO));
+    let (name, listen) = (config.name.clone(), config.listen);
+    match net::control::machine::Machine::new(config).and_then(net::control::machine::Machine::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("calicolb: {name} on {listen}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -33,6 +33,14 @@
     PeersAgain,
     /// What this process will not live to answer is left to the one that took over.
     Bequeath,
+    /// The agreed configuration: something on its way from a control machine is owed, or another call is to be made.
+    Control,
+    /// What a control machine keeps time by.
+    Tick,
+    /// Learners are told that there is nothing new.
+    Heartbeat,
+    /// The connection to the control machine of this number is tried again.
+    Link(u64),
     /// In a drain: clients have been told elsewhere to go by now.
     Farewell,
 }
@@ -76,6 +84,11 @@
         }
     }
 
+    /// A deadline of this kind is set.
+    pub fn has(&self, due: Due) -> bool {
+        self.at.contains_key(&due)
+    }
+
     /// Takes the earliest deadline that has come.
     pub fn next_due(&mut self, now: Micros) -> Option<Due> {
         let &(at, due) = self.sorted.first()?;
--- a/src/net/core/figures.rs
+++ b/src/net/core/figures.rs
@@ -2,7 +2,7 @@
 //! written; what can be looked up is not counted.
 
 use calicolb::api::ClassIx;
-use std::fmt::Write;
+use std::fmt::{Display, Write};
 
 /// How many requests of a class ended how, and how many attempts were written whole for them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -40,11 +40,11 @@
     }
 
     /// The figures as lines, with those of protocols that have their own, and a last line `end`.
-    pub fn write<'a>(
+    pub fn write<'a, T: Display>(
         &self,
         classes: impl Iterator<Item = &'a str>,
         present: Present,
-        others: impl Iterator<Item = (&'static str, u64)>,
+        others: impl Iterator<Item = (&'static str, T)>,
     ) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
@@ -63,7 +63,9 @@
         line("in_flight", present.in_flight as u64);
         line("stock_workers_known", present.known as u64);
         line("stock_workers_excluded", present.avoided as u64);
-        others.for_each(|(name, value)| line(name, value));
+        for (name, value) in others {
+            let _ = writeln!(text, "scheduler.{name}={value}");
+        }
         text.push_str("end\n");
         text
     }
--- a/src/net/http/framing.rs
+++ b/src/net/http/framing.rs
@@ -81,6 +81,11 @@
 
 /// Reads a request from the beginning of these bytes; gives it with its length, or `None` while it is not whole.
 pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Reject> {
+    request_within(bytes, BODY_LIMIT)
+}
+
+/// The same, with a body of this size at most.
+pub fn request_within(bytes: &[u8], limit: usize) -> Result<Option<(Request, usize)>, Reject> {
     let mut raw = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Request::new(&mut raw);
     let head = match parsed.parse(bytes) {
@@ -90,7 +95,7 @@
         Err(_) => return Err(MALFORMED),
     };
     let headers = read_headers(parsed.headers)?;
-    let Some((body, length)) = body(&bytes[head..], &headers, BODY_LIMIT)? else { return Ok(None) };
+    let Some((body, length)) = body(&bytes[head..], &headers, limit)? else { return Ok(None) };
     let request = Request {
         method: parsed.method.unwrap_or("").to_owned(),
         target: parsed.path.unwrap_or("").to_owned(),
@@ -210,6 +215,7 @@
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        204 => "No Content",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
@@ -225,7 +231,11 @@
 
 /// Writes a response.
 pub fn write_response(status: u16, extra: &[(&str, &str)], body: &[u8], keep_alive: bool) -> Vec<u8> {
-    let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    // 204 says by itself that no body follows.
+    if status != 204 {
+        let _ = write!(head, "Content-Length: {}\r\n", body.len());
+    }
     write_headers(&mut head, extra);
     if !keep_alive {
         head.push_str("Connection: close\r\n");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! The network side: sockets, framing, and the desk where they meet the decisions.
 //!
 //! `core` knows no protocol; `http` and `gearman` are protocols, each behind the same trait; `platform` is what the
-//! platform brings (discovery, other schedulers, upgrades); `operators` is their door; `turn` is the loop.
+//! platform brings (discovery, other schedulers, upgrades); `operators` is their door; `turn` is the loop; `control` is the other role,
+//! with a loop of its own.
 
+pub mod control;
 pub mod core;
 mod gearman;
 mod http;
--- a/src/net/platform/route_set/call.rs
+++ b/src/net/platform/call.rs
@@ -1,9 +1,9 @@
-//! One connection to discovery: what goes out on it, and how what comes back is read.
+//! One connection to discovery or a control machine: what goes out on it, and how what comes back is read.
 
-use crate::config::list::Update;
 use crate::net::core::buffer::{Buffer, Filled};
 use crate::net::http::framing;
 use mio::net::TcpStream;
+use serde::de::DeserializeOwned;
 
 /// What the whole list may take, indented and all.
 pub(super) const LIST_LIMIT: usize = 2 << 20;
@@ -33,8 +33,20 @@
     }
 }
 
+/// Reads the answer to a call that wants none but a status of success; tells whether it has come.
+pub(super) fn done(call: &mut Call) -> Result<bool, &'static str> {
+    let Some(filled) = pump(call)? else { return Ok(false) };
+    match framing::response(call.buffer.input()) {
+        Ok(Some((response, _))) if (200..300).contains(&response.status) => Ok(true),
+        Ok(Some(_)) => Err("the call failed"),
+        Ok(None) if filled == Filled::Dry => Ok(false),
+        Ok(None) => Err("the connection ended"),
+        Err(_) => Err("the answer is malformed"),
+    }
+}
+
 /// Reads the answer to a call for the whole list.
-pub(super) fn fetched(call: &mut Call) -> Result<Option<Update>, &'static str> {
+pub(super) fn fetched<T: DeserializeOwned>(call: &mut Call) -> Result<Option<T>, &'static str> {
     let Some(filled) = pump(call)? else { return Ok(None) };
     match framing::response_within(call.buffer.input(), LIST_LIMIT) {
         Ok(Some((response, _))) if response.status == 200 => {
@@ -48,7 +60,10 @@
 }
 
 /// Reads what the watch has brought; tells whether there was anything.
-pub(super) fn watched(call: &mut Call, updates: &mut Vec<Update>) -> Result<bool, &'static str> {
+pub(super) fn watched<T: DeserializeOwned>(
+    call: &mut Call,
+    updates: &mut Vec<T>,
+) -> Result<bool, &'static str> {
     let Some(mut filled) = pump(call)? else { return Ok(false) };
     let mut heard = false;
     loop {
@@ -89,10 +104,10 @@
 
 /// Takes whole changes off the beginning of what has come. One may stand on a line or be indented over many; it is
 /// whole when its last brace has come, wherever the lines and the pieces that it came in end.
-fn read_changes(text: &mut Vec<u8>, updates: &mut Vec<Update>) -> Result<(), &'static str> {
+fn read_changes<T: DeserializeOwned>(text: &mut Vec<u8>, updates: &mut Vec<T>) -> Result<(), &'static str> {
     // Only what ends like a change can be whole: a long one that comes in many pieces is not read over and over.
     if text.trim_ascii_end().ends_with(b"}") {
-        let mut found = serde_json::Deserializer::from_slice(text).into_iter::<Update>();
+        let mut found = serde_json::Deserializer::from_slice(text).into_iter::<T>();
         let mut whole = 0;
         while let Some(next) = found.next() {
             match next {
@@ -116,6 +131,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::list::Update;
 
     fn seen(updates: &[Update]) -> Vec<(u64, bool, usize)> {
         updates.iter().map(|update| (update.seq, update.whole, update.hosts.len())).collect()
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -1,5 +1,7 @@
-//! What the platform brings: discovery's list, other schedulers, and the other process during an upgrade.
+//! What the platform brings: discovery's list, agreed settings, other schedulers, and the other process during an upgrade.
 
+mod call;
+pub mod control;
 pub mod inherit;
 pub mod kin;
 pub mod peers;
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -2,10 +2,8 @@
 //! decision; an agent of the own machine is asked whenever the list's clock ([`calicolb_freshness`]) wants it. What comes
 //! back, and that nothing did, is told to the module.
 
-mod call;
 mod entry;
 
-use self::call::{Call, fetched, watched};
 use self::entry::{Line, read_member};
 use crate::config::list::Update;
 use crate::log::note;
@@ -15,6 +13,7 @@
 use crate::net::core::roster::Source;
 use crate::net::http::framing;
 use crate::net::http::next_hop::NextHops;
+use crate::net::platform::call::{Call, fetched, watched};
 use crate::net::protocol::Spare;
 use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
 use calicolb::wire::WireError;
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -5,6 +5,7 @@
 use crate::config::{Config, Fixed, PeerConfig};
 use crate::log::note;
 use crate::net::Ctx;
+use crate::net::core::clock::Clock;
 use crate::net::core::deadlines::{Deadlines, Due};
 use crate::net::core::desk::{AttemptId, Desk, Work};
 use crate::net::core::envelope::Payload;
@@ -17,6 +18,7 @@
 use crate::net::http::next_hop::NextHops;
 use crate::net::operators::door::{CALLS, Door, Order};
 use crate::net::operators::drain::{Drain, PARTING, Why};
+use crate::net::platform::control::Control;
 use crate::net::platform::inherit;
 use crate::net::platform::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
@@ -31,7 +33,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 const LISTENER: usize = 0;
 const SIGNALS: Token = Token(1);
@@ -53,23 +55,6 @@
 /// Descriptors for the log, the poll, the listener, the signals, discovery and the like.
 const OWN_SOCKETS: usize = 24;
 
-/// Unix time that never goes back, in microseconds: the one clock of the program, the module's too.
-struct Clock {
-    unix: Micros,
-    from: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Clock { unix: unix.as_micros() as Micros, from: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.unix + self.from.elapsed().as_micros() as Micros
-    }
-}
-
 /// The program at work.
 pub struct Turn {
     poll: Poll,
@@ -88,6 +73,8 @@
     /// Next hops that the operator file names.
     fixed: Vec<Fixed>,
     peers: Option<Peers>,
+    /// The agreed configuration, if there is any.
+    control: Option<Control>,
     door: Option<Door>,
     drain: Drain,
     kin: Kin,
@@ -158,6 +145,7 @@
             routes,
             fixed: config.fixed,
             peers: None,
+            control: config.control.map(|control| Control::new(control, &config.name, config.seed)),
             door,
             drain: Drain::default(),
             kin: Kin::new(config.meeting.filter(|_| passed)),
@@ -202,6 +190,7 @@
         let Some(known) = self.waiting.take() else { return Ok(()) };
         self.open_peers(now)?;
         self.share_out(now);
+        let appliance = self.appliance;
         let (mut ctx, parts) = self.split(now);
         ctx.deadlines.clear(Due::Elder);
         let (known, drained) = match handover {
@@ -223,6 +212,14 @@
         parts.http.listen(&mut ctx)?;
         parts.others.iter_mut().try_for_each(|other| other.listen(&mut ctx))?;
         parts.kin.listen(ctx.registry, MEETING);
+        match parts.control {
+            Some(control) => control.start(&mut ctx),
+            // An operator file names no control machines.
+            None if appliance => {}
+            None => note!(
+                "agreed configuration is off: no 'control' machines are named; settings change by SIGHUP"
+            ),
+        }
         note!("{} serves on {}", self.name, self.at);
         if drained {
             self.begin_drain(now, Why::Asked);
@@ -425,6 +422,7 @@
             for wish in std::mem::take(&mut self.wishes) {
                 self.grant(now, wish);
             }
+            self.learn(now);
             self.begun |= self.desk.known() > 0;
             self.http.clients.open = self.desk.known() > 0 && self.welcome();
             self.tell_kin();
@@ -464,6 +462,7 @@
             fixed: &self.fixed,
             routes: &mut self.routes,
             peers: &mut self.peers,
+            control: &mut self.control,
             door: &mut self.door,
             drain: &mut self.drain,
             kin: &mut self.kin,
@@ -488,6 +487,11 @@
             Token(token) if parts.routes.has(token) => {
                 parts.routes.ready(&mut ctx, &mut parts.http.hops, token);
             }
+            Token(token) if parts.control.as_ref().is_some_and(|control| control.has(token)) => {
+                if let Some(control) = parts.control {
+                    control.ready(&mut ctx, token);
+                }
+            }
             Token(token) => match parts.door {
                 Some(door) if door.has(token) => {
                     if let Some(order) = door.ready(&mut ctx, token) {
@@ -525,6 +529,8 @@
                 };
                 let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
                 let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
+                let others = others.map(|(name, value)| (name, value.to_string()));
+                let others = others.chain(self.control.iter().flat_map(|control| control.figures(now)));
                 self.desk.figures().write(self.names.classes(), present, others)
             }
             // What this process no longer takes is the heir's to send away.
@@ -571,6 +577,13 @@
                 }
             }
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, parts.http, due),
+            Due::Control => {
+                if let Some(control) = parts.control {
+                    control.late(&mut ctx);
+                }
+            }
+            // Of another role.
+            Due::Tick | Due::Heartbeat | Due::Link(_) => {}
             Due::Farewell => {
                 parts.protocols().for_each(|protocol| protocol.farewell(&mut ctx));
                 self.drain.part();
@@ -716,6 +729,7 @@
     fixed: &'a [Fixed],
     routes: &'a mut RouteSet,
     peers: &'a mut Option<Peers>,
+    control: &'a mut Option<Control>,
     door: &'a mut Option<Door>,
     drain: &'a mut Drain,
     kin: &'a mut Kin,
--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -1,6 +1,6 @@
 //! Settings that come into force while the program runs: all of them between two batches of the module, or none.
 
-use super::Turn;
+use super::{Control, Turn};
 use crate::config::{Config, Fault, Renewal};
 use crate::log::note;
 use calicolb::api::Micros;
@@ -29,11 +29,27 @@
         if let (Some(old), Some(told)) = (&mut self.peer_config, &config.peers) {
             (old.each, old.all) = (told.each.clone(), told.all);
         }
+        if self.control.as_ref().is_some_and(Control::leads) {
+            return note!(
+                "SIGHUP: the settings are agreed with the control machines: the file's do not count"
+            );
+        }
         if let Err(fault) = self.take_up(now, config.renewal()) {
             note!("SIGHUP: 'settings.{}' {}; the old settings stay in force", fault.key, fault.why);
         }
     }
 
+    /// Takes up what was learned of the agreed configuration, if there is anything new.
+    pub(super) fn learn(&mut self, now: Micros) {
+        let Some(control) = &mut self.control else { return };
+        let Some((news, checked)) = control.news(now) else { return };
+        let outcome = checked.and_then(|renewal| self.take_up(now, renewal));
+        let (mut ctx, parts) = self.split(now);
+        if let Some(control) = parts.control {
+            control.taken(&mut ctx, news, outcome);
+        }
+    }
+
     /// Takes up these settings, all of them or none; where they are in force already, nothing is touched. What was
     /// gathered in this turn is decided by the new ones; no request and no connection is dropped.
     ///
