--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -141,7 +141,7 @@
     }
 
     fn open(&mut self, ctx: &mut Ctx<'_>) {
-        let held = self.learner.in_force(ctx.now);
+        let held = self.learner.holds();
         let target =
             format!("/control/versions?watch=1&from={}&digest={}&name={}", held.seq, held.digest, self.name);
         (self.opened, self.heard, self.told, self.again) = (ctx.now, None, None, None);
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -149,3 +149,46 @@
     let help = Command::new(env!("CARGO_BIN_EXE_calicolb")).arg("--help").output().expect("it starts");
     assert!(String::from_utf8_lossy(&help.stdout).contains("calicolb check --operator deploy/appliance.kdl"));
 }
+
+/// A control machine's file, checked; gives the exit code and what was said, in one line.
+fn control_told(text: &str) -> (Option<i32>, String) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let nr = NEXT.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("calicolb-control-{}-{nr}.kdl", std::process::id()));
+    fs::write(&file, text).expect("the file is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_calicolb"));
+    command.args(["control", "--check", "--operator"]).arg(&file);
+    let output = command.output().expect("the program starts");
+    let _ = fs::remove_file(&file);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    let words: Vec<&str> = said.split_whitespace().filter(|word| *word != "│").collect();
+    (output.status.code(), words.join(" "))
+}
+
+#[test]
+fn the_shipped_file_of_a_control_machine_is_sound_and_faults_in_it_are_told() {
+    let shipped = include_str!("../deploy/control.kdl");
+    assert_eq!(control_told(shipped), (Some(0), String::new()));
+    for (from, to, parts) in [
+        ("id 1", "id 6", &["'id' is 6", "a whole number from 1 to 5"][..]),
+        ("id 1", "", &["'control' has no 'id'", "add id="]),
+        ("127.0.0.1:7103\"", "here\"", &["'here' is no address"]),
+        ("127.0.0.1:7103\"", "127.0.0.1:7102\"", &["'127.0.0.1:7102' stands there twice"]),
+        (
+            "learners 400",
+            "learner 400",
+            &["'control' has no setting 'learner'", "did you mean \"learners\"?"],
+        ),
+        ("store \"control-1\"", "", &["'control' has no 'store'"]),
+        ("// settings \"settings.json\"", "settings \"nowhere.json\"", &["nowhere.json cannot be read"]),
+        ("name \"control-1\"", "http listen=\"127.0.0.1:1\"", &["a control machine has no 'http'"]),
+        ("control {", "controls {", &["there is no 'control'"]),
+    ] {
+        assert!(shipped.contains(from), "{from}");
+        let (code, said) = control_told(&shipped.replacen(from, to, 1));
+        assert_eq!(code, Some(2), "{to}: {said}");
+        for part in parts {
+            assert!(said.contains(part), "{to}: '{part}' is not told: {said}");
+        }
+    }
+}
