--- a/tests/control.rs
+++ b/tests/control.rs
@@ -5,17 +5,35 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod regions;
 
-use regions::http::call;
-use regions::{LIMIT, MACHINES, Regions, WITHIN, both};
+use regions::http::{Watch, call};
+use regions::{LIMIT, MACHINES, Regions, Setup, WITHIN, both};
 use serde_json::json;
 use std::sync::atomic::Ordering;
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// One at a time: many processes at once would measure the machine.
-static ONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+/// Tests that play at once: with many processes they would measure the machine.
+static PLACES: (Mutex<usize>, Condvar) = (Mutex::new(2), Condvar::new());
 
-fn alone() -> std::sync::MutexGuard<'static, ()> {
-    ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+/// A place among them.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let mut free = PLACES.0.lock().unwrap_or_else(PoisonError::into_inner);
+        while *free == 0 {
+            free = PLACES.1.wait(free).unwrap_or_else(PoisonError::into_inner);
+        }
+        *free -= 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *PLACES.0.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        PLACES.1.notify_one();
+    }
 }
 
 /// Another machine than this one.
@@ -25,7 +43,7 @@
 
 #[test]
 fn changes_are_in_force_everywhere_while_the_leader_is_killed() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("changes_are_in_force_everywhere_while_the_leader_is_killed", [2, 1]);
     for value in 10..14 {
         regions.change(1, value);
@@ -46,7 +64,7 @@
 
 #[test]
 fn with_two_of_five_killed_changes_go_on_and_with_three_none_is_taken() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions =
         Regions::start("with_two_of_five_killed_changes_go_on_and_with_three_none_is_taken", [2, 1]);
     let leader = regions.leader();
@@ -74,7 +92,7 @@
 
 #[test]
 fn regions_that_lose_each_other_are_level_soon_after_their_return() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions =
         Regions::start("regions_that_lose_each_other_are_level_soon_after_their_return", [2, 2]);
     regions.change(5, 10);
@@ -114,11 +132,12 @@
 
 #[test]
 fn a_faulty_version_in_mid_stream_changes_nothing() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("a_faulty_version_in_mid_stream_changes_nothing", [1, 1]);
     regions.change(1, 10);
     regions.level("a change before");
     let before = regions.last();
+    regions.with_majority(2);
     for (body, key) in [
         (
             json!({"set": {"orgs.acme.quota_rps": 77, "request_classes.look.effect": "odd"}}),
@@ -146,7 +165,7 @@
 
 #[test]
 fn what_was_agreed_outlives_a_restart_of_all_machines() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("what_was_agreed_outlives_a_restart_of_all_machines", [1, 1]);
     for value in 10..13 {
         regions.change(1, value);
@@ -168,7 +187,7 @@
 
 #[test]
 fn a_machine_that_stands_still_for_five_seconds_holds_nothing_up() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("a_machine_that_stands_still_for_five_seconds_holds_nothing_up", [2, 1]);
     let leader = regions.leader();
     let since = Instant::now();
@@ -184,7 +203,7 @@
 
 #[test]
 fn a_leader_that_is_heard_and_hears_nothing_is_replaced() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("a_leader_that_is_heard_and_hears_nothing_is_replaced", [1, 1]);
     let leader = regions.leader();
     for ((from, to), relay) in regions.ways() {
@@ -204,7 +223,7 @@
 
 #[test]
 fn loss_and_delay_on_every_way_hold_nothing_up_for_long() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("loss_and_delay_on_every_way_hold_nothing_up_for_long", [1, 1]);
     let ways: Vec<_> =
         regions.ways().map(|(_, relay)| relay).chain(regions.learning().map(|(_, relay)| relay)).collect();
@@ -225,7 +244,7 @@
 
 #[test]
 fn a_machine_ends_in_order_and_turns_away_what_it_cannot_take() {
-    let _alone = alone();
+    let _place = Place::take();
     let mut regions = Regions::start("a_machine_ends_in_order_and_turns_away_what_it_cannot_take", [1, 0]);
     let at = regions.machines[0].at.expect("it runs");
     let status = |method: &str, target: &str, body: &[u8]| {
@@ -256,3 +275,116 @@
     regions.boot(1);
     regions.check();
 }
+
+#[test]
+fn a_version_is_in_force_whole_or_not_at_all() {
+    let _place = Place::take();
+    let regions = Regions::start("a_version_is_in_force_whole_or_not_at_all", [1, 1]);
+    let known = |rank: usize, class: &str, nr: usize| {
+        let headers = format!("Request-Id: {rank}-{class}-{nr}\r\nRequest-Timeout: 9\r\n");
+        let told = call(regions.schedulers[rank].at, "POST", &format!("/{class}"), &headers, b"");
+        match told.map(|told| told.0) {
+            Ok(200) => true,
+            Ok(404) => false,
+            other => regions.fail(&format!("a job of {class} is answered {other:?}")),
+        }
+    };
+    for version in 0..4 {
+        let (one, other) = (format!("a{version}"), format!("z{version}"));
+        let class = |name: &str, field: &str| format!("request_classes.{name}.{field}");
+        let mut set = serde_json::Map::new();
+        for name in [&one, &other] {
+            set.insert(class(name, "aim_us"), json!(900_000));
+            set.insert(class(name, "deadline_us"), json!(9_000_000));
+            set.insert(class(name, "effect"), json!("read_like"));
+        }
+        // Each scheduler is asked for both all the while: who knows the first knows the other a moment later.
+        let halves = std::thread::scope(|scope| {
+            let looks = (0..2).map(|rank| {
+                let (known, one, other, regions) = (&known, &one, &other, &regions);
+                scope.spawn(move || {
+                    let since = Instant::now();
+                    for nr in 0.. {
+                        let (first, second) = if nr % 2 == 0 { (one, other) } else { (other, one) };
+                        if known(rank, first, 2 * nr) {
+                            return (rank, known(rank, second, 2 * nr + 1));
+                        }
+                        if since.elapsed() > LIMIT {
+                            regions.fail("a class that was added is not known");
+                        }
+                    }
+                    (rank, false)
+                })
+            });
+            let looks: Vec<_> = looks.collect();
+            regions.with_majority(1 + version % MACHINES);
+            let (status, _, told) = regions.ask(1 + version % MACHINES, &json!({ "set": set }));
+            assert_eq!(status, 200, "{told}");
+            looks.into_iter().map(|look| look.join().expect("a look ends")).collect::<Vec<_>>()
+        });
+        if let Some((rank, _)) = halves.iter().find(|(_, whole)| !whole) {
+            regions.fail(&format!("half a version was in force at scheduler {rank}"));
+        }
+    }
+    regions.check();
+}
+
+#[test]
+fn more_learners_than_a_machine_takes_go_to_another() {
+    let _place = Place::take();
+    let setup = Setup { learners: 3, ..Setup::new([4, 3]) };
+    let mut regions = Regions::of("more_learners_than_a_machine_takes_go_to_another", setup);
+    // Each machine has a witness of the test's beside the schedulers: 10 places are left for 7 schedulers.
+    regions.change(1, 10);
+    regions.level("a change");
+    let watching = |regions: &Regions, id: usize| {
+        let state = regions.state(id).expect("it answers");
+        state["learners"].as_object().map_or(0, serde_json::Map::len)
+    };
+    let all = |regions: &Regions| (1..=MACHINES).map(|id| watching(regions, id)).collect::<Vec<_>>();
+    regions.wait("each scheduler tells a machine what it has in force", LIMIT, || {
+        all(&regions).iter().sum::<usize>() == 7
+    });
+    assert!(all(&regions).iter().all(|count| *count <= 2), "{:?}", all(&regions));
+    let at = regions.machines[0].at.expect("it runs");
+    let full = (0..4).map(|nr| {
+        let target = format!("/control/versions?watch=1&from=0&digest=&name=stranger-{nr}");
+        Watch::open(at, &target).map(|watch| watch.status)
+    });
+    let full: Vec<u16> = full.map(|status| status.expect("it answers")).collect();
+    assert!(full.contains(&503), "{full:?}");
+    // Those of a machine that is gone find places at the others.
+    regions.kill(2);
+    regions.change(1, 11);
+    regions.level("a change without one machine");
+    regions.boot(2);
+    regions.check();
+}
+
+/// What 60 changes cost at 30 schedulers, or fewer of both where the environment does not say so: CONTROL_SCHEDULERS,
+/// CONTROL_CHANGES, CONTROL_IDLE_S. CONTROL_OUT names a file for the figures.
+#[test]
+fn figures_of_changes_with_the_leader_killed_in_the_middle() {
+    let _place = Place::take();
+    let told =
+        |name: &str, or: usize| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(or);
+    let (count, changes, idle) =
+        (told("CONTROL_SCHEDULERS", 5), told("CONTROL_CHANGES", 6), told("CONTROL_IDLE_S", 1));
+    let name = "figures_of_changes_with_the_leader_killed_in_the_middle";
+    let pause = Duration::from_millis(500);
+    let schedulers = [count - count / 3, count / 3];
+    let setup = Setup { pause, looks: false, ..Setup { schedulers, ..Setup::new([0, 0]) } };
+    let mut regions = Regions::of(name, setup);
+    let figures = regions.measure(changes, Duration::from_secs(idle as u64));
+    println!("{figures:#}");
+    assert_eq!(figures["behind"], json!(0));
+    assert!(figures["in_force_max_ms"].as_f64().is_some_and(|ms| ms <= 5_000.0), "{figures:#}");
+    assert!(
+        figures["learner_bytes_per_s_worst"].as_u64().is_some_and(|bytes| bytes <= 24_000),
+        "{figures:#}"
+    );
+    if let Ok(file) = std::env::var("CONTROL_OUT") {
+        std::fs::write(file, format!("{figures:#}\n")).expect("the figures are written");
+    }
+    regions.check();
+}
--- a/tests/regions/http.rs
+++ b/tests/regions/http.rs
@@ -48,6 +48,8 @@
 
 /// A watch that is open.
 pub struct Watch {
+    /// How the call for it was answered.
+    pub status: u16,
     reader: BufReader<TcpStream>,
     text: Vec<u8>,
 }
@@ -61,10 +63,13 @@
         stream.write_all(format!("GET {target} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes())?;
         let mut reader = BufReader::new(stream);
         let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let status = line.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+        line.clear();
         while reader.read_line(&mut line)? > 0 && line != "\r\n" {
             line.clear();
         }
-        Ok(Watch { reader, text: Vec::new() })
+        Ok(Watch { status, reader, text: Vec::new() })
     }
 
     /// The whole lines of the next chunk.
--- a/tests/regions/machines.rs
+++ b/tests/regions/machines.rs
@@ -1,18 +1,34 @@
 //! A control machine as a process of the program, and its store.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Instant;
 
 /// Lines of a log that a failure tells.
 const TOLD: usize = 40;
 
-/// The last lines of a log.
-pub type Log = Arc<Mutex<VecDeque<String>>>;
+/// What a log told.
+#[derive(Default)]
+pub struct Told {
+    /// Its last lines.
+    pub lines: VecDeque<String>,
+    /// When each version came into force.
+    pub in_force: BTreeMap<u64, Instant>,
+}
+
+/// The same, while it goes on.
+pub type Log = Arc<Mutex<Told>>;
+
+/// Lines as one text.
+pub fn text(log: &Log) -> String {
+    let lines: Vec<String> = log.lock().expect("nobody panicked").lines.iter().cloned().collect();
+    lines.join("\n  ")
+}
 
 /// Starts the program; gives where it serves by its log, which goes on being read.
 pub fn run(command: &mut Command, log: &Log, marks: &[&str]) -> (Child, Vec<SocketAddr>) {
@@ -21,9 +37,12 @@
         BufReader::new(child.stderr.take().expect("its log is piped")).lines().map_while(Result::ok);
     let keep = |log: &Log, line: String| {
         let mut log = log.lock().expect("nobody panicked");
-        log.push_back(line);
-        if log.len() > TOLD {
-            log.pop_front();
+        if let Some(seq) = line.split_once(" is in force seq=").and_then(|(_, seq)| seq.parse().ok()) {
+            log.in_force.entry(seq).or_insert_with(Instant::now);
+        }
+        log.lines.push_back(line);
+        if log.lines.len() > TOLD {
+            log.lines.pop_front();
         }
     };
     let mut found = Vec::new();
@@ -35,7 +54,7 @@
         });
         let Some(at) = at else {
             let _ = child.kill();
-            panic!("it never says '{mark}': {:?}, {:?}", child.wait(), log.lock().expect("nobody panicked"));
+            panic!("it never says '{mark}': {:?}\n{}", child.wait(), text(log));
         };
         found.push(at);
     }
@@ -58,11 +77,11 @@
 
 impl Machine {
     /// Lays down its operator file. It reaches the others over these addresses.
-    pub fn new(folder: &Path, id: usize, ways: &[SocketAddr]) -> Machine {
+    pub fn new(folder: &Path, id: usize, ways: &[SocketAddr], learners: usize) -> Machine {
         let ways: Vec<String> = ways.iter().map(|at| format!("\"{at}\"")).collect();
         let text = format!(
             "name \"control-{id}\"\ncontrol {{\n    id {id}\n    listen \"127.0.0.1:0\"\n    machines {}\n    \
-             store \"store-{id}\"\n    settings \"settings.json\"\n}}\n",
+             store \"store-{id}\"\n    learners {learners}\n    settings \"settings.json\"\n}}\n",
             ways.join(" ")
         );
         let file = folder.join(format!("control-{id}.kdl"));
@@ -111,8 +130,7 @@
 
     /// The end of its log.
     pub fn log(&self) -> String {
-        let lines: Vec<String> = self.log.lock().expect("nobody panicked").iter().cloned().collect();
-        format!("control machine {}:\n  {}", self.id, lines.join("\n  "))
+        format!("control machine {}:\n  {}", self.id, text(&self.log))
     }
 }
 
--- a/tests/regions/mod.rs
+++ b/tests/regions/mod.rs
@@ -1,6 +1,7 @@
 //! Two regions on loopback: control machines and schedulers as processes of the program, a stand-in worker, clients, and
 //! relays on every way between them.
 
+mod figures;
 pub mod http;
 pub mod machines;
 pub mod relay;
@@ -40,12 +41,13 @@
     /// The seed of all that is drawn, and the test that draws.
     pub seed: u64,
     test: &'static str,
+    setup: Setup,
     folder: PathBuf,
     pub machines: Vec<Machine>,
     pub schedulers: Vec<Scheduler>,
     /// From machine to machine.
     between: BTreeMap<(usize, usize), Relay>,
-    /// From the schedulers of a region to a machine.
+    /// From scheduler to machine.
     learn: BTreeMap<(usize, usize), Relay>,
     _worker: Worker,
     clients: Vec<Clients>,
@@ -58,6 +60,26 @@
     pub random: fastrand::Rng,
 }
 
+/// What is started.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Schedulers in each region.
+    pub schedulers: [usize; 2],
+    /// Between two requests of a client.
+    pub pause: Duration,
+    /// Each door is asked again and again what is in force there; else only the logs tell.
+    pub looks: bool,
+    /// Learners that may watch a machine at once.
+    pub learners: usize,
+}
+
+impl Setup {
+    /// What most tests start, with so many schedulers in each region.
+    pub fn new(schedulers: [usize; 2]) -> Setup {
+        Setup { schedulers, pause: Duration::from_millis(25), looks: true, learners: 400 }
+    }
+}
+
 /// The region of a machine.
 pub fn region(machine: usize) -> usize {
     usize::from(machine >= SECOND_REGION)
@@ -66,6 +88,12 @@
 impl Regions {
     /// Five machines and so many schedulers in each region. A failure is played again with the seed that it tells.
     pub fn start(test: &'static str, schedulers: [usize; 2]) -> Regions {
+        Regions::of(test, Setup::new(schedulers))
+    }
+
+    /// The same, with more to say.
+    pub fn of(test: &'static str, setup: Setup) -> Regions {
+        let count: usize = setup.schedulers.iter().sum();
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let seed = std::env::var("CONTROL_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(7);
         let nr = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -76,7 +104,7 @@
             .flat_map(|from| (1..=MACHINES).map(move |to| (from, to)))
             .map(|way| (way, Relay::new(random.u64(..))))
             .collect();
-        let learn: BTreeMap<(usize, usize), Relay> = (0..2)
+        let learn: BTreeMap<(usize, usize), Relay> = (0..count)
             .flat_map(|from| (1..=MACHINES).map(move |to| (from, to)))
             .map(|way| (way, Relay::new(random.u64(..))))
             .collect();
@@ -85,11 +113,12 @@
         std::fs::write(&first, schedulers::settings(0, 1).to_string()).expect("the settings are written");
         let machines = (1..=MACHINES).map(|id| {
             let ways = (1..=MACHINES).map(|to| between[&(id, to)].at).collect::<Vec<_>>();
-            Machine::new(&folder, id, &ways)
+            Machine::new(&folder, id, &ways, setup.learners)
         });
         let mut regions = Regions {
             seed,
             test,
+            setup,
             machines: machines.collect(),
             schedulers: Vec::new(),
             between,
@@ -108,15 +137,14 @@
             regions.boot(id);
             regions.witness(id);
         }
-        let count: usize = schedulers.iter().sum();
         for rank in 0..count {
-            let home = usize::from(rank >= schedulers[0]);
-            let control: Vec<_> = (1..=MACHINES).map(|id| regions.learn[&(home, id)].at).collect();
-            let scheduler =
-                Scheduler::start(&regions.folder, rank, count, home, &control, regions._worker.at);
+            let control: Vec<_> = (1..=MACHINES).map(|id| regions.learn[&(rank, id)].at).collect();
+            let scheduler = Scheduler::start(&regions.folder, rank, count, &control, regions._worker.at);
             regions._worker.learn(rank, scheduler.at);
-            regions.clients.push(Clients::start(rank, scheduler.at));
-            regions.look(rank, scheduler.door);
+            regions.clients.push(Clients::start(rank, scheduler.at, setup.pause));
+            if setup.looks {
+                regions.look(rank, scheduler.door);
+            }
             regions.schedulers.push(scheduler);
         }
         let first = regions.agreed_at(1);
@@ -143,6 +171,11 @@
             .for_each(|relay| relay.lead(at));
     }
 
+    /// The region of a scheduler.
+    pub fn home(&self, rank: usize) -> usize {
+        usize::from(rank >= self.setup.schedulers[0])
+    }
+
     /// Cuts the regions apart, or joins them.
     pub fn part(&self, cut: bool) {
         for ((from, to), relay) in &self.between {
@@ -150,8 +183,8 @@
                 relay.cut(cut);
             }
         }
-        for ((from, to), relay) in &self.learn {
-            if *from != region(*to) {
+        for ((rank, to), relay) in &self.learn {
+            if self.home(*rank) != region(*to) {
                 relay.cut(cut);
             }
         }
@@ -171,13 +204,7 @@
     pub fn fail(&self, why: &str) -> ! {
         let logs: Vec<String> = self.machines.iter().map(Machine::log).collect();
         let told: Vec<String> = self.schedulers.iter().map(Scheduler::log).collect();
-        panic!(
-            "{why}\nplay it again: CONTROL_SEED={} cargo test --test control {} -- --exact --nocapture\n{}\n{}",
-            self.seed,
-            self.test,
-            logs.join("\n"),
-            told.join("\n")
-        )
+        panic!("{why}\n{}\n{}", logs.join("\n"), told.join("\n"))
     }
 
     /// Waits until this is so; gives how long that took.
@@ -212,6 +239,13 @@
         found.unwrap_or(1)
     }
 
+    /// Waits until a machine speaks with a majority.
+    pub fn with_majority(&self, id: usize) {
+        self.wait("a machine has a majority", LIMIT, || {
+            self.state(id).is_some_and(|state| state["majority"] == json!(true))
+        });
+    }
+
     /// The version that a machine says is agreed, once there is one.
     fn agreed_at(&self, id: usize) -> Seen {
         let mut seen = (0, String::new());
@@ -307,8 +341,11 @@
         }));
     }
 
-    /// When a scheduler was first seen with a version of this number or a later one in force.
+    /// When a scheduler first had a version of this number or a later one in force, by its door or its log.
     pub fn seen_at(&self, rank: usize, seq: u64) -> Option<Instant> {
+        if !self.setup.looks {
+            return self.schedulers[rank].in_force_at(seq);
+        }
         let sightings = self.sightings.lock().expect("nobody panicked");
         sightings.get(&rank)?.iter().filter(|(seen, _)| seen.0 >= seq).map(|(_, at)| *at).min()
     }
@@ -381,6 +418,12 @@
 
 impl Drop for Regions {
     fn drop(&mut self) {
+        if thread::panicking() {
+            let (seed, test) = (self.seed, self.test);
+            eprintln!(
+                "play it again: CONTROL_SEED={seed} cargo test --test control {test} -- --exact --nocapture"
+            );
+        }
         self.over.store(true, Ordering::Relaxed);
         self.machines.clear();
         self.schedulers.clear();
--- a/tests/regions/relay.rs
+++ b/tests/regions/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// How often a relay looks whether it may go on.
-const LOOK: Duration = Duration::from_millis(5);
+const LOOK: Duration = Duration::from_millis(10);
 
 /// One way through a relay.
 #[derive(Default)]
--- a/tests/regions/schedulers.rs
+++ b/tests/regions/schedulers.rs
@@ -1,7 +1,7 @@
 //! A scheduler as a process of the program, with a stand-in worker and a client of its own.
 
 use super::http::call;
-use super::machines::{Log, run};
+use super::machines::{Log, run, text};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The settings, in the platform's form, of the scheduler of this rank.
 pub fn settings(rank: usize, count: usize) -> Value {
@@ -40,12 +40,11 @@
 }
 
 impl Scheduler {
-    /// Starts the scheduler of this rank of so many, in this region; it learns from the machines at these addresses.
+    /// Starts the scheduler of this rank of so many; it learns from the machines at these addresses.
     pub fn start(
         folder: &Path,
         rank: usize,
         count: usize,
-        home: usize,
         control: &[SocketAddr],
         worker: SocketAddr,
     ) -> Scheduler {
@@ -59,7 +58,7 @@
             "control": control, "control_silence_ms": 3_000,
             "settings": settings(rank, count),
         });
-        let file = folder.join(format!("n{rank}-{home}.json"));
+        let file = folder.join(format!("n{rank}.json"));
         std::fs::write(&file, config.to_string()).expect("the configuration is written");
         let log = Log::default();
         let mut command = Command::new(env!("CARGO_BIN_EXE_calicolb"));
@@ -68,6 +67,12 @@
         Scheduler { rank, child, log, file, at: found[1], door: found[0] }
     }
 
+    /// When its log told that a version of this number or a later one is in force.
+    pub fn in_force_at(&self, seq: u64) -> Option<Instant> {
+        let log = self.log.lock().expect("nobody panicked");
+        log.in_force.range(seq..).map(|(_, at)| *at).min()
+    }
+
     /// Its process.
     pub fn process(&self) -> u32 {
         self.child.id()
@@ -75,8 +80,7 @@
 
     /// The end of its log.
     pub fn log(&self) -> String {
-        let lines: Vec<String> = self.log.lock().expect("nobody panicked").iter().cloned().collect();
-        format!("scheduler {}:\n  {}", self.rank, lines.join("\n  "))
+        format!("scheduler {}:\n  {}", self.rank, text(&self.log))
     }
 }
 
@@ -168,7 +172,7 @@
     }
 }
 
-/// A client of one scheduler: a job every 25 ms.
+/// A client of one scheduler: one job after another.
 pub struct Clients {
     over: Arc<AtomicBool>,
     served: Arc<AtomicU64>,
@@ -177,7 +181,7 @@
 
 impl Clients {
     /// Begins to ask.
-    pub fn start(rank: usize, at: SocketAddr) -> Clients {
+    pub fn start(rank: usize, at: SocketAddr, pause: Duration) -> Clients {
         let (over, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let (ends, counts) = (Arc::clone(&over), Arc::clone(&served));
         let work = thread::spawn(move || {
@@ -194,7 +198,7 @@
                     Ok((_, head, _)) => lost.push(format!("{nr}: {}", head.lines().next().unwrap_or(""))),
                     Err(error) => lost.push(format!("{nr}: {error}")),
                 }
-                thread::sleep(Duration::from_millis(25));
+                thread::sleep(pause);
             }
             lost
         });
