--- a/tests/common/ledger.rs
+++ b/tests/common/ledger.rs
@@ -5,12 +5,14 @@
 use calicolb::api::*;
 use calicolb::rules::Dispatcher;
 use proptest::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const WORKERS: u32 = 6;
 
 /// From this number of a step on settings change or attempts begin.
-const RENEWALS: u8 = 20;
+const RENEWALS: u8 = 21;
+/// From this one on attempts begin.
+const BEGINS: u8 = RENEWALS + 5;
 
 /// One step of a stream: what happens, and which of those that it could happen to.
 #[derive(Clone, Debug)]
@@ -27,7 +29,7 @@
 
 /// Steps among which settings change, and attempts begin some time after they were decided.
 pub fn step_or_renewal() -> impl Strategy<Value = Step> {
-    (0..RENEWALS + 8, any::<u32>(), 1..3_000_u64).prop_map(|(what, pick, size)| Step { what, pick, size })
+    (0..BEGINS + 3, any::<u32>(), 1..3_000_u64).prop_map(|(what, pick, size)| Step { what, pick, size })
 }
 
 #[derive(Default)]
@@ -43,6 +45,8 @@
     attempts: Vec<(u32, Micros, Option<Ending>)>,
     /// Attempts whose first byte has not been written.
     unbegun: Vec<usize>,
+    /// Attempts that have ended, and may still be running at their workers.
+    running: BTreeSet<usize>,
 }
 
 impl Job {
@@ -143,6 +147,10 @@
                 job.attempts[attempt].2 = Some(ending);
                 job.unbegun.retain(|&nr| nr != attempt);
                 job.answered |= ending == Ending::Ok;
+                let running = ending == Ending::Broken || ending == Ending::TimedOut;
+                if running {
+                    job.running.insert(attempt);
+                }
                 let report = step
                     .size
                     .is_multiple_of(3)
@@ -153,6 +161,7 @@
                     worker: WorkerId(worker),
                     ending,
                     elapsed: self.now - sent,
+                    running,
                     concluded: job.answered,
                     report,
                 }))
@@ -184,7 +193,13 @@
                 self.jobs.get_mut(&id)?.answered = true;
                 Some(Event::Lapsed(RequestId(id)))
             }
-            RENEWALS..=24 if self.renews => Some(Event::Settings(Box::new(self.renewed(step)))),
+            19 => {
+                // A worker says of an attempt that had ended here that it is over there too.
+                let (&id, job) = self.jobs.iter_mut().find(|(_, job)| !job.running.is_empty())?;
+                let attempt = job.running.pop_first()? as u32;
+                Some(Event::Note { request: RequestId(id), attempt, note: Note::Over })
+            }
+            RENEWALS..BEGINS if self.renews => Some(Event::Settings(Box::new(self.renewed(step)))),
             _ => {
                 self.now += step.size * MS / 4;
                 None
@@ -256,6 +271,7 @@
             worker: WorkerId(worker),
             ending,
             elapsed: self.now - sent,
+            running: false,
             concluded: job.answered,
             report: None,
         }))
@@ -296,6 +312,10 @@
         assert!(!job.answered, "sent {id} after its answer");
         assert!(job.attempts.len() < settings.limits.tries as usize, "too many attempts of {id}");
         job.check_repeat(id, usize::MAX, worker, now);
+        // Copies allowed or not.
+        let there = |nr: &usize| job.attempts[*nr].0 == worker;
+        let ended = |nr: &usize| job.attempts[*nr].2.is_some() && !job.running.contains(nr);
+        assert!((0..job.attempts.len()).filter(there).all(|nr| ended(&nr)), "{id} may still run at {worker}");
         if !settings.limits.copies {
             assert!(job.attempts.iter().all(|attempt| attempt.2.is_some()), "second copy of {id}");
         }
@@ -359,7 +379,7 @@
             let same = Box::new(ledger.settings.clone());
             tell(&mut ledger, &mut dispatcher, Event::Settings(same));
         }
-        if renews && step.what > 24 {
+        if renews && step.what >= BEGINS {
             if let Some(event) = ledger.begin(step, &dispatcher) {
                 tell(&mut ledger, &mut dispatcher, event);
             }
