--- a/src/config/document/tests.rs
+++ b/src/config/document/tests.rs
@@ -200,6 +200,15 @@
     wrong("a..b", json!(1), "a..b");
     wrong(&"a.".repeat(20), json!(1), &"a.".repeat(20));
     wrong(&"a".repeat(300), json!(1), &"a".repeat(300));
+    // A list whose names do not tell its things apart stays one value, and is at fault.
+    for (list, key) in [("request_classes", "request_classes.look"), ("orgs", "orgs.zeta")] {
+        let mut twice = site();
+        let first = twice[list][0].clone();
+        twice[list].as_array_mut().expect("it is a list").push(first);
+        let document = to_document(&twice);
+        assert!(document.contains_key(list), "{document:?}");
+        assert_eq!(platform::renewal(&twice).expect_err("it is there twice").key, key);
+    }
     let empty = check(&Document::new()).expect_err("nothing can be used");
     assert_eq!(empty.key, "request_classes");
 }
