Take a late promise without its log, and hold fewer undecided entries

A leader that already accepts and gets a promise whose entries don't follow its decided ones dropped it, and its sender would have sent the same again for ever. Sixteen undecided entries in place of 64 bound a message between voters to 17 MiB.

--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -13,7 +13,7 @@
 /// Proposals that a voter holds at once: the one on its way and those that wait for it.
 pub const PROPOSALS: usize = 64;
 /// Entries of a voter's log that aren't decided yet; beyond it none is added.
-pub const UNDECIDED: usize = 64;
+pub const UNDECIDED: usize = 16;
 /// Decided entries that a voter keeps in its log before it folds them into a snapshot.
 pub const LOG: usize = 4_096;
 /// Bytes of a voter's log, decided or not, before it folds the decided ones into a snapshot.
--- a/crates/agreed/src/voter.rs
+++ b/crates/agreed/src/voter.rs
@@ -124,6 +124,10 @@
                 PaxosMsg::AcceptSync(sync) if sync.log_sync.sync_idx < self.omni.get_decided_idx() => return,
                 PaxosMsg::AcceptSync(sync) => self.complete(&mut sync.log_sync),
                 PaxosMsg::Promise(promise) => {
+                    if self.leads() {
+                        // A leader that accepts takes no log from a late promise; it may have moved on since.
+                        promise.log_sync = None;
+                    }
                     promise.log_sync.as_mut().map_or(Some(vec![]), |sync| self.complete(sync))
                 }
                 _ => Some(vec![]),
@@ -240,9 +244,13 @@
 
     /// A leader takes a forwarded proposal only within the bounds.
     fn takes_forwarded(&self, entries: &[Entry]) -> bool {
-        let leads = self.omni.get_current_leader() == Some((self.id, true));
         let bytes: usize = entries.iter().map(|entry| entry.change.bytes()).sum();
-        leads && self.undecided() < bounds::UNDECIDED && bytes <= bounds::CHANGE_BYTES
+        self.leads() && self.undecided() < bounds::UNDECIDED && bytes <= bounds::CHANGE_BYTES
+    }
+
+    /// Whether this voter leads and has got so far as to accept entries.
+    fn leads(&self) -> bool {
+        self.omni.get_current_leader() == Some((self.id, true))
     }
 
     fn undecided(&self) -> usize {
@@ -291,7 +299,7 @@
         let own = Own {
             decided: self.omni.get_decided_idx(),
             leader: leader.filter(|(_, accepts)| *accepts).map_or(0, |(leader, _)| leader),
-            leads: leader == Some((self.id, true)) && self.touch.is_followed(self.id),
+            leads: self.leads() && self.touch.is_followed(self.id),
         };
         for message in messages {
             let wrapped = self.touch.wrap(message, own);
