--- a/crates/agreed/tests/bounds.rs
+++ b/crates/agreed/tests/bounds.rs
@@ -1,99 +1,13 @@
 //! Each bound, at the bound; and what isn't a message.
 
-use calicolb_agreed::store::{MemoryStore, Platter};
+mod support;
+
 use calicolb_agreed::{
-    Answer, Change, Digest, Document, Fault, Outcome, Refused, Ticket, Version, Voter, bounds, size,
+    Answer, Change, Digest, Document, Outcome, Refused, Ticket, Version, Voter, bounds, size,
 };
 use fastrand::Rng;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
-
-const IDS: [u64; 5] = [1, 2, 3, 4, 5];
-
-fn anything(_: &Document) -> Result<(), Fault> {
-    Ok(())
-}
-
-fn set(pairs: impl IntoIterator<Item = (String, Value)>) -> Change {
-    Change { set: pairs.into_iter().collect(), ..Change::default() }
-}
-
-/// Five voters on a network without faults, some of which may be away.
-struct Five {
-    platters: BTreeMap<u64, Platter>,
-    voters: BTreeMap<u64, Voter<MemoryStore>>,
-    largest: usize,
-}
-
-impl Five {
-    fn ready() -> Five {
-        let platters: BTreeMap<u64, Platter> = IDS.into_iter().map(|id| (id, Platter::default())).collect();
-        let mut five = Five { platters, voters: BTreeMap::new(), largest: 0 };
-        IDS.into_iter().for_each(|id| five.start(id));
-        five.until(|five| five.voters.values().all(Voter::has_majority));
-        five
-    }
-
-    fn start(&mut self, id: u64) {
-        let store = self.platters[&id].open().unwrap();
-        self.voters.insert(id, Voter::new(id, &IDS, store, 7).unwrap());
-    }
-
-    fn deliver(&mut self) {
-        loop {
-            let taken =
-                self.voters.iter_mut().flat_map(|(id, v)| v.outgoing().into_iter().map(move |m| (*id, m)));
-            let messages: Vec<_> = taken.collect();
-            if messages.is_empty() {
-                return;
-            }
-            for (from, (to, bytes)) in messages {
-                self.largest = self.largest.max(bytes.len());
-                if let Some(voter) = self.voters.get_mut(&to) {
-                    voter.receive(from, &bytes);
-                }
-            }
-        }
-    }
-
-    fn tick(&mut self) {
-        self.voters.values_mut().for_each(Voter::tick);
-        self.deliver();
-    }
-
-    fn until(&mut self, holds: impl Fn(&Five) -> bool) {
-        for _ in 0..200 {
-            if holds(self) {
-                return;
-            }
-            self.tick();
-        }
-        panic!("not within 200 ticks");
-    }
-
-    /// Proposes and waits until it is agreed.
-    fn change(&mut self, id: u64, change: Change) -> u64 {
-        self.until(|five| five.voters[&id].has_majority());
-        let ticket = self.voters.get_mut(&id).unwrap().propose(change, &anything).unwrap();
-        for _ in 0..200 {
-            self.deliver();
-            let told = self.voters.get_mut(&id).unwrap().settled(&anything);
-            match told.first() {
-                Some((of, Outcome::Agreed { seq, .. })) if *of == ticket => return *seq,
-                None => self.tick(),
-                other => panic!("{other:?}"),
-            }
-        }
-        panic!("not agreed within 200 ticks");
-    }
-
-    fn refusal(&mut self, change: Change) -> Fault {
-        match self.voters.get_mut(&1).unwrap().propose(change, &anything) {
-            Err(Refused::Faulty(fault)) => fault,
-            other => panic!("{other:?}"),
-        }
-    }
-}
+use support::{Five, anything, set};
 
 fn nested(depth: usize) -> Value {
     (0..depth).fold(json!(1), |inner, _| json!([inner]))
