--- a/crates/agreed/tests/contract/mod.rs
+++ b/crates/agreed/tests/contract/mod.rs
@@ -31,6 +31,7 @@
         ("durable at the return", durable),
         ("torn tail", torn),
         ("flipped bit", flipped),
+        ("moved batch", moved),
         ("failed sync", failed_sync),
         ("disk full", disk_full),
         ("replacement is whole", replacement),
@@ -125,6 +126,24 @@
     expect(rig, 0..3, "mended")
 }
 
+/// Two batches of one length that have changed places.
+fn moved<R: Rig>(rig: &R) -> Verdict {
+    let head = {
+        let mut store = ok("open", rig.open())?;
+        ok("load", store.load())?;
+        let head = rig.bytes().len();
+        ok("append", store.append(b"first"))?;
+        ok("append", store.append(b"after"))?;
+        head
+    };
+    let whole = rig.bytes();
+    let half = head + (whole.len() - head) / 2;
+    let bytes = [&whole[..head], &whole[half..], &whole[head..half]].concat();
+    rig.set_bytes(&bytes);
+    ensure(rig.open().is_err(), || "two batches changed places, and it opens".to_owned())?;
+    ensure(rig.bytes() == bytes, || "it was touched".to_owned())
+}
+
 /// After a failure the store refuses; what was there before is there, what it refused isn't.
 fn refuses_after<R: Rig>(rig: &R, fail: impl Fn(bool), what: &str) -> Verdict {
     write(rig, 0..2)?;
--- a/crates/agreed/tests/stores.rs
+++ b/crates/agreed/tests/stores.rs
@@ -302,6 +302,7 @@
         ("durable at the return", Defect::NeverSyncs),
         ("torn tail", Defect::KeepsTorn),
         ("flipped bit", Defect::NoSums),
+        ("moved batch", Defect::NoSums),
         ("failed sync", Defect::SwallowsSync),
         ("failed sync", Defect::GoesOn),
         ("disk full", Defect::SwallowsFull),
