--- a/src/net/control/answers.rs
+++ b/src/net/control/answers.rs
@@ -156,11 +156,7 @@
         // One that is ahead of this machine is told on when this machine has come further.
         let (seq, digest) = if seq > agreed.seq { (seq, digest) } else { (agreed.seq, Some(agreed.digest)) };
         let watch = Watch { name, seq, digest };
-        if let Some(older) = self.learners.begin(token, watch) {
-            let (mut io, inbound, _) = self.split(now);
-            inbound.close(&mut io, older);
-            self.learners.end(now, older);
-        }
+        self.learners.begin(token, watch);
         self.tell(now, token, &lines);
     }
 
--- a/src/net/control/inbound.rs
+++ b/src/net/control/inbound.rs
@@ -8,6 +8,7 @@
 use calicolb::api::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
+use rustix::net::sockopt;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
@@ -19,6 +20,8 @@
 const IDLE: Micros = 15 * SECOND;
 /// How long an answer or a line of a watch may wait to be taken, without any of it being taken.
 const UNREAD: Micros = 5 * SECOND;
+/// The same for what the other side's system has not even acknowledged, in milliseconds.
+const UNACKNOWLEDGED_MS: u32 = 10_000;
 /// How long who was told to leave may take to do so.
 const LINGER: Micros = SECOND;
 /// Connections that may hold more than a change at once: each other control machine has one that talks.
@@ -223,6 +226,8 @@
         }
         let Some(conn) = self.conns.get_mut(&token) else { return false };
         conn.phase = Phase::Watching;
+        // One whose other side has gone without a word is ended by the system: each line is acknowledged, or it is over.
+        let _ = sockopt::set_tcp_user_timeout(&conn.stream, UNACKNOWLEDGED_MS);
         conn.buffer
             .put(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
         self.watching += 1;
@@ -234,7 +239,7 @@
     pub fn tell(&mut self, io: &mut Io<'_>, token: usize, line: &[u8]) {
         let Some(conn) = self.conns.get_mut(&token) else { return };
         if conn.buffer.waiting() + line.len() > WATCH_LIMIT {
-            note!(debug: "a learner takes nothing, and its watch is ended");
+            note!("a learner took nothing of its watch, or has gone: the watch is ended");
             return self.close(io, token);
         }
         conn.buffer.put(format!("{:x}\r\n", line.len()).as_bytes());
@@ -267,6 +272,10 @@
                 false
             }
             Err(_) => {
+                // What waited was not taken, or its other side has gone.
+                if conn.phase == Phase::Watching && conn.buffer.waiting() > 0 {
+                    note!("a learner took nothing of its watch, or has gone: the watch is ended");
+                }
                 self.close(io, token);
                 false
             }
@@ -280,6 +289,10 @@
                 self.reject(io, token, 408);
                 self.flush(io, token);
             }
+            Some(conn) if conn.phase == Phase::Watching => {
+                note!("a learner took nothing of its watch, or has gone: the watch is ended");
+                self.close(io, token);
+            }
             _ => self.close(io, token),
         }
     }
--- a/src/net/control/learners.rs
+++ b/src/net/control/learners.rs
@@ -36,11 +36,9 @@
         Learners { watches: BTreeMap::new(), in_force: BTreeMap::new(), most }
     }
 
-    /// A watch has begun; gives the connection of an older one of the same learner, which is over then.
-    pub fn begin(&mut self, token: usize, watch: Watch) -> Option<usize> {
-        let older = self.watches.iter().find(|(_, other)| other.name == watch.name).map(|(&token, _)| token);
+    /// A watch has begun. Of one name there may be several for a while: one that came back, and its old connection.
+    pub fn begin(&mut self, token: usize, watch: Watch) {
         self.watches.insert(token, watch);
-        older
     }
 
     /// The connections that are watches.
--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -68,10 +68,7 @@
     /// Learns from these machines. Which is asked first is drawn from the name, and so is each that follows: those that
     /// a machine leaves behind are spread over all others.
     pub fn new(config: LearnerConfig, name: &str, seed: u64) -> Control {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        let mut machines = config.machines;
-        fastrand::Rng::with_seed(hasher.finish()).shuffle(&mut machines);
+        let machines = in_order(config.machines, name);
         // The settings of the own configuration are in force until a version is.
         let first = Version::new(0, config.settings);
         let here = Here { own: config.own.clone() };
@@ -94,7 +91,7 @@
             tell: None,
             tell_by: 0,
             told: None,
-            random: fastrand::Rng::with_seed(seed ^ hasher.finish()),
+            random: fastrand::Rng::with_seed(seed ^ hash(name)),
             given: Arc::clone(&taken),
             taken,
             behind: true,
@@ -115,6 +112,20 @@
         self.keep_time(ctx);
     }
 
+    /// The machines are at these addresses from now on.
+    pub fn move_to(&mut self, ctx: &mut Ctx<'_>, machines: Vec<SocketAddr>) {
+        let here = self.machines[self.at];
+        self.machines = in_order(machines, &self.name);
+        match self.machines.iter().position(|at| *at == here) {
+            Some(at) => self.at = at,
+            None => {
+                self.at = 0;
+                self.lose(ctx, "it is no control machine any more");
+            }
+        }
+        self.keep_time(ctx);
+    }
+
     /// The connection is one of these.
     pub fn has(&self, token: usize) -> bool {
         [&self.watch, &self.tell].into_iter().flatten().any(|call| call.token == token)
@@ -354,6 +365,20 @@
     }
 }
 
+fn hash(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The machines in the order in which the scheduler of this name asks them.
+fn in_order(mut machines: Vec<SocketAddr>, name: &str) -> Vec<SocketAddr> {
+    machines.sort_unstable();
+    machines.dedup();
+    fastrand::Rng::with_seed(hash(name)).shuffle(&mut machines);
+    machines
+}
+
 fn hang_up(ctx: &mut Ctx<'_>, mut call: Call) {
     let _ = ctx.registry.deregister(&mut call.stream);
 }
--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -33,6 +33,12 @@
         if let (Some(old), Some(told)) = (&mut self.peer_config, &config.peers) {
             (old.each, old.all) = (told.each.clone(), told.all);
         }
+        if let Some(told) = config.control.as_ref().map(|told| told.machines.clone()) {
+            let (mut ctx, parts) = self.split(now);
+            if let Some(control) = parts.control {
+                control.move_to(&mut ctx, told);
+            }
+        }
         if self.control.as_ref().is_some_and(Control::leads) {
             return note!(
                 "SIGHUP: the settings are agreed with the control machines: the file's do not count"
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -7,6 +7,7 @@
 
 use regions::http::{Watch, call};
 use regions::{LIMIT, MACHINES, Regions, Setup, WITHIN, both};
+use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use std::sync::{Condvar, Mutex, PoisonError};
@@ -349,10 +350,15 @@
     let at = regions.machines[0].at.expect("it runs");
     let full = (0..4).map(|nr| {
         let target = format!("/control/versions?watch=1&from=0&digest=&name=stranger-{nr}");
-        Watch::open(at, &target).map(|watch| watch.status)
+        Watch::open(at, &target).expect("it answers")
     });
-    let full: Vec<u16> = full.map(|status| status.expect("it answers")).collect();
-    assert!(full.contains(&503), "{full:?}");
+    let full: Vec<Watch> = full.collect();
+    assert!(
+        full.iter().any(|watch| watch.status == 503),
+        "{:?}",
+        full.iter().map(|watch| watch.status).collect::<Vec<_>>()
+    );
+    drop(full);
     // Those of a machine that is gone find places at the others.
     regions.kill(2);
     regions.change(1, 11);
@@ -361,6 +367,84 @@
     regions.check();
 }
 
+#[test]
+fn a_machine_that_comes_back_with_an_empty_store_takes_nothing_back() {
+    let _place = Place::take();
+    let mut regions =
+        Regions::start("a_machine_that_comes_back_with_an_empty_store_takes_nothing_back", [1, 1]);
+    regions.change(1, 10);
+    regions.level("a change before");
+    let last = regions.last().0;
+    for id in 1..=MACHINES {
+        regions.wait("all have what was agreed", LIMIT, || {
+            regions.state(id).is_some_and(|state| state["seq"].as_u64() == Some(last))
+        });
+    }
+    regions.kill(3);
+    std::fs::remove_dir_all(regions.store(3)).expect("its store is removed");
+    regions.change(1, 11);
+    regions.boot(3);
+    for value in 12..15 {
+        regions.change(1, value);
+        regions.level("a change beside the machine with an empty store");
+    }
+    regions.kill(3);
+    regions.check();
+}
+
+#[test]
+fn two_learners_of_one_name_are_both_told() {
+    let _place = Place::take();
+    let mut regions = Regions::start("two_learners_of_one_name_are_both_told", [1, 0]);
+    let at = regions.machines[0].at.expect("it runs");
+    let target = "/control/versions?watch=1&from=0&digest=&name=calicolb";
+    let mut watches =
+        [Watch::open(at, target), Watch::open(at, target)].map(|watch| watch.expect("it opens"));
+    regions.change(1, 4_711);
+    for watch in &mut watches {
+        let mut told = String::new();
+        while !told.contains("4711") {
+            told += &watch
+                .lines()
+                .unwrap_or_else(|error| regions.fail(&format!("a watch ended: {error}")))
+                .join("");
+        }
+    }
+    regions.check();
+}
+
+#[test]
+fn a_learner_that_takes_nothing_is_let_go() {
+    let _place = Place::take();
+    let mut regions = Regions::start("a_learner_that_takes_nothing_is_let_go", [1, 0]);
+    regions.with_majority(1);
+    let at = regions.machines[0].at.expect("it runs");
+    // Little is held for it at its own side, as for one far away.
+    let lazy = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket is made");
+    sockopt::set_socket_recv_buffer_size(&lazy, 4_096).expect("its buffer is small");
+    connect(&lazy, &at).expect("it takes connections");
+    let mut lazy = std::net::TcpStream::from(lazy);
+    let call = "GET /control/versions?watch=1&from=0&digest=&name=lazy HTTP/1.1\r\nHost: t\r\n\r\n";
+    std::io::Write::write_all(&mut lazy, call.as_bytes()).expect("it is written");
+    let since = Instant::now();
+    // Each change is large, and the watch takes none of them: what the system holds for it fills up first.
+    for nr in 0_u8.. {
+        let notes = char::from(b'a' + nr % 26).to_string().repeat(120_000);
+        let (status, head, told) = regions.ask(1, &json!({"set": {"notes": notes}}));
+        assert!([200, 503].contains(&status), "{head} {told}");
+        if regions.machines[0].log().contains("a learner took nothing") {
+            break;
+        }
+        if since.elapsed() > LIMIT {
+            regions.fail(&format!("it is still held after {nr} changes, {status}"));
+        }
+    }
+    regions.wait("the notes are gone", LIMIT, || regions.ask(1, &json!({"unset": ["notes"]})).0 == 200);
+    regions.change(1, 10);
+    regions.level("a change after");
+    regions.check();
+}
+
 /// What 60 changes cost at 30 schedulers, or fewer of both where the environment does not say so: CONTROL_SCHEDULERS,
 /// CONTROL_CHANGES, CONTROL_IDLE_S. CONTROL_OUT names a file for the figures.
 #[test]
--- a/tests/regions/mod.rs
+++ b/tests/regions/mod.rs
@@ -239,6 +239,11 @@
         found.unwrap_or(1)
     }
 
+    /// The folder of a machine's store.
+    pub fn store(&self, id: usize) -> PathBuf {
+        self.folder.join(format!("store-{id}"))
+    }
+
     /// Waits until a machine speaks with a majority.
     pub fn with_majority(&self, id: usize) {
         self.wait("a machine has a majority", LIMIT, || {
