Say every 1.5 s that there is nothing new, so that a machine that hangs is left within 4 s

A learner leaves a machine that says nothing for two and a half lines: with a line every 2 s that took 5 s, all of the time that a change has to come into force. What the system holds of a watch is bounded to 64 KiB.

--- a/src/net/control/inbound.rs
+++ b/src/net/control/inbound.rs
@@ -22,6 +22,8 @@
 const UNREAD: Micros = 5 * SECOND;
 /// The same for what the other side's system has not even acknowledged, in milliseconds.
 const UNACKNOWLEDGED_MS: u32 = 10_000;
+/// What the system holds of a watch.
+const SYSTEM_BUFFER: usize = 64 * 1024;
 /// How long who was told to leave may take to do so.
 const LINGER: Micros = SECOND;
 /// Connections that may hold more than a change at once: each other control machine has one that talks.
@@ -228,6 +230,8 @@
         conn.phase = Phase::Watching;
         // One whose other side has gone without a word is ended by the system: each line is acknowledged, or it is over.
         let _ = sockopt::set_tcp_user_timeout(&conn.stream, UNACKNOWLEDGED_MS);
+        // Hundreds of them must not hold megabytes each in the system.
+        let _ = sockopt::set_socket_send_buffer_size(&conn.stream, SYSTEM_BUFFER);
         conn.buffer
             .put(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
         self.watching += 1;
--- a/src/net/control/machine.rs
+++ b/src/net/control/machine.rs
@@ -26,7 +26,7 @@
 /// The voter counts time in these.
 const TICK: Micros = 100 * MILLI;
 /// A watch is told this often that there is nothing new.
-const HEARTBEAT: Micros = 2_000 * MILLI;
+const HEARTBEAT: Micros = 1_500 * MILLI;
 /// Changes that may wait for a majority at once.
 pub(super) const CHANGES: usize = 16;
 /// A change that is not agreed by then is answered 503.
--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -22,7 +22,7 @@
 
 const MILLI: Micros = 1_000;
 /// A machine says this often at least that there is nothing new, ...
-const LINE: Micros = 2_000 * MILLI;
+const LINE: Micros = 1_500 * MILLI;
 /// ... and a watch on which nothing came for longer than this is broken.
 const SILENT: Micros = LINE * 5 / 2;
 /// A connection and the first line on it, or an answer, are owed by then.
