--- a/crates/agreed/tests/failures.rs
+++ b/crates/agreed/tests/failures.rs
@@ -99,6 +99,31 @@
     }
 }
 
+#[test]
+fn a_leader_takes_a_late_promise_without_its_log() {
+    let mut five = Five::ready();
+    let leader = five.voters[&1].leader().unwrap();
+    five.change(leader, set([("k".to_owned(), json!(1))]));
+    let one = leader % 5 + 1;
+    five.voters.remove(&one);
+    five.start(one);
+    let log = json!({"decided_snapshot": {"Delta": {"Since": []}}, "suffix": [], "sync_idx": 999, "stopsign": null});
+    let mut promised = 0;
+    for _ in 0..30 {
+        tick_but(&mut five, leader, |from, bytes, voter| {
+            let mut envelope: Value = serde_json::from_slice(&bytes).unwrap();
+            if let Some(promise) = envelope.pointer_mut("/b/SequencePaxos/msg/Promise") {
+                promise["log_sync"] = log.clone();
+                promised += 1;
+            }
+            voter.receive(from, envelope.to_string().as_bytes());
+        });
+    }
+    assert!(promised > 0, "no promise was seen");
+    assert!(five.voters[&one].has_majority(), "left out, after {promised} promises");
+    assert!(five.voters.values().all(|voter| voter.agreed().seq == 1));
+}
+
 #[test]
 fn a_voter_doesnt_start_on_a_damaged_store() {
     let mut five = Five::ready();
--- a/crates/agreed/tests/net/plays.rs
+++ b/crates/agreed/tests/net/plays.rs
@@ -211,7 +211,8 @@
     world.run(PAUSE_TICKS - 10)?;
     let other = IDS.into_iter().find(|other| *other != id).unwrap_or(2);
     let _ = world.propose(other, set("k", 1));
-    // Nobody else speaks to it as it wakes.
+    // Nobody else speaks to it as it wakes, and nothing waits for it.
+    world.lose(id);
     for from in IDS.into_iter().filter(|from| *from != id) {
         world.cuts.insert((from, id));
     }
--- a/crates/agreed/tests/net/world.rs
+++ b/crates/agreed/tests/net/world.rs
@@ -349,6 +349,11 @@
         }
     }
 
+    /// Loses all that is on its way to a control machine.
+    pub fn lose(&mut self, id: u64) {
+        self.posted.retain(|_, (to, _)| *to != id);
+    }
+
     /// Whether all are up and level, learners too, and every proposal was settled.
     pub fn is_level(&self) -> bool {
         let versions: Vec<_> = IDS.iter().filter_map(|id| Some(self.part(*id)?.agreed())).collect();
