--- a/crates/agreed/tests/network.rs
+++ b/crates/agreed/tests/network.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// Ticks after which all are level again when the regions meet: 5 s.
+const TOGETHER_TICKS: u64 = 50;
+
 /// Seeds of storms that once broke a claim. 410: two voters had promised more than the leader's ballot to a voter that
 /// went away, and waited for it for ever.
 const HARD: [u64; 1] = [410];
@@ -57,7 +60,10 @@
 
 #[test]
 fn regions() {
-    sound("regions", 12, |seed| regions_apart(seed, Defect::None));
+    let accounts = sound("regions", 12, |seed| regions_apart(seed, Defect::None));
+    let level = accounts.iter().map(|account| account.level_ticks).max().unwrap_or(0);
+    println!("regions together again: level in at most {level} ticks");
+    assert!(level <= TOGETHER_TICKS, "{level} ticks");
 }
 
 #[test]
