Hold learners that hang, hop and hear the minority to stricter tests

The schedulers beside the minority have to hear it and still know that they are behind; the machine that a scheduler watches stands still beside the leader; after a restart of all the learners are back within 3 s, and machines within 4 s.

--- a/tests/control.rs
+++ b/tests/control.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Tests that play at once: with many processes they would measure the machine.
-static PLACES: (Mutex<usize>, Condvar) = (Mutex::new(2), Condvar::new());
+static PLACES: (Mutex<usize>, Condvar) = (Mutex::new(3), Condvar::new());
 
 /// A place among them.
 struct Place;
@@ -93,6 +93,11 @@
     regions.level("a change with three of five again");
     regions.boot(leader);
     regions.boot(second);
+    for id in [leader, second] {
+        regions.wait("a machine that is back has what was agreed", Duration::from_secs(4), || {
+            regions.state(id).is_some_and(|state| state["seq"].as_u64() >= Some(regions.last().0))
+        });
+    }
     regions.check();
 }
 
@@ -126,6 +131,14 @@
     // Longer where the environment says so: CONTROL_APART_S.
     let span = Duration::from_secs(told("CONTROL_APART_S", 4) as u64);
     regions.wait("they are apart for some time", LIMIT + span, || apart.elapsed() > span);
+    // They have found the machines of their side meanwhile, and hearing these makes none of them level.
+    regions.wait("the schedulers there watch the machines there", LIMIT, || {
+        let watched = [4, 5].map(|id| regions.learners(id)).concat();
+        ["n2", "n3"].iter().all(|name| watched.contains(&(*name).to_owned()))
+    });
+    for rank in [2, 3] {
+        assert_eq!(regions.figure(rank, "control.behind").as_deref(), Some("1"), "scheduler {rank}");
+    }
     regions.part(false);
     regions.level("the return");
     for rank in 0..4 {
@@ -187,7 +200,13 @@
         });
         assert_eq!(regions::in_force(regions.schedulers[rank].door), Some(regions.last()));
     }
+    let since = Instant::now();
+    regions.wait("they are down for some time", LIMIT, || since.elapsed() > Duration::from_secs(4));
     (1..=MACHINES).for_each(|id| regions.boot(id));
+    regions.wait("the schedulers watch again", Duration::from_secs(3), || {
+        let watching = (1..=MACHINES).flat_map(|id| regions.learners(id)).collect::<Vec<_>>();
+        ["n0", "n1"].iter().all(|name| watching.contains(&(*name).to_owned()))
+    });
     regions.change(2, 20);
     regions.level("a change after all were restarted");
     regions.check();
@@ -198,14 +217,22 @@
     let _place = Place::take();
     let mut regions = Regions::start("a_machine_that_stands_still_for_five_seconds_holds_nothing_up", [2, 1]);
     let leader = regions.leader();
+    // The machine that a scheduler watches stands still as well, where that is another one.
+    let mut watched = None;
+    regions.wait("a scheduler tells a machine what it has in force", LIMIT, || {
+        watched = (1..=MACHINES).find(|id| regions.learners(*id).contains(&"n0".to_owned()));
+        watched.is_some()
+    });
+    let still: std::collections::BTreeSet<usize> = [Some(leader), watched].into_iter().flatten().collect();
+    let asked = (1..=MACHINES).find(|id| !still.contains(id)).unwrap_or(1);
     let since = Instant::now();
-    regions.machines[leader - 1].signal("STOP");
-    regions.change(other(leader), 10);
+    still.iter().for_each(|id| regions.machines[id - 1].signal("STOP"));
+    regions.change(asked, 10);
     regions.level("a change while the leader stands still");
-    regions.wait("it stands still for five seconds", LIMIT, || since.elapsed() > Duration::from_secs(5));
-    regions.machines[leader - 1].signal("CONT");
-    regions.change(other(leader), 11);
-    regions.level("a change after it goes on");
+    regions.wait("they stand still for five seconds", LIMIT, || since.elapsed() > Duration::from_secs(5));
+    still.iter().for_each(|id| regions.machines[id - 1].signal("CONT"));
+    regions.change(asked, 11);
+    regions.level("a change after they go on");
     regions.check();
 }
 
@@ -270,6 +297,7 @@
     // Who does not send the whole of a request is told so, and let go.
     let since = Instant::now();
     let mut slow = std::net::TcpStream::connect(at).expect("it takes connections");
+    slow.set_read_timeout(Some(Duration::from_secs(6))).expect("a limit can be set");
     let mut told = String::new();
     std::io::Write::write_all(&mut slow, b"GET /control/st").expect("it is written");
     std::io::Read::read_to_string(&mut slow, &mut told).expect("it ends in order");
@@ -345,11 +373,7 @@
     // Each machine has a witness of the test's beside the schedulers: 10 places are left for 7 schedulers.
     regions.change(1, 10);
     regions.level("a change");
-    let watching = |regions: &Regions, id: usize| {
-        let state = regions.state(id).expect("it answers");
-        state["learners"].as_object().map_or(0, serde_json::Map::len)
-    };
-    let all = |regions: &Regions| (1..=MACHINES).map(|id| watching(regions, id)).collect::<Vec<_>>();
+    let all = |regions: &Regions| (1..=MACHINES).map(|id| regions.learners(id).len()).collect::<Vec<_>>();
     regions.wait("each scheduler tells a machine what it has in force", LIMIT, || {
         all(&regions).iter().sum::<usize>() == 7
     });
--- a/tests/regions/mod.rs
+++ b/tests/regions/mod.rs
@@ -244,6 +244,12 @@
         self.folder.join(format!("store-{id}"))
     }
 
+    /// The learners that have told a machine of late what they have in force.
+    pub fn learners(&self, id: usize) -> Vec<String> {
+        let state = self.state(id).unwrap_or(Value::Null);
+        state["learners"].as_object().into_iter().flat_map(|all| all.keys().cloned()).collect()
+    }
+
     /// Waits until a machine speaks with a majority.
     pub fn with_majority(&self, id: usize) {
         self.wait("a machine has a majority", LIMIT, || {
