Play a hollow fleet of schedulers on the program's own decision module

Change: crates/hollow plays schedulers, workers, discovery, links and clients on simulated time from one seed, with the module's own messages and the program's list clock; calicolb-rig scale prints the account. The decision module counts, for each tenant, the requests that were within its share (Dispatcher::counted, outside the policy files).

--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module keeps in mind: records that tell of themselves and decide nothing, and its hashing.
 
 use crate::api::*;
+use crate::rules::Dispatcher;
 use calicolb_fleet::draw::mix;
 use calicolb_fleet::speed::Speed;
 use calicolb_fleet::trust::Trust;
@@ -12,6 +13,13 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
 
+impl Dispatcher {
+    /// Requests of a tenant with a quota since this process started, and how many of them counted as within its share.
+    pub fn counted(&self, tenant: TenantIx) -> Option<(u64, u64)> {
+        self.know.buckets.get(tenant.0).map(|bucket| (bucket.asked, bucket.given))
+    }
+}
+
 /// Hashes alike in every process; maps are only looked up, never walked, so no outcome hangs on their order.
 pub(crate) type Table<K, V> = HashMap<K, V, BuildHasherDefault<IdHasher>>;
 
@@ -82,7 +90,11 @@
         Knowledge {
             kinds: (0..settings.kinds.max(1)).map(|_| Kind::default()).collect(),
             classes: settings.classes.iter().map(|_| ClassModel::default()).collect(),
-            buckets: settings.tenants.iter().map(|_| Bucket { tokens: 3.0, at: now }).collect(),
+            buckets: settings
+                .tenants
+                .iter()
+                .map(|_| Bucket { tokens: 3.0, at: now, asked: 0, given: 0 })
+                .collect(),
             mean_foreign: vec![0.0; settings.zones.max(1)],
             mean_time: 1_000_000.0,
             most_slots: 1,
@@ -302,6 +314,11 @@
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
+    /// Tokens that were asked for since the process started, and those that there were.
+    #[serde(skip)]
+    pub(crate) asked: u64,
+    #[serde(skip)]
+    pub(crate) given: u64,
 }
 
 impl Bucket {
@@ -313,6 +330,8 @@
         self.tokens = (self.tokens + gone * rate).min((rate * 5.0).max(3.0));
         let there = self.tokens >= 1.0;
         self.tokens -= if there { 1.0 } else { 0.0 };
+        self.asked += 1;
+        self.given += u64::from(there);
         there
     }
 }
--- /dev/null
+++ b/crates/hollow/src/ledger.rs
@@ -0,0 +1,326 @@
+//! The ledger: what was sent, started and answered, by scheduler and second, and the account that comes of it.
+
+use crate::Micros;
+use crate::plan::{Plan, SECOND, URGENT};
+use hdrhistogram::Histogram;
+use rustix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// Starts are counted in steps of this.
+const STEP: Micros = 100_000;
+/// Starts are compared over windows of so many steps.
+const WINDOW: usize = 30;
+/// Starts before something goes wrong are those of so many steps.
+const BEFORE: usize = 100;
+/// Under this part of what was before, starts have broken down, ...
+const DOWN: f64 = 0.85;
+/// ... and from this part on they are back.
+const BACK: f64 = 0.95;
+
+/// What a control message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Function {
+    /// Calls for the list and whole lists.
+    List,
+    /// Watches: changes and empty lines.
+    Watch,
+    /// Loads told within a cohort.
+    Talk,
+    Greetings,
+    Troubles,
+    Probes,
+    /// Changes of configuration: there is nothing of the kind yet.
+    Config,
+}
+
+const FUNCTIONS: [(&str, Function); 7] = [
+    ("list", Function::List),
+    ("watch", Function::Watch),
+    ("talk", Function::Talk),
+    ("greetings", Function::Greetings),
+    ("troubles", Function::Troubles),
+    ("probes", Function::Probes),
+    ("config", Function::Config),
+];
+
+/// Control messages of one function over the whole fleet, those that schedulers sent and those that came to them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// Messages: datagrams, requests and answers, lines of a watch.
+    pub messages: u64,
+    /// Their bytes, without the headers of UDP, TCP and IP.
+    pub bytes: u64,
+}
+
+/// What is counted beside the account.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Aside {
+    /// Requests that ended with their scheduler: it was killed, or its machine went.
+    pub lost_with_scheduler: u64,
+    /// Requests that were answered as failed.
+    pub failed: u64,
+    /// Attempts sent, further ones of a request included.
+    pub attempts: u64,
+    /// Tasks that ended with their worker, or could not be told of.
+    pub tasks_lost: u64,
+    /// Datagrams sent, and those that arrived.
+    pub datagrams: (u64, u64),
+    /// Workers that fell over, cold, under what they were sent.
+    pub fallen: u64,
+    /// Messages that came through a link while it was cut.
+    pub through_cuts: u64,
+    /// Calls that discovery refused because too many waited.
+    pub calls_refused: u64,
+}
+
+/// What came of a play.
+///
+/// All counts are of the seconds that count, `Plan::seconds` after the warm-up; a request counts where it came in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Account {
+    /// How many schedulers.
+    pub schedulers: u32,
+    /// How many workers.
+    pub workers: u32,
+    /// How many tenants.
+    pub tenants: u32,
+    /// Requests that came in.
+    pub jobs: u64,
+    /// Tasks that started at a worker.
+    pub started: u64,
+    /// Most tasks that ran at the same time.
+    pub running_peak: u64,
+    /// Requests that were served.
+    pub served: u64,
+    /// Of these, those that were served after their aim.
+    pub late: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests that never got a final answer.
+    pub lost: u64,
+    /// Attempts that came to a worker though the rules allowed no second one.
+    pub doubled: u64,
+    /// 999 of 1,000 urgent requests that were started waited less than this for it, in milliseconds.
+    pub urgent_start_p999_ms: f64,
+    /// Processor time of the decision module on control, mean of all schedulers, in milliseconds a second.
+    pub control_cpu_ms_per_s_mean: f64,
+    /// The same of the scheduler worst off in its worst second.
+    pub control_cpu_ms_per_s_worst: f64,
+    /// Control bytes in and out, mean of all schedulers, a second.
+    pub control_bytes_per_s_mean: f64,
+    /// The same of the scheduler worst off in its worst second.
+    pub control_bytes_per_s_worst: u64,
+    /// Datagrams in and out of the scheduler worst off in its worst second.
+    pub control_datagrams_per_s_worst: u64,
+    /// What a scheduler knows at the end, as JSON for a process that takes over, mean of all, in bytes.
+    pub state_bytes_per_scheduler: u64,
+    /// Bytes in and out of discovery in its worst second.
+    pub discovery_bytes_per_s_worst: u64,
+    /// Requests of tenants that ask for 0.8 of their quota: the part that counted as within.
+    pub quota_in_share_ratio: f64,
+    /// Requests of tenants that ask for twice their quota: what counted as within, as a part of the quota.
+    pub quota_over_ratio: f64,
+    /// From what went wrong until starts were back, in milliseconds; `None`: nothing went wrong, or they are not back.
+    pub recovered_ms: Option<u64>,
+    /// The most memory that this process held, in megabytes.
+    pub peak_rss_mb: f64,
+    /// How long the play took.
+    pub wall_s: f64,
+    /// Control messages by function.
+    pub traffic: BTreeMap<&'static str, Traffic>,
+    /// Counts beside these.
+    #[serde(skip)]
+    pub aside: Aside,
+}
+
+impl Account {
+    /// The same without what is measured of this machine: alike for the same plan, to the byte.
+    pub fn counts(&self) -> Account {
+        Account {
+            control_cpu_ms_per_s_mean: 0.0,
+            control_cpu_ms_per_s_worst: 0.0,
+            peak_rss_mb: 0.0,
+            wall_s: 0.0,
+            ..self.clone()
+        }
+    }
+}
+
+/// What one scheduler spent on control in one second.
+#[derive(Clone, Copy, Default)]
+struct Bin {
+    bytes: u32,
+    datagrams: u32,
+    nanos: u32,
+}
+
+/// See the head of this file.
+pub(crate) struct Ledger {
+    begin: Micros,
+    end: Micros,
+    seconds: usize,
+    /// By scheduler, then by second.
+    bins: Vec<Bin>,
+    discovery: Vec<u64>,
+    traffic: [Traffic; FUNCTIONS.len()],
+    starts: Vec<u32>,
+    running: u64,
+    urgent: Histogram<u64>,
+    begun: Instant,
+    /// What a look at the thread's clock itself takes.
+    look: u64,
+    pub(crate) account: Account,
+}
+
+/// This thread's own processor time, in steps of a nanosecond.
+fn thread_nanos() -> u64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
+}
+
+fn since(begun: u64) -> u64 {
+    thread_nanos().saturating_sub(begun)
+}
+
+impl Ledger {
+    pub(crate) fn new(plan: &Plan) -> Self {
+        let (begin, end) = plan.span();
+        let seconds = plan.seconds.max(1) as usize;
+        let account = Account {
+            schedulers: plan.schedulers,
+            workers: plan.workers,
+            tenants: plan.tenants,
+            ..Account::default()
+        };
+        Ledger {
+            begin,
+            end,
+            seconds,
+            bins: vec![Bin::default(); seconds * plan.schedulers as usize],
+            discovery: vec![0; seconds],
+            traffic: Default::default(),
+            starts: vec![0; seconds * (SECOND / STEP) as usize],
+            running: 0,
+            // Three digits up to an hour, in microseconds: the bounds are sound.
+            urgent: Histogram::new_with_bounds(1, 3_600 * SECOND, 3).unwrap_or_else(|_| unreachable!()),
+            begun: Instant::now(),
+            look: (0..1_000).map(|_| since(thread_nanos())).min().unwrap_or(0),
+            account,
+        }
+    }
+
+    /// This moment is among those that count.
+    pub(crate) fn counts(&self, now: Micros) -> bool {
+        (self.begin..self.end).contains(&now)
+    }
+
+    fn second(&self, now: Micros) -> Option<usize> {
+        self.counts(now).then(|| ((now - self.begin) / SECOND) as usize)
+    }
+
+    /// A control message was sent by a scheduler, or came to it.
+    pub(crate) fn message(&mut self, now: Micros, rank: u32, function: Function, bytes: usize) {
+        let Some(second) = self.second(now) else { return };
+        let datagram = matches!(function, Function::Talk | Function::Greetings | Function::Troubles);
+        let bin = &mut self.bins[rank as usize * self.seconds + second];
+        bin.bytes += bytes as u32;
+        bin.datagrams += u32::from(datagram);
+        let sum = &mut self.traffic[function as usize];
+        sum.messages += 1;
+        sum.bytes += bytes as u64;
+    }
+
+    /// Discovery sent or got so much.
+    pub(crate) fn discovery(&mut self, now: Micros, bytes: usize) {
+        if let Some(second) = self.second(now) {
+            self.discovery[second] += bytes as u64;
+        }
+    }
+
+    /// Runs a control event of a scheduler and notes how long it took.
+    pub(crate) fn timed<T>(&mut self, now: Micros, rank: u32, run: impl FnOnce() -> T) -> T {
+        let Some(second) = self.second(now) else { return run() };
+        let begun = thread_nanos();
+        let done = run();
+        let nanos = since(begun).saturating_sub(self.look);
+        let bin = &mut self.bins[rank as usize * self.seconds + second];
+        bin.nanos = bin.nanos.saturating_add(u32::try_from(nanos).unwrap_or(u32::MAX));
+        done
+    }
+
+    /// A task has started at a worker; `waited` since its request came in.
+    pub(crate) fn started(&mut self, now: Micros, class: usize, waited: Micros) {
+        self.running += 1;
+        if self.counts(now) {
+            self.account.started += 1;
+            self.account.running_peak = self.account.running_peak.max(self.running);
+            self.starts[((now - self.begin) / STEP) as usize] += 1;
+            if class == URGENT {
+                self.urgent.saturating_record(waited);
+            }
+        }
+    }
+
+    /// A task that had started is over.
+    pub(crate) fn stopped(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// From what went wrong until starts are back: the end of the last window in which they were broken down, up to the
+    /// first one after it in which they are as before.
+    fn recovered(&self, wrong: Micros) -> Option<u64> {
+        let at = ((wrong - self.begin) / STEP) as usize;
+        let before: u32 = self.starts[at.saturating_sub(BEFORE)..at].iter().sum();
+        let usual = f64::from(before) / at.min(BEFORE) as f64 * WINDOW as f64;
+        let sums: Vec<f64> =
+            self.starts[at..].windows(WINDOW).map(|window| f64::from(window.iter().sum::<u32>())).collect();
+        let Some(down) = sums.iter().rposition(|&sum| sum < DOWN * usual) else { return Some(0) };
+        let back = sums[down..].iter().position(|&sum| sum >= BACK * usual)?;
+        Some((down + back) as u64 * STEP / 1_000)
+    }
+
+    /// The account, once all is over.
+    pub(crate) fn close(mut self, wrong: Option<Micros>, within: Shares, state_bytes: u64) -> Account {
+        let seconds = self.seconds as f64;
+        let schedulers = f64::from(self.account.schedulers);
+        let (bytes, nanos): (u64, u64) = self
+            .bins
+            .iter()
+            .fold((0, 0), |sum, bin| (sum.0 + u64::from(bin.bytes), sum.1 + u64::from(bin.nanos)));
+        let worst = |of: fn(&Bin) -> u32| u64::from(self.bins.iter().map(of).max().unwrap_or(0));
+        let recovered = wrong.and_then(|at| self.recovered(at));
+        let traffic = FUNCTIONS.iter().map(|&(name, function)| (name, self.traffic[function as usize]));
+        let account = &mut self.account;
+        account.urgent_start_p999_ms = self.urgent.value_at_quantile(0.999) as f64 / 1e3;
+        account.control_cpu_ms_per_s_mean = nanos as f64 / 1e6 / seconds / schedulers;
+        account.control_cpu_ms_per_s_worst = worst(|bin| bin.nanos) as f64 / 1e6;
+        account.control_bytes_per_s_mean = bytes as f64 / seconds / schedulers;
+        account.control_bytes_per_s_worst = worst(|bin| bin.bytes);
+        account.control_datagrams_per_s_worst = worst(|bin| bin.datagrams);
+        account.state_bytes_per_scheduler = state_bytes;
+        account.discovery_bytes_per_s_worst = self.discovery.iter().copied().max().unwrap_or(0);
+        account.quota_in_share_ratio = within.in_share;
+        account.quota_over_ratio = within.over;
+        account.recovered_ms = recovered;
+        account.peak_rss_mb = peak_rss_mb();
+        account.wall_s = self.begun.elapsed().as_secs_f64();
+        account.traffic = traffic.collect();
+        self.account
+    }
+}
+
+/// What counted as within the tenants' shares.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Shares {
+    pub(crate) in_share: f64,
+    pub(crate) over: f64,
+}
+
+fn peak_rss_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<f64>().ok());
+    kib.unwrap_or(0.0) / 1024.0
+}
--- /dev/null
+++ b/crates/hollow/src/links.rs
@@ -0,0 +1,76 @@
+//! Links: how long what is sent between two zones is on its way, what of it is lost, and what is cut.
+
+use crate::Micros;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// One way within a zone, between zones of a region, and between regions.
+const SAME: f64 = 250.0;
+const ZONES: f64 = 1_000.0;
+const REGIONS: f64 = 20_000.0;
+/// How much longer it may take, as a part.
+const JITTER: f64 = 0.25;
+/// Datagrams that are lost.
+const LOSS: f64 = 0.001;
+
+/// See the head of this file.
+pub struct Links {
+    regions: usize,
+    zones: usize,
+    /// Pairs of zones that hear nothing of each other.
+    cut: Vec<bool>,
+    rng: StdRng,
+}
+
+impl Links {
+    /// `zones` zones, evenly in `regions` regions, nothing cut.
+    pub fn new(zones: usize, regions: usize, seed: u64) -> Self {
+        let (zones, regions) = (zones.max(1), regions.clamp(1, zones.max(1)));
+        Links { regions, zones, cut: vec![false; zones * zones], rng: StdRng::seed_from_u64(seed) }
+    }
+
+    /// The region of a zone.
+    pub fn region(&self, zone: usize) -> usize {
+        zone * self.regions / self.zones
+    }
+
+    /// Cuts every link between two regions, or mends them.
+    pub fn cut_regions(&mut self, cut: bool) {
+        for (a, b) in (0..self.zones).flat_map(|a| (0..self.zones).map(move |b| (a, b))) {
+            if self.region(a) != self.region(b) {
+                self.cut[a * self.zones + b] = cut;
+            }
+        }
+    }
+
+    /// Cuts the link from one zone to another in that direction, or mends it.
+    pub fn cut_way(&mut self, from: usize, to: usize, cut: bool) {
+        self.cut[from * self.zones + to] = cut;
+    }
+
+    /// What is sent now arrives.
+    pub fn open(&self, from: usize, to: usize) -> bool {
+        !self.cut[from * self.zones + to]
+    }
+
+    /// What is sent now and asks for an answer gets one.
+    pub fn both(&self, a: usize, b: usize) -> bool {
+        self.open(a, b) && self.open(b, a)
+    }
+
+    /// How long what is sent now is on its way, in microseconds.
+    pub fn delay(&mut self, from: usize, to: usize) -> Micros {
+        let base = match (from == to, self.region(from) == self.region(to)) {
+            (true, _) => SAME,
+            (false, true) => ZONES,
+            (false, false) => REGIONS,
+        };
+        (base * (1.0 + JITTER * self.rng.random::<f64>())) as Micros
+    }
+
+    /// The same for a datagram; `None`: it is lost.
+    pub fn datagram(&mut self, from: usize, to: usize) -> Option<Micros> {
+        let lost = self.rng.random::<f64>() < LOSS;
+        (self.open(from, to) && !lost).then(|| self.delay(from, to))
+    }
+}
--- /dev/null
+++ b/crates/hollow/src/troubles.rs
@@ -0,0 +1,224 @@
+//! Troubles: what goes wrong, and when.
+
+use crate::Micros;
+use crate::plan::{MILLI, SECOND, Trouble};
+use crate::workers::Life;
+use crate::world::{Happening, News, World, arrival};
+use calicolb::api::Ending;
+use rand::RngExt;
+
+/// Discovery sees that a machine has gone after this time, and up to so much more.
+const NOTICE: Micros = 3 * SECOND;
+const NOTICE_MORE: Micros = 2 * SECOND;
+/// What has gone with its rack or zone is back after this time.
+const GONE: Micros = 18 * SECOND;
+/// A machine that failed alone is replaced after this time.
+const REPLACED: Micros = 20 * SECOND;
+/// A worker that drains ends after this time, whatever it still has.
+const DRAINS: Micros = 60 * SECOND;
+/// Its replacement is up after this time.
+const JOINS: Micros = 2 * SECOND;
+/// From SIGTERM to SIGKILL, and to the moment when what is still out is left to the process that took over.
+const KILLED: Micros = 3_700 * MILLI;
+const BEQUEATHS: Micros = 3_100 * MILLI;
+/// Restarts and replacements of an ordinary day.
+const RESTARTS: u32 = 38;
+
+/// One step of a trouble.
+pub(crate) enum Step {
+    /// A worker's machine goes without a sign.
+    WorkerVanishes(u32),
+    /// It is back, cold, under its own number.
+    WorkerReturns(u32),
+    /// Another comes in its place, under a new number.
+    WorkerReplaced(u32),
+    /// A worker gets nothing new by the list, and ends soon.
+    WorkerDrains(u32),
+    /// Its process ends.
+    WorkerEnds(u32),
+    /// Discovery has seen by now that it has gone.
+    Noticed(u32),
+    /// A scheduler's machine goes, or the process is killed.
+    SchedulerDies(u32),
+    /// It starts anew, and knows nothing.
+    SchedulerReturns(u32),
+    /// Another process takes over from it as planned.
+    SchedulerRestarts(u32),
+    /// The process before leaves to the next what is still out.
+    Bequeaths(u32),
+    /// The process before is killed.
+    Killed(u32),
+    /// Regions are cut off from each other, or no longer.
+    Regions(bool),
+}
+
+impl World {
+    /// Lays the steps of the plan's trouble.
+    pub(crate) fn lay_troubles(&mut self) {
+        let (begin, end) = self.plan.span();
+        let at = self.plan.trouble_at();
+        let mut steps: Vec<(Micros, Step)> = Vec::new();
+        match self.plan.event {
+            Trouble::None => {}
+            Trouble::Worker => {
+                let worker = self.rng.random_range(0..self.plan.workers);
+                steps.push((at, Step::WorkerVanishes(worker)));
+                steps.push((at + REPLACED, Step::WorkerReplaced(worker)));
+            }
+            Trouble::Restarts => {
+                // Evenly over the play; schedulers and workers in turn, each at most once.
+                let step = (end - begin) / u64::from(RESTARTS);
+                let (mut ranks, mut numbers) = (0..self.plan.schedulers, 0..self.plan.workers);
+                for nr in 0..RESTARTS {
+                    let when = begin + step * u64::from(nr);
+                    let next = if nr % 2 == 0 {
+                        ranks.next().map(Step::SchedulerRestarts)
+                    } else {
+                        numbers.next().map(Step::WorkerDrains)
+                    };
+                    steps.extend(next.map(|next| (when, next)));
+                }
+            }
+            Trouble::Rack => {
+                let zone = 1 % self.plan.zones as usize;
+                let rack = zone as u32 * 1_000;
+                for nr in (0..self.plan.workers).filter(|&nr| self.workers[nr as usize].cell == rack) {
+                    steps.push((at, Step::WorkerVanishes(nr)));
+                    steps.push((at + GONE, Step::WorkerReturns(nr)));
+                }
+            }
+            Trouble::Zone => {
+                let zone = self.plan.zones as usize - 1;
+                for nr in (0..self.plan.workers).filter(|&nr| self.plan.zone_of(nr) == zone) {
+                    steps.push((at, Step::WorkerVanishes(nr)));
+                    steps.push((at + GONE, Step::WorkerReturns(nr)));
+                }
+                for rank in (0..self.plan.schedulers).filter(|&rank| self.plan.zone_of(rank) == zone) {
+                    steps.push((at, Step::SchedulerDies(rank)));
+                    steps.push((at + GONE, Step::SchedulerReturns(rank)));
+                }
+            }
+            Trouble::Regions => {
+                steps.push((at, Step::Regions(true)));
+                steps.push((end - (at - begin).min(end - at), Step::Regions(false)));
+            }
+            Trouble::AllRestart => {
+                for nr in 0..self.plan.workers {
+                    steps.push((at, Step::WorkerVanishes(nr)));
+                    let back = self.rng.random_range(2 * SECOND..6 * SECOND);
+                    steps.push((at + back, Step::WorkerReturns(nr)));
+                }
+                for rank in 0..self.plan.schedulers {
+                    steps.push((at, Step::SchedulerDies(rank)));
+                    let back = self.rng.random_range(SECOND..4 * SECOND);
+                    steps.push((at + back, Step::SchedulerReturns(rank)));
+                }
+            }
+        }
+        for (at, step) in steps {
+            self.lay(at, Happening::Trouble(step));
+        }
+    }
+
+    pub(crate) fn trouble(&mut self, step: Step) {
+        match step {
+            Step::WorkerVanishes(nr) => {
+                self.end_worker(nr, Life::Vanished);
+                let seen = self.now + NOTICE + self.rng.random_range(0..NOTICE_MORE);
+                self.lay(seen, Happening::Trouble(Step::Noticed(nr)));
+            }
+            Step::Noticed(nr) => {
+                if self.workers[nr as usize].life != Life::Up {
+                    self.discovery.health(nr, "terminated");
+                    self.tell_list();
+                }
+            }
+            Step::WorkerReturns(nr) => {
+                self.workers[nr as usize].rise(self.now);
+                self.list(nr);
+            }
+            Step::WorkerReplaced(nr) => {
+                let gone = &self.workers[nr as usize];
+                let (zone, kind, cell) = (gone.zone, gone.kind, gone.cell);
+                self.add_worker(zone, kind, cell, Some(self.now));
+            }
+            Step::WorkerDrains(nr) => {
+                self.workers[nr as usize].draining = true;
+                self.discovery.health(nr, "terminating");
+                self.tell_list();
+                self.lay(self.now + JOINS, Happening::Trouble(Step::WorkerReplaced(nr)));
+                self.lay(self.now + DRAINS, Happening::Trouble(Step::WorkerEnds(nr)));
+            }
+            Step::WorkerEnds(nr) => {
+                self.end_worker(nr, Life::Ended);
+                self.discovery.health(nr, "terminated");
+                self.tell_list();
+            }
+            Step::SchedulerDies(rank) => {
+                if let Some(process) = self.alive(rank) {
+                    self.kill(process);
+                }
+            }
+            Step::SchedulerReturns(rank) => {
+                let list = self.discovery.list();
+                let process = self.new_process(rank);
+                self.with(process, |process, _| process.warm(&list));
+            }
+            Step::SchedulerRestarts(rank) => self.restart(rank),
+            Step::Bequeaths(process) => self.bequeath(process),
+            Step::Killed(process) => self.kill(process),
+            Step::Regions(cut) => self.links.cut_regions(cut),
+        }
+    }
+
+    /// A worker ends, and all its tasks with it. Its machine tells of that, if it is still there.
+    fn end_worker(&mut self, nr: u32, life: Life) {
+        for (number, task) in self.workers[nr as usize].end(life) {
+            self.over(&task, number);
+            self.ledger.account.aside.tasks_lost += 1;
+            if life == Life::Ended {
+                let ending = if task.runs.is_some() { Ending::Broken } else { Ending::Full };
+                self.tell(nr, task.origin, News::Over(ending, None), 1);
+            }
+        }
+    }
+
+    /// A process ends, and what it had taken and not answered is lost.
+    fn kill(&mut self, process: u32) {
+        let told = &mut self.processes[process as usize];
+        told.alive = false;
+        for job in told.open() {
+            let counts = self.jobs[job as usize].counts && !self.jobs[job as usize].answered;
+            self.ledger.account.aside.lost_with_scheduler += u64::from(counts);
+            self.answered(job, None);
+        }
+        self.discovery.watches.remove(&process);
+    }
+
+    /// The process of a scheduler hands over to the next.
+    fn restart(&mut self, rank: u32) {
+        let Some(elder) = self.alive(rank) else { return };
+        let told = &mut self.processes[elder as usize];
+        let (knowledge, next) = (told.hand_over(), told.next());
+        let list = self.discovery.list();
+        let heir = self.new_process(rank);
+        self.with(heir, |heir, _| {
+            heir.inherit(knowledge, next);
+            heir.warm(&list);
+        });
+        self.settle(elder);
+        self.lay(self.now + BEQUEATHS, Happening::Trouble(Step::Bequeaths(elder)));
+        self.lay(self.now + KILLED, Happening::Trouble(Step::Killed(elder)));
+    }
+
+    fn bequeath(&mut self, elder: u32) {
+        let left = self.processes[elder as usize].bequeath();
+        let Some(heir) = self.alive(self.processes[elder as usize].rank) else { return };
+        for (job, id, worker, sent) in left {
+            let arrival = arrival(&self.jobs[job as usize]);
+            let there = self.processes[heir as usize].adopt(job, arrival, worker, sent);
+            self.processes[elder as usize].bequeathed.insert(id, (heir, there));
+        }
+        self.settle(heir);
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod ledger;
 mod load;
+mod scale;
 mod table;
 mod workers;
 
@@ -13,6 +14,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use ledger::Ledger;
 use load::{CLASSES, Plan};
+use scale::Scale;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
@@ -44,6 +46,8 @@
     Run(Run),
     /// Clients that never rest and workers that do nothing: jobs a second, and CPU for each.
     Rush(Rush),
+    /// Play a hollow fleet of hundreds of schedulers, and show what control costs.
+    Scale(Scale),
     /// Worker connections that sleep: memory and CPU.
     Idle {
         /// How many.
@@ -106,6 +110,7 @@
         Command::Demo => demo(),
         Command::Run(run) => series(&run),
         Command::Rush(rush) => self::rush(&rush),
+        Command::Scale(scale) => scale.run(),
         Command::Idle { connections, seconds } => idle(connections, seconds),
     };
     match done {
