--- a/crates/hollow/src/clients.rs
+++ b/crates/hollow/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::Micros;
 use crate::plan::{CLASSES, Plan, SECOND};
+use calicolb::api::{Arrival, ClassIx, TenantIx};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::weighted::WeightedAliasIndex;
@@ -38,6 +39,20 @@
     pub(crate) runs: Vec<Run>,
 }
 
+impl Job {
+    /// What a scheduler is told of it.
+    pub(crate) fn arrival(&self) -> Arrival {
+        Arrival {
+            class: ClassIx(self.class),
+            tenant: self.tenant.map(TenantIx),
+            hint: Some(self.hint),
+            expires: self.expires,
+            slots: self.slots,
+            ..Arrival::default()
+        }
+    }
+}
+
 /// An attempt that came to a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
--- a/crates/hollow/src/links.rs
+++ b/crates/hollow/src/links.rs
@@ -10,6 +10,8 @@
 const REGIONS: f64 = 20_000.0;
 /// How much longer it may take, as a part.
 const JITTER: f64 = 0.25;
+/// What is sent is on its way for no longer than this, with the handshake of its connection.
+const LONGEST: Micros = 100_000;
 /// Datagrams that are lost.
 const LOSS: f64 = 0.001;
 
@@ -17,8 +19,8 @@
 pub struct Links {
     regions: usize,
     zones: usize,
-    /// Pairs of zones that hear nothing of each other.
-    cut: Vec<bool>,
+    /// Ways from zone to zone on which nothing arrives, and since when.
+    cut: Vec<Option<Micros>>,
     rng: StdRng,
 }
 
@@ -26,7 +28,7 @@
     /// `zones` zones, evenly in `regions` regions, nothing cut.
     pub fn new(zones: usize, regions: usize, seed: u64) -> Self {
         let (zones, regions) = (zones.max(1), regions.clamp(1, zones.max(1)));
-        Links { regions, zones, cut: vec![false; zones * zones], rng: StdRng::seed_from_u64(seed) }
+        Links { regions, zones, cut: vec![None; zones * zones], rng: StdRng::seed_from_u64(seed) }
     }
 
     /// The region of a zone.
@@ -34,23 +36,30 @@
         zone * self.regions / self.zones
     }
 
-    /// Cuts every link between two regions, or mends them.
-    pub fn cut_regions(&mut self, cut: bool) {
-        for (a, b) in (0..self.zones).flat_map(|a| (0..self.zones).map(move |b| (a, b))) {
+    /// Cuts every link between two regions, from now on, or mends them.
+    pub fn cut_regions(&mut self, now: Micros, cut: bool) {
+        let zones = self.zones;
+        for (a, b) in (0..zones).flat_map(|a| (0..zones).map(move |b| (a, b))) {
             if self.region(a) != self.region(b) {
-                self.cut[a * self.zones + b] = cut;
+                self.cut_way(now, a, b, cut);
             }
         }
     }
 
-    /// Cuts the link from one zone to another in that direction, or mends it.
-    pub fn cut_way(&mut self, from: usize, to: usize, cut: bool) {
-        self.cut[from * self.zones + to] = cut;
+    /// Cuts the way from one zone to another from now on, or mends it.
+    pub fn cut_way(&mut self, now: Micros, from: usize, to: usize, cut: bool) {
+        let way = &mut self.cut[from * self.zones + to];
+        *way = cut.then(|| way.unwrap_or(now));
     }
 
     /// What is sent now arrives.
     pub fn open(&self, from: usize, to: usize) -> bool {
-        !self.cut[from * self.zones + to]
+        self.cut[from * self.zones + to].is_none()
+    }
+
+    /// What arrives now was sent while the way was cut: there should be no such thing.
+    pub fn through(&self, now: Micros, from: usize, to: usize) -> bool {
+        self.cut[from * self.zones + to].is_some_and(|since| now > since + LONGEST)
     }
 
     /// What is sent now and asks for an answer gets one.
--- a/crates/hollow/src/troubles.rs
+++ b/crates/hollow/src/troubles.rs
@@ -3,7 +3,7 @@
 use crate::Micros;
 use crate::plan::{MILLI, SECOND, Trouble};
 use crate::workers::Life;
-use crate::world::{Happening, News, World, arrival};
+use crate::world::{Happening, News, World};
 use calicolb::api::Ending;
 use rand::RngExt;
 
@@ -167,7 +167,7 @@
             Step::SchedulerRestarts(rank) => self.restart(rank),
             Step::Bequeaths(process) => self.bequeath(process),
             Step::Killed(process) => self.kill(process),
-            Step::Regions(cut) => self.links.cut_regions(cut),
+            Step::Regions(cut) => self.links.cut_regions(self.now, cut),
         }
     }
 
@@ -215,7 +215,7 @@
         let left = self.processes[elder as usize].bequeath();
         let Some(heir) = self.alive(self.processes[elder as usize].rank) else { return };
         for (job, id, worker, sent) in left {
-            let arrival = arrival(&self.jobs[job as usize]);
+            let arrival = self.jobs[job as usize].arrival();
             let there = self.processes[heir as usize].adopt(job, arrival, worker, sent);
             self.processes[elder as usize].bequeathed.insert(id, (heir, there));
         }
--- a/crates/hollow/src/workers.rs
+++ b/crates/hollow/src/workers.rs
@@ -1,13 +1,17 @@
 //! Workers: slots, a queue, a cold ramp, load reports, and what becomes of the tasks when one ends.
 
 use crate::Micros;
-use crate::plan::{COLD, START_CAPACITY};
+use crate::plan::{COLD, MILLI, START_CAPACITY};
 use calicolb::api::Report;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Waiting tasks, as a multiple of the slots: any more are turned away.
 const QUEUE: usize = 2;
 
+/// A report is made at this interval, and told from so long after that on.
+const REPORT_EVERY: Micros = 700 * MILLI;
+const REPORT_DELAY: Micros = 200 * MILLI;
+
 /// Where an attempt came from: a process and its number there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Origin {
@@ -55,8 +59,13 @@
     pub(crate) tasks: BTreeMap<u64, Task>,
     waiting: VecDeque<u64>,
     busy: u32,
+    /// Its load of late, from when on.
+    loads: VecDeque<(Micros, Load)>,
 }
 
+/// Tasks in hand, those of them that wait, and free slots.
+pub(crate) type Load = (usize, usize, usize);
+
 impl Worker {
     pub(crate) fn new(name: String, zone: usize, kind: usize, cell: u32, slots: u32, speed: f64) -> Self {
         Worker {
@@ -73,6 +82,7 @@
             tasks: BTreeMap::new(),
             waiting: VecDeque::new(),
             busy: 0,
+            loads: VecDeque::new(),
         }
     }
 
@@ -83,12 +93,13 @@
     }
 
     /// Takes a task, or turns it away.
-    pub(crate) fn take(&mut self, number: u64, task: Task) -> bool {
+    pub(crate) fn take(&mut self, now: Micros, number: u64, task: Task) -> bool {
         if self.draining || task.slots > self.slots || self.waiting.len() >= QUEUE * self.slots as usize {
             return false;
         }
         self.waiting.push_back(number);
         self.tasks.insert(number, task);
+        self.note_load(now);
         true
     }
 
@@ -107,17 +118,19 @@
             self.waiting.pop_front();
             started.push((number, end));
         }
+        self.note_load(now);
         started
     }
 
     /// A task is over: it is done, or given up.
-    pub(crate) fn remove(&mut self, number: u64) -> Option<Task> {
+    pub(crate) fn remove(&mut self, now: Micros, number: u64) -> Option<Task> {
         let task = self.tasks.remove(&number)?;
         if task.runs.is_some() {
             self.busy -= task.slots;
         } else {
             self.waiting.retain(|&waiting| waiting != number);
         }
+        self.note_load(now);
         Some(task)
     }
 
@@ -132,6 +145,7 @@
         self.incarnation += 1;
         self.busy = 0;
         self.waiting.clear();
+        self.loads.clear();
         std::mem::take(&mut self.tasks)
     }
 
@@ -142,14 +156,29 @@
         self.born = Some(now);
     }
 
-    /// Tasks in hand, those of them that wait, and free slots.
-    pub(crate) fn load(&self) -> (usize, usize, usize) {
-        (self.tasks.len(), self.waiting.len(), (self.slots - self.busy) as usize)
+    fn note_load(&mut self, now: Micros) {
+        let load = (self.tasks.len(), self.waiting.len(), (self.slots - self.busy) as usize);
+        match self.loads.back_mut() {
+            Some(last) if last.0 == now => last.1 = load,
+            _ => self.loads.push_back((now, load)),
+        }
+        let oldest = now.saturating_sub(REPORT_EVERY + REPORT_DELAY);
+        while self.loads.get(1).is_some_and(|next| next.0 <= oldest) {
+            self.loads.pop_front();
+        }
+    }
+
+    /// Its load by its last report: as real ones it is of some time ago.
+    pub(crate) fn load(&self, now: Micros) -> Load {
+        let phase = u64::from(self.cell) * 37 * MILLI % REPORT_EVERY;
+        let made = (now - REPORT_DELAY - phase) / REPORT_EVERY * REPORT_EVERY + phase;
+        let then = self.loads.iter().rev().find(|load| load.0 <= made);
+        then.map_or((0, 0, self.slots as usize), |load| load.1)
     }
 
     /// Its load report.
-    pub(crate) fn report(&self) -> Report {
-        let (inflight, queue, free) = self.load();
+    pub(crate) fn report(&self, now: Micros) -> Report {
+        let (inflight, queue, free) = self.load(now);
         Report {
             outstanding: Some(inflight as f64),
             backlog: Some(queue as f64),
