--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,9 @@
 //! The configuration: the one place where anything is read, checked and given defaults, from the platform's JSON and
 //! variables or from an operator file. Every message names the key at fault.
 
+pub mod agreed;
+pub mod control;
+pub mod document;
 pub mod list;
 pub mod operator;
 mod platform;
@@ -8,6 +11,7 @@
 
 use self::list::Update;
 use calicolb::api::{ClassIx, KindIx, Member, Micros, Settings, ZoneIx};
+pub use calicolb::renewal::Fault;
 use calicolb::wire::Names;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -85,6 +89,31 @@
     pub name: String,
 }
 
+/// What can come into force while the program runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Renewal {
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' indices.
+    pub names: Names,
+    /// When a next hop closes an idle connection.
+    pub conn_idle: Micros,
+    /// Requests that may be open at once.
+    pub most_open: usize,
+}
+
+/// What a scheduler that learns agreed settings is told.
+pub struct LearnerConfig {
+    /// The control machines.
+    pub machines: Vec<SocketAddr>,
+    /// Who has heard nothing of a majority for so long is behind.
+    pub silence: Micros,
+    /// The settings to begin with, without the keys that are each scheduler's own, ...
+    pub settings: document::Document,
+    /// ... and those keys.
+    pub own: document::Document,
+}
+
 /// All that the program is told.
 pub struct Config {
     /// Its name.
@@ -119,4 +148,14 @@
     pub conn_idle: Micros,
     /// Requests that may be open at once.
     pub most_open: usize,
+    /// The control machines, if settings are agreed.
+    pub control: Option<LearnerConfig>,
+}
+
+impl Config {
+    /// What of it can come into force while the program runs.
+    pub fn renewal(&self) -> Renewal {
+        let (settings, names) = (self.settings.clone(), self.names.clone());
+        Renewal { settings, names, conn_idle: self.conn_idle, most_open: self.most_open }
+    }
 }
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -5,6 +5,7 @@
 use crate::config::{Config, Fixed, PeerConfig};
 use crate::log::note;
 use crate::net::Ctx;
+use crate::net::core::clock::Clock;
 use crate::net::core::deadlines::{Deadlines, Due};
 use crate::net::core::desk::{AttemptId, Desk, Work};
 use crate::net::core::envelope::Payload;
@@ -17,12 +18,13 @@
 use crate::net::http::next_hop::NextHops;
 use crate::net::operators::door::{CALLS, Door, Order};
 use crate::net::operators::drain::{Drain, PARTING, Why};
+use crate::net::platform::control::Control;
 use crate::net::platform::inherit;
 use crate::net::platform::kin::{Bequest, Handover, Kin, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
-use calicolb::api::{ListKind, Micros, WorkerId};
+use calicolb::api::{Class, ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
@@ -31,7 +33,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 const LISTENER: usize = 0;
 const SIGNALS: Token = Token(1);
@@ -53,23 +55,6 @@
 /// Descriptors for the log, the poll, the listener, the signals, discovery and the like.
 const OWN_SOCKETS: usize = 24;
 
-/// Unix time that never goes back, in microseconds: the one clock of the program, the module's too.
-struct Clock {
-    unix: Micros,
-    from: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Clock { unix: unix.as_micros() as Micros, from: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.unix + self.from.elapsed().as_micros() as Micros
-    }
-}
-
 /// The program at work.
 pub struct Turn {
     poll: Poll,
@@ -88,6 +73,8 @@
     /// Next hops that the operator file names.
     fixed: Vec<Fixed>,
     peers: Option<Peers>,
+    /// The agreed configuration, if there is any.
+    control: Option<Control>,
     door: Option<Door>,
     drain: Drain,
     kin: Kin,
@@ -106,6 +93,8 @@
     peer_config: Option<PeerConfig>,
     sockets: usize,
     most_open: usize,
+    /// When a next hop closes an idle connection.
+    conn_idle: Micros,
     /// Clients were served already: a list of next hops was known.
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
@@ -136,12 +125,11 @@
             }
             None => None,
         };
-        let (asked, grace) = (config.settings.list_on_request, config.settings.rules.drain_grace);
-        let routes = RouteSet::new(config.discovery, asked, grace, clock.now());
+        let (asked, drain) = (config.settings.list_on_request, config.settings.rules.drain_grace);
+        let routes = RouteSet::new(config.discovery, asked, drain, clock.now());
         let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, 0);
-        let patience = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let mut turn = Turn {
-            grace: patience.min(KILL_PATIENCE) + KILL_MARGIN,
+            grace: grace(&config.settings.classes),
             rank: config.settings.rank,
             desk: Desk::new(config.settings, config.seed, clock.now(), 0),
             poll,
@@ -157,6 +145,7 @@
             routes,
             fixed: config.fixed,
             peers: None,
+            control: config.control.map(|control| Control::new(control, &config.name, config.seed)),
             door,
             drain: Drain::default(),
             kin: Kin::new(config.meeting.filter(|_| passed)),
@@ -170,6 +159,7 @@
             peer_config: config.peers,
             sockets: config.sockets,
             most_open: config.most_open,
+            conn_idle: config.conn_idle,
             begun: false,
             patient: false,
             appliance: config.discovery.is_none(),
@@ -200,6 +190,7 @@
         let Some(known) = self.waiting.take() else { return Ok(()) };
         self.open_peers(now)?;
         self.share_out(now);
+        let appliance = self.appliance;
         let (mut ctx, parts) = self.split(now);
         ctx.deadlines.clear(Due::Elder);
         let (known, drained) = match handover {
@@ -221,6 +212,14 @@
         parts.http.listen(&mut ctx)?;
         parts.others.iter_mut().try_for_each(|other| other.listen(&mut ctx))?;
         parts.kin.listen(ctx.registry, MEETING);
+        match parts.control {
+            Some(control) => control.start(&mut ctx),
+            // An operator file names no control machines.
+            None if appliance => {}
+            None => note!(
+                "agreed configuration is off: no 'control' machines are named; settings change by SIGHUP"
+            ),
+        }
         note!("{} serves on {}", self.name, self.at);
         if drained {
             self.begin_drain(now, Why::Asked);
@@ -423,6 +422,7 @@
             for wish in std::mem::take(&mut self.wishes) {
                 self.grant(now, wish);
             }
+            self.learn(now);
             self.begun |= self.desk.known() > 0;
             self.http.clients.open = self.desk.known() > 0 && self.welcome();
             self.tell_kin();
@@ -462,6 +462,7 @@
             fixed: &self.fixed,
             routes: &mut self.routes,
             peers: &mut self.peers,
+            control: &mut self.control,
             door: &mut self.door,
             drain: &mut self.drain,
             kin: &mut self.kin,
@@ -486,6 +487,11 @@
             Token(token) if parts.routes.has(token) => {
                 parts.routes.ready(&mut ctx, &mut parts.http.hops, token);
             }
+            Token(token) if parts.control.as_ref().is_some_and(|control| control.has(token)) => {
+                if let Some(control) = parts.control {
+                    control.ready(&mut ctx, token);
+                }
+            }
             Token(token) => match parts.door {
                 Some(door) if door.has(token) => {
                     if let Some(order) = door.ready(&mut ctx, token) {
@@ -523,6 +529,8 @@
                 };
                 let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
                 let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
+                let others = others.map(|(name, value)| (name, value.to_string()));
+                let others = others.chain(self.control.iter().flat_map(|control| control.figures(now)));
                 self.desk.figures().write(self.names.classes(), present, others)
             }
             // What this process no longer takes is the heir's to send away.
@@ -569,6 +577,13 @@
                 }
             }
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, parts.http, due),
+            Due::Control => {
+                if let Some(control) = parts.control {
+                    control.late(&mut ctx);
+                }
+            }
+            // Of another role.
+            Due::Tick | Due::Heartbeat | Due::Link(_) => {}
             Due::Farewell => {
                 parts.protocols().for_each(|protocol| protocol.farewell(&mut ctx));
                 self.drain.part();
@@ -637,29 +652,6 @@
         }
     }
 
-    /// SIGHUP: the configuration is read again. What the module knows, and all that is open, stays; a file
-    /// that cannot be read changes nothing.
-    fn reload(&mut self, now: Micros) {
-        if self.appliance {
-            return note!("SIGHUP: the operator file is read at the start only; the old one stays in force");
-        }
-        let config = match Config::reload(|name| std::env::var(name).ok()) {
-            Ok(config) => config,
-            Err(message) => return note!("SIGHUP: configuration: {message}; the old one stays in force"),
-        };
-        if let Some(discovery) = config.discovery {
-            note!("SIGHUP: discovery is at {discovery}");
-        }
-        let (mut ctx, parts) = self.split(now);
-        parts.routes.move_to(&mut ctx, config.discovery);
-        if let (Some(peers), Some(told)) = (parts.peers, &config.peers) {
-            peers.learn(told.each.clone(), told.all);
-        }
-        if let (Some(old), Some(told)) = (&mut self.peer_config, config.peers) {
-            (old.each, old.all) = (told.each, told.all);
-        }
-    }
-
     /// Does what a protocol wants of the whole program.
     fn grant(&mut self, now: Micros, wish: Wish) {
         match wish {
@@ -713,6 +705,12 @@
     }
 }
 
+/// From SIGTERM to the earliest SIGKILL, where clients of these classes may be waiting.
+fn grace(classes: &[Class]) -> Micros {
+    let patience = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    patience.min(KILL_PATIENCE) + KILL_MARGIN
+}
+
 /// How many descriptors of these may go to clients and to next hops, beside the program's own, and how many
 /// requests may be open.
 fn shares(sockets: usize, own: usize) -> (Shares, usize) {
@@ -731,6 +729,7 @@
     fixed: &'a [Fixed],
     routes: &'a mut RouteSet,
     peers: &'a mut Option<Peers>,
+    control: &'a mut Option<Control>,
     door: &'a mut Option<Door>,
     drain: &'a mut Drain,
     kin: &'a mut Kin,
@@ -751,5 +750,6 @@
     }
 }
 
+mod renewal;
 #[cfg(test)]
 mod tests;
