--- a/crates/hollow/src/world.rs
+++ b/crates/hollow/src/world.rs
@@ -3,6 +3,7 @@
 
 mod agreement;
 mod attempts;
+mod happenings;
 mod lists;
 mod requests;
 mod tasks;
@@ -21,6 +22,8 @@
 use calicolb::api::*;
 use calicolb::wire::hop_id;
 
+use happenings::Next;
+pub(crate) use happenings::{Happening, News};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
@@ -47,70 +50,6 @@
 /// Workers of a rack.
 pub(crate) const RACK: u32 = 20;
 
-/// What a worker tells of a task that it took.
-#[derive(Clone, Debug)]
-pub(crate) enum News {
-    Started,
-    Progress(f64),
-    Over(Ending, Option<Report>),
-}
-
-/// What can happen.
-pub(crate) enum Happening {
-    Start { rank: u32 },
-    Fill,
-    Arrive,
-    Request { job: u32 },
-    Overdue { job: u32 },
-    Due { process: u32, due: Due },
-    Datagram { to: u32, from: u32, body: Rc<Vec<u8>> },
-    Up { process: u32, id: AttemptId, worker: u32 },
-    Fails { process: u32, id: AttemptId },
-    AttemptAt { origin: Origin, worker: u32, job: u32 },
-    Taken { process: u32, id: AttemptId, worker: WorkerId, incarnation: u32 },
-    News { process: u32, id: AttemptId, from: u32, news: News },
-    Tell { worker: u32, origin: Origin, news: News, times: u32 },
-    Done { worker: u32, incarnation: u32, task: u64 },
-    Progress { worker: u32, incarnation: u32, task: u64 },
-    GiveUpAt { worker: u32, origin: Origin, answers: bool },
-    ProbeAt { process: u32, worker: u32, sent: Micros },
-    Probed { process: u32, worker: WorkerId, sent: Micros, report: Option<Report>, bytes: usize },
-    CallAt { process: u32, call: u64, from: u64 },
-    Called { process: u32, call: u64, from: u64 },
-    Refused { process: u32, call: u64 },
-    Watched { process: u32, call: u64, update: Option<Rc<Update>>, bytes: usize },
-    Beat { process: u32, call: u64 },
-    Flush,
-    Trouble(Step),
-    Agreement(Word),
-}
-
-struct Next {
-    at: Micros,
-    order: u64,
-    what: Happening,
-}
-
-impl PartialEq for Next {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Next {}
-
-impl PartialOrd for Next {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Next {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// See the head of this file.
 pub(crate) struct World {
     pub(crate) plan: Plan,
