Count an urgent request's wait up to its first start only

Need: a request whose first task ended with its worker counted twice among urgent starts.

Change: only the first start counts; fields that nothing read are gone.

--- a/crates/hollow/src/learners.rs
+++ b/crates/hollow/src/learners.rs
@@ -32,7 +32,7 @@
     /// Its watch there is ended.
     End { machine: u32, call: u64 },
     /// This machine is told that this version is in force.
-    Tell { machine: u32, call: u64, seq: u64 },
+    Tell { machine: u32, seq: u64 },
     /// It is looked at again at this time.
     Due(Micros),
     /// These settings come into force.
@@ -220,8 +220,8 @@
     /// Tells the machine which version is in force, unless it knows.
     fn say(&mut self, now: Micros) {
         let seq = self.given.seq;
-        if let Some(call) = self.watch.filter(|_| self.tell.is_none() && seq > 0 && self.told != Some(seq)) {
-            self.asks.push(Ask::Tell { machine: self.machine(), call, seq });
+        if self.watch.is_some() && self.tell.is_none() && seq > 0 && self.told != Some(seq) {
+            self.asks.push(Ask::Tell { machine: self.machine(), seq });
             self.tell = Some(now + OWED);
             self.told = Some(seq);
         }
--- a/crates/hollow/src/ledger.rs
+++ b/crates/hollow/src/ledger.rs
@@ -67,8 +67,6 @@
     pub tasks_lost: u64,
     /// Datagrams sent, and those that arrived.
     pub datagrams: (u64, u64),
-    /// Workers that fell over, cold, under what they were sent.
-    pub fallen: u64,
     /// Messages that came through a link while it was cut.
     pub through_cuts: u64,
     /// Calls that discovery refused because too many waited.
@@ -272,14 +270,14 @@
         done
     }
 
-    /// A task has started at a worker; `waited` since its request came in.
-    pub(crate) fn started(&mut self, now: Micros, class: usize, waited: Micros) {
+    /// A task has started at a worker; `waited` since its request came in, unless one of it had started before.
+    pub(crate) fn started(&mut self, now: Micros, class: usize, waited: Option<Micros>) {
         self.running += 1;
         if self.counts(now) {
             self.account.started += 1;
             self.account.running_peak = self.account.running_peak.max(self.running);
             self.starts[((now - self.begin) / STEP) as usize] += 1;
-            if class == URGENT {
+            if let Some(waited) = waited.filter(|_| class == URGENT) {
                 self.urgent.saturating_record(waited);
             }
         }
--- a/crates/hollow/src/world/agreement.rs
+++ b/crates/hollow/src/world/agreement.rs
@@ -184,7 +184,7 @@
                     machine.end(process, call);
                 }
             }
-            Ask::Tell { machine, call, seq } => {
+            Ask::Tell { machine, seq } => {
                 let there = self.machine_zone(machine);
                 if self.links.both(zone, there) {
                     self.ledger.message(
@@ -194,7 +194,6 @@
                         encode::in_force_call(&name, seq).len(),
                     );
                     let at = self.now + 2 * self.links.delay(zone, there) + self.links.delay(there, zone);
-                    let _ = call;
                     self.lay_word(at, Word::InForce { machine, process });
                 }
             }
--- a/crates/hollow/src/world/tasks.rs
+++ b/crates/hollow/src/world/tasks.rs
@@ -59,8 +59,8 @@
             let told = &mut self.jobs[job as usize];
             told.runs.iter_mut().filter(|run| run.number == task).for_each(|run| run.ran = true);
             let (class, waited) = (told.class, self.now - told.arrived);
-            told.started = true;
-            self.ledger.started(self.now, class, waited);
+            let first = !std::mem::replace(&mut told.started, true);
+            self.ledger.started(self.now, class, first.then_some(waited));
             self.lay(end, Happening::Done { worker: nr, incarnation, task });
             if self.now + PROGRESS < end {
                 self.lay(self.now + PROGRESS, Happening::Progress { worker: nr, incarnation, task });
