--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -3,8 +3,13 @@
 use super::{Control, Turn};
 use crate::config::{Config, Fault, Renewal};
 use crate::log::note;
+use crate::net::platform::kin::Listed;
 use calicolb::api::Micros;
 use calicolb::renewal::merge;
+use calicolb::rules::Dispatcher;
+use calicolb::wire::Names;
+use serde_json::Value;
+use std::time::Instant;
 
 impl Turn {
     /// SIGHUP: the configuration is read again. The addresses of discovery and of the other schedulers are taken up, and
@@ -29,6 +34,12 @@
         if let (Some(old), Some(told)) = (&mut self.peer_config, &config.peers) {
             (old.each, old.all) = (told.each.clone(), told.all);
         }
+        if let Some(told) = config.control.as_ref().map(|told| told.machines.clone()) {
+            let (mut ctx, parts) = self.split(now);
+            if let Some(control) = parts.control {
+                control.move_to(&mut ctx, told);
+            }
+        }
         if self.control.as_ref().is_some_and(Control::leads) {
             return note!(
                 "SIGHUP: the settings are agreed with the control machines: the file's do not count"
@@ -56,6 +67,7 @@
     /// # Errors
     /// The first key that cannot change while the program runs: nothing has changed then.
     pub fn take_up(&mut self, now: Micros, new: Renewal) -> Result<(), Fault> {
+        let begun = Instant::now();
         let old = (self.desk.settings(), &self.names);
         let (settings, names) = merge(old, (&new.settings, &new.names))?;
         let Renewal { conn_idle, most_open, .. } = new;
@@ -85,7 +97,19 @@
         parts.http.hops.take_up(limits.connect_timeout, conn_idle);
         parts.others.iter_mut().for_each(|other| other.take_up(&classes));
         self.share_out(now);
-        note!("other settings are in force");
+        self.renewals += 1;
+        let spent = begun.elapsed().as_micros();
+        note!("other settings are in force: {spent} us, {} requests are open", self.desk.owed());
         Ok(())
     }
 }
+
+/// What another process learned, by the places that classes and tenants have here: there they may have come and gone in
+/// another order.
+pub(super) fn placed(knowledge: Value, told: &Option<Listed>, names: &Names, now: Micros) -> Value {
+    let Some(told) = told else { return knowledge };
+    let place = |list: &[String], name: &str| list.iter().position(|other| other == name);
+    let classes: Vec<_> = names.classes().map(|name| place(&told.classes, name)).collect();
+    let tenants: Vec<_> = names.tenants().map(|name| place(&told.tenants, name)).collect();
+    Dispatcher::placed(knowledge, &classes, &tenants, now)
+}
