--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module keeps in mind: records that tell of themselves and decide nothing, and its hashing.
 
 use crate::api::*;
+use crate::rules::Dispatcher;
 use calicolb_fleet::draw::mix;
 use calicolb_fleet::speed::Speed;
 use calicolb_fleet::trust::Trust;
@@ -12,6 +13,13 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
 
+impl Dispatcher {
+    /// Requests of a tenant with a quota since this process started, and how many of them counted as within its share.
+    pub fn counted(&self, tenant: TenantIx) -> Option<(u64, u64)> {
+        self.know.buckets.get(tenant.0).map(|bucket| (bucket.asked, bucket.given))
+    }
+}
+
 /// Hashes alike in every process; maps are only looked up, never walked, so no outcome hangs on their order.
 pub(crate) type Table<K, V> = HashMap<K, V, BuildHasherDefault<IdHasher>>;
 
@@ -318,12 +326,17 @@
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
+    /// Tokens that were asked for since the process started, and those that there were.
+    #[serde(skip)]
+    pub(crate) asked: u64,
+    #[serde(skip)]
+    pub(crate) given: u64,
 }
 
 impl Bucket {
     /// As it is at the start.
     pub(crate) fn new(now: Micros) -> Self {
-        Bucket { tokens: 3.0, at: now }
+        Bucket { tokens: 3.0, at: now, asked: 0, given: 0 }
     }
 
     /// How many tokens may be saved where so many come a second.
@@ -346,6 +359,8 @@
         self.tokens = (self.tokens + gone * rate).min(Self::most(rate));
         let there = self.tokens >= 1.0;
         self.tokens -= if there { 1.0 } else { 0.0 };
+        self.asked += 1;
+        self.given += u64::from(there);
         there
     }
 }
