Stand in for discovery, workers, clients and the links between schedulers in the rig

Real processes of the program are to be measured among stand-ins, so that the hollow fleet can be held against them. This adds the stand-ins on one thread and one poll: discovery (list and watch in the form of the protocol page, calls answered in turn, turned away with 503 beyond a bound), workers (slots, a second resource, queue, ramp, call-backs until answered, ten calls at most), clients, and a relay for datagrams that counts them by shape and passes each on from the address that stands for its sender. A ledger of attempts tells a second attempt at a worker at which the first neither ended nor was given up from a copy at another.

The rig gets a library beside its program, so that tests reach the stand-ins; where the program lies is now told by one function for both.

--- a/crates/rig/src/appliance.rs
+++ b/crates/rig/src/appliance.rs
@@ -55,28 +55,6 @@
     }
 }
 
-/// The scheduler's program: beside this one, built first where cargo started this one.
-fn program() -> Result<PathBuf, String> {
-    if let Some(cargo) = std::env::var_os("CARGO") {
-        let mut build = Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--package", "calicolb", "--bin", "calicolb"]);
-        if !cfg!(debug_assertions) {
-            build.arg("--release");
-        }
-        let built = build.status().map_err(|error| format!("cargo cannot be started: {error}"))?;
-        if !built.success() {
-            return Err("the scheduler could not be built".to_owned());
-        }
-    }
-    let own = std::env::current_exe().map_err(|error| error.to_string())?;
-    let program = own.with_file_name("calicolb");
-    if program.exists() {
-        Ok(program)
-    } else {
-        Err(format!("{} is not there: build it with cargo build --release", program.display()))
-    }
-}
-
 /// The shipped operator file, with short cold times and these HTTP workers.
 fn operator_file(workers: &[(String, SocketAddr, usize)], descriptors: usize) -> String {
     let shipped = include_str!("../../../deploy/appliance.kdl");
@@ -96,7 +74,7 @@
         let nr = NEXT.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("calicolb-rig-{}-{nr}.kdl", std::process::id()));
         fs::write(&file, operator_file(workers, descriptors)).map_err(|error| error.to_string())?;
-        let mut command = Command::new(program()?);
+        let mut command = Command::new(calicolb_rig::program::program()?);
         command.args(["serve", "--operator"]).arg(&file);
         command.args(["--listen", "127.0.0.1:0", "--gearman", "127.0.0.1:0", "--mgmt", "127.0.0.1:0"]);
         let spawned = command.stderr(Stdio::piped()).spawn();
--- /dev/null
+++ b/crates/rig/src/calibrate/counts.rs
@@ -0,0 +1,134 @@
+//! What the stand-ins have seen on the wire, by flow and by control function.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Messages, and the bytes of these: head and body of an HTTP message, payload of a datagram.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// How many.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+impl Traffic {
+    /// The sum of both.
+    pub fn plus(self, other: Traffic) -> Traffic {
+        Traffic { messages: self.messages + other.messages, bytes: self.bytes + other.bytes }
+    }
+}
+
+/// Messages of one kind that go one way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Flow {
+    /// `GET /discovery/hosts`.
+    ListAsked,
+    /// The whole list, or that discovery is busy.
+    ListAnswered,
+    /// `GET /discovery/hosts?watch=1&from=N`.
+    WatchAsked,
+    /// The head of a watch, or that discovery is busy.
+    WatchOpened,
+    /// One object on a watch.
+    WatchChanges,
+    /// The empty line on a watch on which nothing changes.
+    WatchBeats,
+    /// Loads that a scheduler has sent, and those that were passed on to another.
+    TalkSent,
+    /// See above.
+    TalkPassed,
+    /// The same of greetings.
+    GreetingsSent,
+    /// See above.
+    GreetingsPassed,
+    /// The same of troubles.
+    TroublesSent,
+    /// See above.
+    TroublesPassed,
+    /// Datagrams of no known shape.
+    UnknownSent,
+    /// See above.
+    UnknownPassed,
+    /// `GET /metrics/load` or `GET /alive`.
+    ProbesAsked,
+    /// The answers to these.
+    ProbesAnswered,
+    /// Attempts that reached a worker.
+    AttemptsSent,
+    /// What the worker answered at once.
+    AttemptsAnswered,
+    /// `DELETE /jobs/ID`.
+    GiveUpsSent,
+    /// The answers to these.
+    GiveUpsAnswered,
+    /// Call-backs of workers.
+    NewsSent,
+    /// The answers to these.
+    NewsAnswered,
+    /// Jobs that clients submitted.
+    JobsSent,
+    /// What clients were answered.
+    JobsAnswered,
+}
+
+/// The control functions, as the hollow fleet counts them: key, and the flows that make it up.
+pub const FUNCTIONS: [(&str, &[Flow]); 6] = [
+    ("list", &[Flow::ListAsked, Flow::ListAnswered]),
+    ("watch", &[Flow::WatchAsked, Flow::WatchOpened, Flow::WatchChanges, Flow::WatchBeats]),
+    ("talk", &[Flow::TalkSent, Flow::TalkPassed]),
+    ("greetings", &[Flow::GreetingsSent, Flow::GreetingsPassed]),
+    ("troubles", &[Flow::TroublesSent, Flow::TroublesPassed]),
+    ("probes", &[Flow::ProbesAsked, Flow::ProbesAnswered]),
+];
+
+/// All that was counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// By flow.
+    pub flows: BTreeMap<Flow, Traffic>,
+    /// All datagrams that reached the relay, whatever their shape.
+    pub relay_in: Traffic,
+    /// All datagrams that the relay passed on.
+    pub relay_out: Traffic,
+    /// The longest datagram, in bytes.
+    pub datagram_longest: usize,
+}
+
+impl Counts {
+    /// One message of this many bytes.
+    pub fn add(&mut self, flow: Flow, bytes: usize) {
+        let traffic = self.flows.entry(flow).or_default();
+        *traffic = traffic.plus(Traffic { messages: 1, bytes: bytes as u64 });
+    }
+
+    /// What was counted of a flow.
+    pub fn of(&self, flow: Flow) -> Traffic {
+        self.flows.get(&flow).copied().unwrap_or_default()
+    }
+
+    /// What was counted of these flows.
+    pub fn sum(&self, flows: &[Flow]) -> Traffic {
+        flows.iter().fold(Traffic::default(), |sum, &flow| sum.plus(self.of(flow)))
+    }
+
+    /// The control functions by name, in and out together.
+    pub fn by_function(&self) -> BTreeMap<&'static str, Traffic> {
+        FUNCTIONS.iter().map(|(name, flows)| (*name, self.sum(flows))).collect()
+    }
+
+    /// What was counted since `before`; the longest datagram is that of all the time.
+    pub fn since(&self, before: &Counts) -> Counts {
+        let less = |now: Traffic, then: Traffic| Traffic {
+            messages: now.messages.saturating_sub(then.messages),
+            bytes: now.bytes.saturating_sub(then.bytes),
+        };
+        Counts {
+            flows: self.flows.iter().map(|(&flow, &now)| (flow, less(now, before.of(flow)))).collect(),
+            relay_in: less(self.relay_in, before.relay_in),
+            relay_out: less(self.relay_out, before.relay_out),
+            datagram_longest: self.datagram_longest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/calibrate/discovery.rs
@@ -0,0 +1,164 @@
+//! The stand-in for discovery, without its sockets: the list, its versions, and calls that are answered in turn.
+
+use super::message::{chunk, write_response};
+use serde::Serialize;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Nothing changes on a watch: an empty line comes after this time.
+pub const BEAT: Duration = Duration::from_secs(2);
+/// Changes that are remembered for watches that begin at an older version.
+const REMEMBERED: usize = 4_096;
+
+/// A line of the list.
+#[derive(Clone, Debug, Serialize)]
+pub struct Host {
+    /// Its name.
+    pub host: String,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// Its zone.
+    pub site: String,
+    /// Its kind of machine.
+    pub class: String,
+    /// Its cell.
+    pub block: u32,
+    /// `in_service`, `terminating` or `terminated`.
+    pub health: &'static str,
+    /// Its weight.
+    pub share: f64,
+    /// Its last start in Unix milliseconds; 0: long ago.
+    pub born_ms: u64,
+}
+
+/// How much discovery can do: calls are answered one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Time that each call takes.
+    pub call: Duration,
+    /// Time that each line of a whole list takes on top.
+    pub line: Duration,
+    /// A call that would wait longer is turned away with 503.
+    pub patience: Duration,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        let micros = Duration::from_micros;
+        Capacity { call: micros(1_000), line: micros(10), patience: Duration::from_millis(500) }
+    }
+}
+
+/// What a call gets, and when.
+#[derive(Debug)]
+pub enum Answer {
+    /// The whole list.
+    List(Vec<u8>),
+    /// The head of a watch, and the first object on it.
+    Watch(Vec<u8>, Vec<u8>),
+    /// Too many wait already.
+    Busy(Vec<u8>),
+    /// No such call.
+    Unknown(Vec<u8>),
+}
+
+/// See the head of this file.
+pub struct Discovery {
+    seq: u64,
+    hosts: Vec<Host>,
+    changes: VecDeque<(u64, Host)>,
+    capacity: Capacity,
+    free: Instant,
+    /// Calls that were turned away.
+    pub turned_away: u64,
+}
+
+impl Discovery {
+    /// A service with this list, at version 1.
+    pub fn new(hosts: Vec<Host>, capacity: Capacity, now: Instant) -> Discovery {
+        Discovery { seq: 1, hosts, changes: VecDeque::new(), capacity, free: now, turned_away: 0 }
+    }
+
+    /// The whole list, as `known` of a scheduler's configuration has it too.
+    pub fn list(&self) -> serde_json::Value {
+        json!({"seq": self.seq, "whole": true, "hosts": self.hosts})
+    }
+
+    /// The lines that are on the list now.
+    pub fn hosts(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    fn object(&self, whole: bool, hosts: &[&Host]) -> String {
+        // Keys in the order of the page, each object on one line.
+        let hosts = serde_json::to_string(hosts).unwrap_or_else(|_| "[]".to_owned());
+        format!("{{\"seq\":{},\"whole\":{whole},\"hosts\":{hosts}}}\n", self.seq)
+    }
+
+    /// A call for this target came in; gives what it gets, and when.
+    pub fn call(&mut self, now: Instant, target: &str) -> (Instant, Answer) {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        if path != "/discovery/hosts" {
+            return (now, Answer::Unknown(write_response(404, "Not Found", "", "")));
+        }
+        let begins = self.free.max(now);
+        if begins - now > self.capacity.patience {
+            self.turned_away += 1;
+            return (now, Answer::Busy(write_response(503, "Service Unavailable", "", "")));
+        }
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        if !pairs.clone().any(|(name, value)| name == "watch" && value == "1") {
+            self.free = begins + self.capacity.call + self.capacity.line * self.hosts.len() as u32;
+            let hosts: Vec<&Host> = self.hosts.iter().collect();
+            let body = self.object(true, &hosts);
+            return (
+                self.free,
+                Answer::List(write_response(200, "OK", "Content-Type: application/json\r\n", &body)),
+            );
+        }
+        let from = pairs.find(|(name, _)| *name == "from").and_then(|(_, value)| value.parse::<u64>().ok());
+        let oldest = self.changes.front().map_or(self.seq, |(seq, _)| seq - 1);
+        let first = match from.filter(|&from| from >= oldest && from <= self.seq) {
+            Some(from) => {
+                self.free = begins + self.capacity.call;
+                let since: Vec<&Host> =
+                    self.changes.iter().filter(|(seq, _)| *seq > from).map(|(_, host)| host).collect();
+                self.object(false, &since)
+            }
+            None => {
+                self.free = begins + self.capacity.call + self.capacity.line * self.hosts.len() as u32;
+                self.object(true, &self.hosts.iter().collect::<Vec<_>>())
+            }
+        };
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+        (self.free, Answer::Watch(head.as_bytes().to_vec(), chunk(&first)))
+    }
+
+    /// A line changes; gives the chunk for every watch that is open.
+    pub fn change(&mut self, host: Host) -> Vec<u8> {
+        self.seq += 1;
+        self.hosts.retain(|known| known.host != host.host);
+        if host.health != "terminated" {
+            self.hosts.push(host.clone());
+        }
+        let text = self.object(false, &[&host]);
+        self.changes.push_back((self.seq, host));
+        if self.changes.len() > REMEMBERED {
+            self.changes.pop_front();
+        }
+        chunk(&text)
+    }
+
+    /// The whole list once more, under a new version, as a chunk for a watch.
+    pub fn renew(&mut self) -> Vec<u8> {
+        self.seq += 1;
+        chunk(&self.object(true, &self.hosts.iter().collect::<Vec<_>>()))
+    }
+
+    /// The empty line of a watch on which nothing changes, as a chunk.
+    pub fn beat() -> Vec<u8> {
+        chunk("\n")
+    }
+}
--- /dev/null
+++ b/crates/rig/src/calibrate/process.rs
@@ -0,0 +1,134 @@
+//! Processes of the program: how they are started on the platform's form, and what the kernel says they use.
+
+use serde::Serialize;
+use serde_json::Value;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Usage {
+    /// User and system time, in steps of the kernel's clock (10 ms as a rule), in milliseconds.
+    pub cpu_ms: f64,
+    /// The time that its threads spent on a processor, by the scheduler's own clock, in milliseconds.
+    pub on_cpu_ms: f64,
+    /// Memory now and at the most, in KiB.
+    pub resident_kib: u64,
+    /// See above.
+    pub resident_peak_kib: u64,
+}
+
+/// A process of the program; killed and cleared away when dropped.
+pub struct Process {
+    child: Child,
+    file: PathBuf,
+    log: PathBuf,
+    /// Where clients connect, and workers with their call-backs.
+    pub clients: Option<SocketAddr>,
+    /// Where datagrams of other schedulers arrive.
+    pub peers: Option<SocketAddr>,
+}
+
+impl Process {
+    /// Starts the program with this configuration; where it listens shows later (see [`Process::look`]).
+    pub fn start(program: &Path, config: &Value) -> Result<Process, String> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let nr = NEXT.fetch_add(1, Ordering::Relaxed);
+        let stem = std::env::temp_dir().join(format!("calicolb-calibrate-{}-{nr}", std::process::id()));
+        let (file, log) = (stem.with_extension("json"), stem.with_extension("log"));
+        fs::write(&file, config.to_string()).map_err(|error| format!("{}: {error}", file.display()))?;
+        let errors = File::create(&log).map_err(|error| format!("{}: {error}", log.display()))?;
+        let mut command = Command::new(program);
+        command.env("RELAY_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(errors);
+        for set in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_MGMT", "RELAY_PASSED_SOCKET"] {
+            command.env_remove(set);
+        }
+        let child = command.spawn().map_err(|error| format!("{}: {error}", program.display()))?;
+        Ok(Process { child, file, log, clients: None, peers: None })
+    }
+
+    /// Looks into its log for where it listens; tells whether it serves. `Err`: it has ended.
+    pub fn look(&mut self) -> Result<bool, String> {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let after = |mark: &str| {
+            let line = text.lines().find_map(|line| line.split_once(mark));
+            line.and_then(|(_, rest)| rest.trim().parse().ok())
+        };
+        self.peers = after("hears schedulers on ");
+        self.clients = after("serves on ");
+        match self.child.try_wait() {
+            Ok(None) => Ok(self.clients.is_some()),
+            Ok(Some(status)) => Err(format!("a scheduler ended with {status}: {text}")),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// The lines of its log.
+    pub fn log(&self) -> Vec<String> {
+        fs::read_to_string(&self.log).unwrap_or_default().lines().map(str::to_owned).collect()
+    }
+
+    /// What it has used so far.
+    pub fn usage(&self) -> Usage {
+        usage(self.child.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+        let _ = fs::remove_file(&self.log);
+    }
+}
+
+/// What the kernel says of a process.
+pub fn usage(id: u32) -> Usage {
+    let read = |what: &str| fs::read_to_string(format!("/proc/{id}/{what}")).unwrap_or_default();
+    let stat = read("stat");
+    // Behind the name, which may hold spaces: user and system time are the 12th and 13th from there.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_ascii_whitespace().collect();
+    let ticks = |nr: usize| fields.get(nr).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let status = read("status");
+    let memory = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|text| text.split_ascii_whitespace().next()?.parse().ok()).unwrap_or(0)
+    };
+    let mut on_cpu = 0;
+    for thread in fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten() {
+        let text = fs::read_to_string(thread.path().join("schedstat")).unwrap_or_default();
+        on_cpu += text.split(' ').next().and_then(|first| first.parse::<u64>().ok()).unwrap_or(0);
+    }
+    let tick_ms = 1e3 / rustix::param::clock_ticks_per_second() as f64;
+    Usage {
+        cpu_ms: (ticks(11) + ticks(12)) as f64 * tick_ms,
+        on_cpu_ms: on_cpu as f64 / 1e6,
+        resident_kib: memory("VmRSS:"),
+        resident_peak_kib: memory("VmHWM:"),
+    }
+}
+
+/// Datagrams that the kernel dropped at these ports since their sockets were opened: nobody read them in time.
+pub fn datagrams_dropped(ports: &[u16]) -> u64 {
+    let text = fs::read_to_string("/proc/net/udp").unwrap_or_default();
+    let line = |line: &str| {
+        let fields: Vec<&str> = line.split_ascii_whitespace().collect();
+        let port = u16::from_str_radix(fields.get(1)?.split_once(':')?.1, 16).ok()?;
+        let dropped: u64 = fields.last()?.parse().ok()?;
+        ports.contains(&port).then_some(dropped)
+    };
+    text.lines().skip(1).filter_map(line).sum()
+}
+
+/// The program, unless another was named: beside this one, or one folder above for tests.
+pub fn program(named: Option<&Path>) -> Result<PathBuf, String> {
+    let path = match named {
+        Some(path) => path.to_owned(),
+        None => crate::program::program()?,
+    };
+    if path.exists() { Ok(path) } else { Err(format!("{} is not there", path.display())) }
+}
--- /dev/null
+++ b/crates/rig/src/calibrate/relay.rs
@@ -0,0 +1,108 @@
+//! The relay between schedulers: each sends its datagrams to an address of the relay, which counts them and passes them
+//! on from the address that stands for the sender, so that the receiver knows it by its place in `peers`.
+
+use super::counts::{Counts, Flow, Traffic};
+use mio::net::UdpSocket;
+use mio::{Interest, Registry, Token};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+
+/// Datagrams of schedulers whose own address isn't known yet: so many are kept, the rest are lost.
+const KEPT: usize = 65_536;
+/// Longer than the longest datagram that a scheduler may send, so that a longer one is seen.
+const SPACE: usize = 2_048;
+
+/// What a datagram is, by its shape.
+pub fn flows(body: &[u8]) -> (Flow, Flow) {
+    match body.len() {
+        3 => (Flow::GreetingsSent, Flow::GreetingsPassed),
+        6 => (Flow::TroublesSent, Flow::TroublesPassed),
+        8..=11 => (Flow::TalkSent, Flow::TalkPassed),
+        _ => (Flow::UnknownSent, Flow::UnknownPassed),
+    }
+}
+
+/// See the head of this file.
+pub struct Relay {
+    /// By rank: where the others reach it, and what it is heard from; the last one reaches all.
+    sockets: Vec<UdpSocket>,
+    /// By rank: where the scheduler itself listens, once that is known.
+    homes: Vec<Option<SocketAddr>>,
+    early: Vec<(SocketAddr, usize, Vec<u8>)>,
+    /// Of these tokens, from this one on, the sockets have one each.
+    first: usize,
+}
+
+impl Relay {
+    /// A relay between so many schedulers; its sockets get the tokens from `first` on.
+    pub fn new(registry: &Registry, first: usize, schedulers: usize) -> io::Result<Relay> {
+        let mut sockets = Vec::with_capacity(schedulers + 1);
+        for rank in 0..=schedulers {
+            let mut socket = UdpSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            registry.register(&mut socket, Token(first + rank), Interest::READABLE)?;
+            sockets.push(socket);
+        }
+        Ok(Relay { sockets, homes: vec![None; schedulers], early: Vec::new(), first })
+    }
+
+    /// The addresses by rank, as each scheduler's `peers` name them, and the one that reaches all.
+    pub fn addresses(&self) -> io::Result<(Vec<SocketAddr>, SocketAddr)> {
+        let mut each = self.sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>()?;
+        let all = each.pop().ok_or(ErrorKind::NotFound)?;
+        Ok((each, all))
+    }
+
+    /// The rank, or one beyond the last for all, that a token stands for.
+    pub fn rank(&self, token: usize) -> Option<usize> {
+        token.checked_sub(self.first).filter(|&rank| rank < self.sockets.len())
+    }
+
+    /// A scheduler listens here from now on; `None`: it has gone.
+    pub fn home(&mut self, rank: usize, at: Option<SocketAddr>, counts: &mut Counts) {
+        self.homes[rank] = at;
+        for (from, to, body) in std::mem::take(&mut self.early) {
+            self.pass(from, to, body, counts);
+        }
+    }
+
+    /// Takes what has come for this rank.
+    pub fn ready(&mut self, to: usize, counts: &mut Counts) {
+        let mut space = [0; SPACE];
+        loop {
+            match self.sockets[to].recv_from(&mut space) {
+                Ok((length, from)) => self.pass(from, to, space[..length].to_vec(), counts),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // An earlier datagram met a closed port.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, from: SocketAddr, to: usize, body: Vec<u8>, counts: &mut Counts) {
+        let Some(sender) = self.homes.iter().position(|home| *home == Some(from)) else {
+            if self.early.len() < KEPT {
+                self.early.push((from, to, body));
+            }
+            return;
+        };
+        let one = Traffic { messages: 1, bytes: body.len() as u64 };
+        let (sent, passed) = flows(&body);
+        counts.add(sent, body.len());
+        counts.relay_in = counts.relay_in.plus(one);
+        counts.datagram_longest = counts.datagram_longest.max(body.len());
+        let all = to == self.homes.len();
+        for rank in 0..self.homes.len() {
+            let meant = if all { rank != sender } else { rank == to };
+            let Some(home) = self.homes[rank].filter(|_| meant) else { continue };
+            if self.sockets[sender].send_to(&body, home).is_ok() {
+                counts.add(passed, body.len());
+                counts.relay_out = counts.relay_out.plus(one);
+            }
+        }
+    }
+
+    /// Datagrams that came while the sender's address was not known yet, and still isn't.
+    pub fn unplaced(&self) -> usize {
+        self.early.len()
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/stand_ins.rs
@@ -0,0 +1,249 @@
+//! The stand-ins of `calibrate` themselves: discovery in the form of the protocol page, attempts that overlap seen as such,
+//! and datagrams counted by their shape and passed on from the sender's address.
+
+use calicolb_rig::calibrate::counts::{Flow, Traffic};
+use calicolb_rig::calibrate::crew::{Kind, Ways};
+use calicolb_rig::calibrate::discovery::{Answer, Capacity, Discovery, Host};
+use calicolb_rig::calibrate::stage::{Change, Stage};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn hosts(count: usize) -> Vec<Host> {
+    let host = |nr| Host {
+        host: format!("s-{nr:08x}"),
+        dial: SocketAddr::from(([127, 0, 0, 1], 1)),
+        site: "a".to_owned(),
+        class: "m1".to_owned(),
+        block: 0,
+        health: "in_service",
+        share: 1.0,
+        born_ms: 0,
+    };
+    (0..count).map(host).collect()
+}
+
+fn stage(workers: usize, schedulers: usize) -> Stage {
+    let kind = |host: &Host| Kind { name: host.host.clone(), slots: 2, memory: 0.0, born: None };
+    let ways = Ways {
+        cold: Duration::from_secs(1),
+        start_speed: 0.3,
+        tells_start: true,
+        progress: Duration::ZERO,
+        report: vec!["x0".to_owned()],
+    };
+    let hosts = hosts(workers);
+    let kinds = hosts.iter().map(kind).collect();
+    Stage::new(kinds, hosts, ways, Capacity::default(), schedulers).expect("ports are free")
+}
+
+/// Runs what a peer does on a thread of its own, and the stage until that is over.
+fn with<T: Send + 'static>(stage: &mut Stage, peer: impl FnOnce() -> T + Send + 'static) -> T {
+    let (tell, told): (_, Receiver<T>) = channel();
+    thread::spawn(move || tell.send(peer()));
+    let until = Instant::now() + LIMIT;
+    loop {
+        stage.run_until(Instant::now() + Duration::from_millis(5)).expect("the stage runs");
+        match told.try_recv() {
+            Ok(found) => return found,
+            Err(std::sync::mpsc::TryRecvError::Empty) if Instant::now() < until => {}
+            Err(why) => panic!("the peer does not end: {why}"),
+        }
+    }
+}
+
+/// Writes a request and reads until what has come holds `mark`; gives all of that.
+fn call(stream: &mut TcpStream, request: &str, mark: &str) -> String {
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out can be set");
+    stream.write_all(request.as_bytes()).expect("it takes the request");
+    let mut held = String::new();
+    until(stream, &mut held, mark);
+    held
+}
+
+fn until(stream: &mut TcpStream, held: &mut String, mark: &str) {
+    let mut part = [0; 4096];
+    while !held.contains(mark) {
+        let count = stream.read(&mut part).expect("something comes");
+        assert!(count > 0, "it ended after {held:?}");
+        held.push_str(&String::from_utf8_lossy(&part[..count]));
+    }
+}
+
+#[test]
+fn discovery_gives_the_whole_list_and_a_watch_in_the_form_of_the_page() {
+    let mut stage = stage(2, 1);
+    let at = stage.discovery_at();
+    let whole = with(&mut stage, move || {
+        let mut stream = TcpStream::connect(at).expect("discovery listens");
+        call(&mut stream, "GET /discovery/hosts HTTP/1.1\r\nHost: d\r\n\r\n", "]}\n")
+    });
+    let (head, body) = whole.split_once("\r\n\r\n").expect("a head and a body");
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    assert!(head.contains(&format!("Content-Length: {}", body.len())), "{head}");
+    let list: serde_json::Value = serde_json::from_str(body).expect("it is JSON");
+    assert_eq!((list["seq"].as_u64(), list["whole"].as_bool()), (Some(1), Some(true)));
+    let keys = ["host", "dial", "site", "class", "block", "health", "share", "born_ms"];
+    let hosts = list["hosts"].as_array().expect("lines");
+    assert_eq!(hosts.len(), 2);
+    assert!(hosts.iter().all(|line| keys.iter().all(|key| line.get(key).is_some())), "{body}");
+
+    stage.change(Instant::now() + Duration::from_millis(300), Change { station: 1, health: "terminating" });
+    let begun = Instant::now();
+    let (watch, spent) = with(&mut stage, move || {
+        let mut stream = TcpStream::connect(at).expect("discovery listens");
+        let watch = "GET /discovery/hosts?watch=1&from=1 HTTP/1.1\r\nHost: d\r\n\r\n";
+        let mut held = call(&mut stream, watch, "\"hosts\":[]}\n\r\n");
+        until(&mut stream, &mut held, "terminating");
+        until(&mut stream, &mut held, "\r\n1\r\n\n\r\n");
+        (held, begun.elapsed())
+    });
+    let (head, chunks) = watch.split_once("\r\n\r\n").expect("a head and chunks");
+    assert!(head.contains("Transfer-Encoding: chunked"), "{head}");
+    // Each object stands on one line, as one chunk whose length is right.
+    let mut left = chunks;
+    let mut lines = Vec::new();
+    while let Some((size, rest)) = left.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("the length of a chunk");
+        lines.push(&rest[..size]);
+        assert_eq!(&rest[size..size + 2], "\r\n");
+        left = &rest[size + 2..];
+    }
+    assert!(lines.iter().all(|line| line.ends_with('\n') && line.matches('\n').count() == 1), "{lines:?}");
+    let objects: Vec<serde_json::Value> =
+        lines.iter().filter_map(|line| serde_json::from_str(line).ok()).collect();
+    let seen: Vec<_> =
+        objects.iter().map(|object| (object["seq"].as_u64(), object["whole"].as_bool())).collect();
+    assert_eq!(seen, [(Some(1), Some(false)), (Some(2), Some(false))]);
+    assert_eq!(objects[1]["hosts"][0]["health"], "terminating");
+    // The empty line comes 2 s after the last change, not before.
+    assert!(spent >= Duration::from_millis(2_300), "{spent:?}");
+    let counts = stage.counts();
+    let seen = [Flow::ListAsked, Flow::ListAnswered, Flow::WatchAsked, Flow::WatchOpened, Flow::WatchChanges];
+    assert_eq!(seen.map(|flow| counts.of(flow).messages), [1, 1, 1, 1, 2]);
+    assert_eq!(counts.of(Flow::ListAnswered).bytes, whole.len() as u64);
+    let told = counts.sum(&[Flow::WatchOpened, Flow::WatchChanges, Flow::WatchBeats]);
+    assert_eq!(told.bytes, watch.len() as u64, "{counts:?}");
+}
+
+#[test]
+fn a_watch_from_an_older_version_brings_what_has_changed_and_one_of_an_unknown_version_the_list() {
+    let now = Instant::now();
+    let mut discovery = Discovery::new(hosts(3), Capacity::default(), now);
+    let mut gone = discovery.hosts()[0].clone();
+    gone.health = "terminated";
+    let chunk = String::from_utf8(discovery.change(gone)).expect("text");
+    assert!(chunk.contains("\"seq\":2,\"whole\":false") && chunk.contains("terminated"), "{chunk}");
+    assert_eq!(discovery.hosts().len(), 2, "who has gone is not on the list");
+    let mut first = |from: u64| match discovery.call(now, &format!("/discovery/hosts?watch=1&from={from}")).1
+    {
+        Answer::Watch(_, first) => String::from_utf8(first).expect("text"),
+        other => panic!("{other:?}"),
+    };
+    assert!(first(1).contains("\"whole\":false,\"hosts\":[{\"host\":\"s-00000000\""));
+    assert!(first(2).contains("\"whole\":false,\"hosts\":[]"));
+    assert!(first(0).contains("\"seq\":2,\"whole\":true"));
+    assert!(first(9).contains("\"seq\":2,\"whole\":true"));
+}
+
+#[test]
+fn discovery_answers_in_turn_and_turns_away_who_would_wait_too_long() {
+    let now = Instant::now();
+    let milli = Duration::from_millis;
+    let capacity = Capacity { call: milli(10), line: milli(1), patience: milli(100) };
+    let mut discovery = Discovery::new(hosts(10), capacity, now);
+    let mut at = Vec::new();
+    let busy = (0..8).filter(|_| {
+        let (when, answer) = discovery.call(now, "/discovery/hosts");
+        at.push(when - now);
+        matches!(answer, Answer::Busy(_))
+    });
+    // Each takes 20 ms; the sixth would begin 100 ms from now, the seventh 120.
+    assert_eq!(busy.count(), 2);
+    assert_eq!(at[..6], [20, 40, 60, 80, 100, 120].map(milli));
+    assert_eq!(discovery.turned_away, 2);
+    // Later there is room again.
+    assert!(matches!(discovery.call(now + milli(200), "/discovery/hosts").1, Answer::List(_)));
+}
+
+fn attempt(at: SocketAddr, id: &str) -> String {
+    let mut stream = TcpStream::connect(at).expect("the worker listens");
+    let body = "work=5000000 slots=1";
+    let text =
+        format!("POST /batch HTTP/1.1\r\nRequest-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    call(&mut stream, &text, "\r\n\r\n")
+}
+
+#[test]
+fn a_second_attempt_at_a_worker_is_seen_as_doubled_and_one_that_was_given_up_is_not() {
+    let mut stage = stage(2, 1);
+    let at: Vec<SocketAddr> = stage.discovery().hosts().iter().map(|host| host.dial).collect();
+    let (first, second) = (at[0], at[1]);
+    let seen = |stage: &Stage| {
+        let seen = stage.crew().seen();
+        (seen.attempts, seen.doubled, seen.overlapping, seen.given_up)
+    };
+    assert!(with(&mut stage, move || attempt(first, "r1")).starts_with("HTTP/1.1 202 "));
+    assert_eq!(seen(&stage), (1, 0, 0, 0));
+    // The same request at the same worker, while it runs there.
+    with(&mut stage, move || attempt(first, "r1"));
+    assert_eq!(seen(&stage), (2, 1, 0, 0));
+    // Another request is none of its business.
+    with(&mut stage, move || attempt(second, "r2"));
+    assert_eq!(seen(&stage), (3, 1, 0, 0));
+    // The same request at another worker is a copy.
+    with(&mut stage, move || attempt(first, "r2"));
+    assert_eq!(seen(&stage), (4, 1, 1, 0));
+    // What was given up there may come again.
+    with(&mut stage, move || {
+        let mut stream = TcpStream::connect(second).expect("the worker listens");
+        call(&mut stream, "DELETE /jobs/r2 HTTP/1.1\r\nHost: w\r\n\r\n", "\r\n\r\n")
+    });
+    with(&mut stage, move || {
+        let mut stream = TcpStream::connect(first).expect("the worker listens");
+        call(&mut stream, "DELETE /jobs/r2 HTTP/1.1\r\nHost: w\r\n\r\n", "\r\n\r\n")
+    });
+    with(&mut stage, move || attempt(second, "r2"));
+    assert_eq!(seen(&stage), (5, 1, 1, 2));
+    let counts = stage.counts();
+    assert_eq!(counts.of(Flow::AttemptsSent).messages, 5);
+    assert_eq!(counts.of(Flow::GiveUpsSent).messages, 2);
+}
+
+#[test]
+fn datagrams_come_from_the_address_that_stands_for_the_sender_and_are_counted_by_shape() {
+    let mut stage = stage(1, 3);
+    let (relays, all) = stage.relay().addresses().expect("they are bound");
+    let sockets: Vec<UdpSocket> =
+        (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port is free")).collect();
+    let home = |nr: usize| sockets[nr].local_addr().expect("it is bound");
+    let (from, to) = (sockets[0].try_clone().expect("shared"), sockets[1].try_clone().expect("shared"));
+    to.set_read_timeout(Some(LIMIT)).expect("a time-out can be set");
+    for nr in 0..2 {
+        stage.home(nr, None, Some(home(nr)));
+    }
+    // The third one isn't known yet: what it sends waits until it is.
+    sockets[2].send_to(&[1; 6], relays[1]).expect("it is sent");
+    let relay = relays[1];
+    let heard = with(&mut stage, move || {
+        from.send_to(&[1, 0, 1], all).expect("it is sent");
+        from.send_to(&[1; 9], relay).expect("it is sent");
+        let mut space = [0; 64];
+        (0..2).map(|_| to.recv_from(&mut space).expect("it is passed on")).collect::<Vec<_>>()
+    });
+    assert_eq!(heard, [(3, relays[0]), (9, relays[0])]);
+    let of = |stage: &Stage, flow| stage.counts().of(flow);
+    let traffic = |messages, bytes| Traffic { messages, bytes };
+    assert_eq!(stage.relay().unplaced(), 1);
+    assert_eq!(of(&stage, Flow::GreetingsSent), traffic(1, 3));
+    assert_eq!(of(&stage, Flow::GreetingsPassed), traffic(1, 3), "one of the others is known");
+    assert_eq!(of(&stage, Flow::TalkSent), traffic(1, 9));
+    stage.home(2, None, Some(home(2)));
+    assert_eq!(stage.relay().unplaced(), 0);
+    assert_eq!(of(&stage, Flow::TroublesPassed), traffic(1, 6));
+    assert_eq!((stage.counts().relay_in, stage.counts().datagram_longest), (traffic(3, 18), 9));
+}
