Tell the workers and requests of a hollow plan to those who play it otherwise

Calibration by real processes has to play the same requests as the hollow fleet, or the counts of both differ by chance alone. outline() makes the same draws as play() and gives workers and requests; a test holds the number that counts against that of the play, on three seeds.

--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `discovery` | the list and its watches, by the protocol page |
 //! | `schedulers` | what a host does round a dispatcher: attempts, time-outs, give-ups, the list's clock |
 //! | `clients` | classes, tenants with skew, uneven shares of the schedulers |
+//! | `outline` | the workers and requests of a plan, for who plays the same by real processes |
 //! | `encode` | the bytes of what is written, as the program writes them |
 //! | `ledger` | counts, and the account |
 //!
@@ -29,6 +30,7 @@
 pub mod encode;
 mod ledger;
 mod links;
+mod outline;
 mod plan;
 mod schedulers;
 mod troubles;
@@ -37,6 +39,7 @@
 
 pub use ledger::{Account, Aside, Traffic};
 pub use links::Links;
+pub use outline::{Outline, RequestOutline, WorkerOutline, outline};
 pub use plan::{Plan, Trouble};
 
 /// A time or a span in simulated microseconds.
--- /dev/null
+++ b/crates/hollow/src/outline.rs
@@ -0,0 +1,92 @@
+//! The outline of a play: its workers and its requests, for those who play the same among real processes.
+
+use crate::Micros;
+use crate::plan::{CLASSES, EPOCH, Plan, zone_name};
+use crate::world::World;
+
+/// A worker of a play.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerOutline {
+    /// Its name in the list.
+    pub name: String,
+    /// Its zone, as the settings name it.
+    pub zone: String,
+    /// Its kind of machine, by its place in the settings.
+    pub kind: usize,
+    /// Its cell.
+    pub cell: u32,
+    /// Its slots.
+    pub slots: u32,
+    /// Its speed when it is warm.
+    pub speed: f64,
+}
+
+/// A request of a play.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestOutline {
+    /// When its client sends it, in microseconds from the beginning of the play.
+    pub at: Micros,
+    /// The scheduler that its client turns to.
+    pub rank: u32,
+    /// Its class, by its place in the settings, and by its name.
+    pub class: usize,
+    /// See above.
+    pub class_name: &'static str,
+    /// Its tenant, by its place in the settings.
+    pub tenant: Option<usize>,
+    /// Its work and what its client says of that, in microseconds at speed 1.
+    pub work: f64,
+    /// See above.
+    pub hint: f64,
+    /// Slots that it takes.
+    pub slots: u32,
+    /// How long its client waits, in microseconds.
+    pub patience: Micros,
+    /// Within this time it is served in time, in microseconds.
+    pub aim: Micros,
+    /// It comes in among the seconds that count.
+    pub counts: bool,
+}
+
+/// See the head of this file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outline {
+    /// By number.
+    pub workers: Vec<WorkerOutline>,
+    /// By time.
+    pub requests: Vec<RequestOutline>,
+    /// What counts begins so long after the beginning, in microseconds, and ends so long after it.
+    pub counts: (Micros, Micros),
+}
+
+/// The outline of a plan in which nothing goes wrong: the same draws as [`crate::play`] makes.
+pub fn outline(plan: &Plan) -> Outline {
+    let world = World::new(plan);
+    let workers = world.workers.iter().map(|worker| WorkerOutline {
+        name: worker.name.clone(),
+        zone: zone_name(worker.zone as u32),
+        kind: worker.kind,
+        cell: worker.cell,
+        slots: worker.slots,
+        speed: worker.speed,
+    });
+    let workers = workers.collect();
+    let requests = world.requests().into_iter().map(|job| {
+        let class = &CLASSES[job.class];
+        RequestOutline {
+            at: job.arrived - EPOCH,
+            rank: job.rank,
+            class: job.class,
+            class_name: class.name,
+            tenant: job.tenant,
+            work: job.work,
+            hint: job.hint,
+            slots: job.slots,
+            patience: class.patience,
+            aim: class.aim_for(job.work),
+            counts: job.counts,
+        }
+    });
+    let (begin, end) = plan.span();
+    Outline { workers, requests: requests.collect(), counts: (begin - EPOCH, end - EPOCH) }
+}
--- a/crates/hollow/src/world.rs
+++ b/crates/hollow/src/world.rs
@@ -250,6 +250,19 @@
         self.ledger.close(wrong, shares, state)
     }
 
+    /// The requests of a play in which nothing goes wrong, in the order in which they come in.
+    pub(crate) fn requests(mut self) -> Vec<Job> {
+        while let Some(Reverse(next)) = self.queue.pop() {
+            self.now = next.at;
+            match next.what {
+                Happening::Fill => self.arrive(true),
+                Happening::Arrive => self.arrive_and_go_on(),
+                _ => {}
+            }
+        }
+        self.jobs
+    }
+
     /// How many bytes of JSON a process knows.
     fn known(&self, process: u32) -> u64 {
         let knowledge = self.processes[process as usize].dispatcher.knowledge();
@@ -276,13 +289,7 @@
                 self.settle(process);
             }
             Happening::Fill => self.arrive(true),
-            Happening::Arrive => {
-                self.arrive(false);
-                let next = self.now + self.clients.gap();
-                if next < self.plan.span().1 {
-                    self.lay(next, Happening::Arrive);
-                }
-            }
+            Happening::Arrive => self.arrive_and_go_on(),
             Happening::Request { job } => self.request(job),
             Happening::Overdue { job } => self.overdue(job),
             Happening::Due { process, due } => self.with(process, |process, now| process.due(now, due)),
@@ -394,6 +401,14 @@
 
     // ---- Clients ---------------------------------------------------------------------------------
 
+    fn arrive_and_go_on(&mut self) {
+        self.arrive(false);
+        let next = self.now + self.clients.gap();
+        if next < self.plan.span().1 {
+            self.lay(next, Happening::Arrive);
+        }
+    }
+
     fn arrive(&mut self, under_way: bool) {
         let counts = self.ledger.counts(self.now);
         let job = self.clients.draw(self.now, counts, under_way);
--- /dev/null
+++ b/crates/hollow/tests/outline.rs
@@ -0,0 +1,36 @@
+//! The outline of a plan has the requests and workers that a play of it has.
+
+use calicolb_hollow::{Plan, outline, play};
+
+#[test]
+fn an_outline_has_the_requests_of_the_play() {
+    for seed in [1, 2, 3] {
+        let plan = Plan {
+            schedulers: 4,
+            workers: 9,
+            accelerators: 8,
+            tenants: 5,
+            zones: 3,
+            regions: 1,
+            starts_per_s: 10.0,
+            running: Some(15.0),
+            seconds: 6,
+            warm_up: 10,
+            seed,
+            ..Plan::default()
+        };
+        println!("seed {seed}");
+        let drawn = outline(&plan);
+        let counting = drawn.requests.iter().filter(|request| request.counts).count() as u64;
+        assert_eq!(counting, play(&plan).jobs);
+        assert!(counting > 20, "hardly anything is drawn: {counting}");
+        // What is under way at the beginning, then what comes in, up to the last second that counts.
+        assert!(drawn.requests.len() as u64 > counting + 15);
+        assert!(drawn.requests.is_sorted_by_key(|request| request.at));
+        assert!(drawn.requests.iter().all(|request| request.counts == (request.at >= drawn.counts.0)));
+        assert!(drawn.requests.iter().all(|request| request.at < drawn.counts.1 && request.rank < 4));
+        // Eight accelerators are one machine of the nine.
+        assert_eq!(drawn.workers.iter().map(|worker| worker.slots).sum::<u32>(), 8 * 12 + 8);
+        assert_eq!(drawn, outline(&plan));
+    }
+}
