--- a/crates/rig/src/calibrate/counts.rs
+++ b/crates/rig/src/calibrate/counts.rs
@@ -25,14 +25,16 @@
 pub enum Flow {
     /// `GET /discovery/hosts`.
     ListAsked,
-    /// The whole list, or that discovery is busy.
+    /// The whole list, or that discovery is busy, whatever was asked.
     ListAnswered,
     /// `GET /discovery/hosts?watch=1&from=N`.
     WatchAsked,
-    /// The head of a watch, or that discovery is busy.
+    /// The head of a watch and the changes that it begins with.
     WatchOpened,
-    /// One object on a watch.
+    /// Changes on an open watch.
     WatchChanges,
+    /// The whole list on a watch, with the head if it begins with that.
+    WatchWhole,
     /// The empty line on a watch on which nothing changes.
     WatchBeats,
     /// Loads that a scheduler has sent, and those that were passed on to another.
@@ -75,8 +77,9 @@
 
 /// The control functions, as the hollow fleet counts them: key, and the flows that make it up.
 pub const FUNCTIONS: [(&str, &[Flow]); 6] = [
-    ("list", &[Flow::ListAsked, Flow::ListAnswered]),
-    ("watch", &[Flow::WatchAsked, Flow::WatchOpened, Flow::WatchChanges, Flow::WatchBeats]),
+    // As there: every call, and every whole list, however it comes.
+    ("list", &[Flow::ListAsked, Flow::ListAnswered, Flow::WatchAsked, Flow::WatchWhole]),
+    ("watch", &[Flow::WatchOpened, Flow::WatchChanges, Flow::WatchBeats]),
     ("talk", &[Flow::TalkSent, Flow::TalkPassed]),
     ("greetings", &[Flow::GreetingsSent, Flow::GreetingsPassed]),
     ("troubles", &[Flow::TroublesSent, Flow::TroublesPassed]),
--- /dev/null
+++ b/crates/rig/src/calibrate/direct.rs
@@ -0,0 +1,237 @@
+//! One process of the program, measured by itself at the letter's size: what it holds, and what each control message costs it.
+//! The other schedulers are the relay's addresses; what they say is said for them.
+
+use super::counts::{Counts, Flow, Traffic};
+use super::discovery::Capacity;
+use super::fleet::start;
+use super::process::{Process, Usage};
+use super::scenario;
+use super::stage::{Change, Stage};
+use calicolb::wire::hop_id;
+use calicolb_hollow::Plan;
+use serde::Serialize;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// What is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Direct {
+    /// Lines of the list.
+    pub workers: u32,
+    /// Accelerators among the workers.
+    pub accelerators: u32,
+    /// Schedulers, this one among them.
+    pub schedulers: u32,
+    /// Tenants.
+    pub tenants: u32,
+    /// How long the idle process is watched.
+    pub idle: Duration,
+    /// Messages of each kind that are sent to it.
+    pub messages: u32,
+    /// How long these take; so that the kernel's steps are small beside it.
+    pub span: Duration,
+}
+
+/// Memory of a process, in KiB.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Memory {
+    /// Now.
+    pub resident_kib: u64,
+    /// At the most.
+    pub resident_peak_kib: u64,
+}
+
+impl Memory {
+    fn of(usage: Usage) -> Memory {
+        Memory { resident_kib: usage.resident_kib, resident_peak_kib: usage.resident_peak_kib }
+    }
+}
+
+/// Processor time of a process over a span, less what it uses idle.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Cost {
+    /// Messages that were sent to it.
+    pub messages: u64,
+    /// Bytes of one.
+    pub bytes: f64,
+    /// Microseconds of processor time for one, by the kernel's own clock of the threads.
+    pub cpu_us: f64,
+    /// The same by user and system time, in the kernel's steps.
+    pub cpu_us_by_ticks: f64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Measured {
+    /// Lines of the list, schedulers, tenants.
+    pub workers: u32,
+    /// See above.
+    pub schedulers: u32,
+    /// See above.
+    pub tenants: u32,
+    /// The idle process.
+    pub idle: Memory,
+    /// Its processor time, in milliseconds a second, by the threads' clock and in the kernel's steps.
+    pub idle_cpu_ms_per_s: f64,
+    /// See above.
+    pub idle_cpu_ms_per_s_by_ticks: f64,
+    /// The idle process with one tenant instead of all.
+    pub idle_one_tenant: Memory,
+    /// The idle process with a list of one worker, and one other scheduler.
+    pub idle_one_worker: Memory,
+    /// Bytes of a start, by what they are for: in and out of the scheduler that starts.
+    pub start_watch: Traffic,
+    /// See above.
+    pub start_greeting: Traffic,
+    /// Answers to the greeting, one from each other scheduler.
+    pub start_greeting_answers: Traffic,
+    /// Processor time of a start, up to the watch, in milliseconds.
+    pub start_cpu_ms: f64,
+    /// A line of the list changes.
+    pub list_change: Cost,
+    /// The whole list comes.
+    pub whole_list: Cost,
+    /// A load of another scheduler comes, about a worker of the list.
+    pub talk_heard: Cost,
+    /// A trouble comes.
+    pub trouble_heard: Cost,
+    /// A greeting comes that asks to be answered.
+    pub greeting_heard: Cost,
+    /// After all of this.
+    pub after: Memory,
+}
+
+struct Scene {
+    stage: Stage,
+    processes: Vec<Process>,
+    /// Counts of the start.
+    start: Counts,
+}
+
+fn scene(program: &Path, sizes: &Plan) -> Result<Scene, String> {
+    let settings = scenario::settings(sizes);
+    let outline =
+        calicolb_hollow::outline(&Plan { seconds: 0, warm_up: 0, running: Some(0.0), ..sizes.clone() });
+    let (kinds, hosts) = scenario::workers(&outline, &settings);
+    let mut stage =
+        Stage::new(kinds, hosts, scenario::ways(&settings), Capacity::default(), sizes.schedulers as usize)?;
+    let processes = start(program, &mut stage, &settings, 0..1, sizes.seed)?;
+    // The others answer its greeting.
+    let zones = sizes.zones.max(1) as usize;
+    for rank in 1..sizes.schedulers as usize {
+        stage.say(rank, 0, &[1, (rank % zones) as u8, 0]);
+    }
+    stage.run_until(Instant::now() + Duration::from_secs(1))?;
+    let start = stage.counts().clone();
+    Ok(Scene { stage, processes, start })
+}
+
+impl Scene {
+    /// Watches the process for so long while nothing happens; gives what it uses in a second, in milliseconds.
+    fn idle(&mut self, span: Duration) -> Result<(f64, f64), String> {
+        let (before, begun) = (self.processes[0].usage(), Instant::now());
+        self.stage.run_until(begun + span)?;
+        let (after, spent) = (self.processes[0].usage(), begun.elapsed().as_secs_f64());
+        Ok(((after.on_cpu_ms - before.on_cpu_ms) / spent, (after.cpu_ms - before.cpu_ms) / spent))
+    }
+
+    /// Sends so many messages evenly over a span, the `nr`th by `send`, and gives what each costs.
+    fn cost(
+        &mut self,
+        direct: &Direct,
+        idle: (f64, f64),
+        flow: Flow,
+        mut send: impl FnMut(&mut Stage, u32),
+    ) -> Result<Cost, String> {
+        let counted = self.stage.counts().of(flow);
+        let (before, begun) = (self.processes[0].usage(), Instant::now());
+        for nr in 0..direct.messages {
+            self.stage.run_until(begun + direct.span * nr / direct.messages)?;
+            send(&mut self.stage, nr);
+        }
+        // What is still on its way is dealt with.
+        self.stage.run_until(Instant::now() + Duration::from_millis(300))?;
+        let (after, spent) = (self.processes[0].usage(), begun.elapsed().as_secs_f64());
+        let sent = self.stage.counts().of(flow);
+        let (messages, bytes) = (sent.messages - counted.messages, sent.bytes - counted.bytes);
+        let each = |ms: f64, idle: f64| (ms - idle * spent) * 1e3 / messages.max(1) as f64;
+        Ok(Cost {
+            messages,
+            bytes: bytes as f64 / messages.max(1) as f64,
+            cpu_us: each(after.on_cpu_ms - before.on_cpu_ms, idle.0),
+            cpu_us_by_ticks: each(after.cpu_ms - before.cpu_ms, idle.1),
+        })
+    }
+}
+
+/// Measures one process.
+///
+/// # Errors
+///
+/// The program does not start or serve.
+pub fn measure(program: &Path, direct: &Direct, seed: u64) -> Result<Measured, String> {
+    let sizes = Plan {
+        schedulers: direct.schedulers,
+        workers: direct.workers,
+        accelerators: direct.accelerators,
+        tenants: direct.tenants,
+        seed,
+        ..Plan::default()
+    };
+    let quiet = |sizes: Plan| -> Result<Memory, String> {
+        let mut scene = scene(program, &sizes)?;
+        scene.stage.run_until(Instant::now() + Duration::from_secs(2))?;
+        Ok(Memory::of(scene.processes[0].usage()))
+    };
+    let idle_one_tenant = quiet(Plan { tenants: 1, ..sizes.clone() })?;
+    let idle_one_worker =
+        quiet(Plan { workers: 1, accelerators: 0, schedulers: 2, tenants: 1, ..sizes.clone() })?;
+    let mut scene = scene(program, &sizes)?;
+    let start_cpu_ms = scene.processes[0].usage().on_cpu_ms;
+    let idle = scene.idle(direct.idle)?;
+    let memory = Memory::of(scene.processes[0].usage());
+    let count = direct.workers as usize;
+    let list_change = scene.cost(direct, idle, Flow::WatchChanges, |stage, nr| {
+        // Each line in turn is taken out of service, and in the next round put back.
+        let (round, station) = (nr as usize / count, nr as usize % count);
+        let health = if round.is_multiple_of(2) { "terminating" } else { "in_service" };
+        stage.change(Instant::now(), Change { station, health });
+    })?;
+    let whole_list = scene.cost(direct, idle, Flow::WatchChanges, |stage, _| stage.renew())?;
+    let ids: Vec<[u8; 4]> =
+        scene.stage.discovery().hosts().iter().map(|host| hop_id(&host.host).0.to_le_bytes()).collect();
+    let others = direct.schedulers.max(2) - 1;
+    let from = |nr: u32| 1 + (nr % others) as usize;
+    let id = |nr: u32| ids[nr as usize % ids.len()];
+    let talk_heard = scene.cost(direct, idle, Flow::TalkPassed, |stage, nr| {
+        let [a, b, c, d] = id(nr);
+        stage.say(from(nr), 0, &[1, 1, a, b, c, d, 8, 16]);
+    })?;
+    let trouble_heard = scene.cost(direct, idle, Flow::TroublesPassed, |stage, nr| {
+        let [a, b, c, d] = id(nr);
+        stage.say(from(nr), 0, &[1, a, b, c, d, (nr % 2) as u8]);
+    })?;
+    let greeting_heard = scene.cost(direct, idle, Flow::GreetingsPassed, |stage, nr| {
+        stage.say(from(nr), 0, &[1, (from(nr) % sizes.zones.max(1) as usize) as u8, 1]);
+    })?;
+    Ok(Measured {
+        workers: direct.workers,
+        schedulers: direct.schedulers,
+        tenants: direct.tenants,
+        idle: memory,
+        idle_cpu_ms_per_s: idle.0,
+        idle_cpu_ms_per_s_by_ticks: idle.1,
+        idle_one_tenant,
+        idle_one_worker,
+        start_watch: scene.start.sum(&[Flow::WatchAsked, Flow::WatchOpened, Flow::WatchChanges]),
+        start_greeting: scene.start.of(Flow::GreetingsSent),
+        start_greeting_answers: scene.start.of(Flow::GreetingsPassed),
+        start_cpu_ms,
+        list_change,
+        whole_list,
+        talk_heard,
+        trouble_heard,
+        greeting_heard,
+        after: Memory::of(scene.processes[0].usage()),
+    })
+}
--- a/crates/rig/src/calibrate/mod.rs
+++ b/crates/rig/src/calibrate/mod.rs
@@ -11,13 +11,25 @@
 //! | `stage` | the sockets of all of these, on one thread |
 //! | `timers` | what is to be done when |
 //! | `process` | the program, and what the kernel says it uses |
+//! | `fleet` | several processes: configuration, start |
+//! | `scenario` | a plan of the hollow fleet, as settings, workers and requests |
+//! | `play` | the plan played by processes |
+//! | `compare` | the hollow fleet held against it |
+//! | `command` | the command line |
+//! | `direct` | one process at the letter's size, and what each message costs it |
 
+pub mod command;
+pub mod compare;
 pub mod counts;
 pub mod crew;
+pub mod direct;
 pub mod discovery;
+pub mod fleet;
 pub mod message;
+pub mod play;
 pub mod process;
 pub mod relay;
+pub mod scenario;
 pub mod stage;
 pub mod submitters;
 mod timers;
--- /dev/null
+++ b/crates/rig/src/calibrate/play.rs
@@ -0,0 +1,236 @@
+//! A plan of the hollow fleet, played by real processes of the program, and what was measured of them.
+
+use super::counts::{Counts, Flow, Traffic};
+use super::crew::Seen;
+use super::discovery::Capacity;
+use super::fleet::{Spread, start, usages};
+use super::process::{Process, Usage, datagrams_dropped};
+use super::scenario;
+use super::stage::Stage;
+use super::submitters::{Outcome, Told};
+use calicolb_hollow::Plan;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// So long after a start everything that belongs to it is over: the module spreads its first call over four seconds.
+const START: Duration = Duration::from_secs(7);
+/// How late a poll of the stand-ins may be before a run tells more of the machine than of the program.
+const REST: Duration = Duration::from_millis(500);
+
+/// What came of a play by real processes. Counts of messages, processor time and starts are those of the seconds that
+/// count; a request counts where it came in.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Real {
+    /// Processes of the program.
+    pub processes: u32,
+    /// Workers.
+    pub workers: u32,
+    /// Tenants.
+    pub tenants: u32,
+    /// Seconds that count.
+    pub seconds: f64,
+    /// Requests.
+    pub jobs: u64,
+    /// Jobs that workers started.
+    pub started: u64,
+    /// Most jobs that ran at once, before the seconds that count too.
+    pub running_peak: usize,
+    /// Requests that were answered with a worker's result.
+    pub served: u64,
+    /// Of these, those that were answered after their aim.
+    pub late: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests that were answered as failed.
+    pub failed: u64,
+    /// Requests, whether they count or not, that got no answer, or one that no worker made.
+    pub lost: u64,
+    /// Over the whole play: attempts that came to a worker at which the first one still was.
+    pub doubled: u64,
+    /// Over the whole play: attempts that came while another one of the request was at another worker.
+    pub overlapping: u64,
+    /// Attempts that reached workers, were turned away, and were given up.
+    pub attempts: u64,
+    /// See above.
+    pub turned_away: u64,
+    /// See above.
+    pub given_up: u64,
+    /// Memory of a process at the end, and at its most, in KiB.
+    pub resident_kib: Spread,
+    /// See above.
+    pub resident_peak_kib: Spread,
+    /// Processor time of a process in milliseconds a second, by user and system time (steps of the kernel's clock) and by
+    /// the threads' own clock. Everything is in it: clients, workers, control.
+    pub cpu_ms_per_s: Spread,
+    /// See above.
+    pub on_cpu_ms_per_s: Spread,
+    /// Processor time of all processes for a job, by the threads' own clock, in microseconds.
+    pub cpu_us_per_job: f64,
+    /// Control messages by function, as the hollow fleet counts them: in and out of all schedulers.
+    pub traffic: BTreeMap<&'static str, Traffic>,
+    /// All messages by flow.
+    pub counts: Counts,
+    /// Over the whole play: the longest datagram, in bytes, and those that fit no shape.
+    pub datagram_longest: usize,
+    /// See above.
+    pub datagrams_unknown: u64,
+    /// Over the whole play: datagrams that the kernel dropped at the relay's or a scheduler's socket.
+    pub datagrams_dropped: u64,
+    /// Over the whole play: call-backs that nobody took.
+    pub news_dropped: u64,
+    /// Over the whole play: calls that discovery turned away.
+    pub calls_turned_away: u64,
+    /// What one start adds in a fleet that is at rest: a process is killed and started anew.
+    pub restart: Restart,
+}
+
+/// What one start costs.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Restart {
+    /// Control messages by function, less what the fleet exchanges at rest in the same time.
+    pub traffic: BTreeMap<&'static str, Traffic>,
+    /// Of these, the bytes in and out of the process that starts: its watch, its greeting to all, and the answers.
+    pub bytes: u64,
+    /// Its memory when it watches the list, in KiB.
+    pub resident_kib: u64,
+    /// Its processor time up to then, in milliseconds.
+    pub on_cpu_ms: f64,
+}
+
+struct Snapshot {
+    counts: Counts,
+    usages: Vec<Usage>,
+    seen: Seen,
+}
+
+fn snapshot(stage: &Stage, processes: &[Process]) -> Snapshot {
+    Snapshot { counts: stage.counts().clone(), usages: usages(processes), seen: stage.crew().seen() }
+}
+
+/// Plays the plan by processes of this program. It takes the plan's warm-up and seconds, and as long after these as the
+/// last requests run.
+///
+/// # Errors
+///
+/// The program does not start or serve, or a socket cannot be had.
+pub fn play(program: &Path, plan: &Plan) -> Result<Real, String> {
+    let outline = calicolb_hollow::outline(plan);
+    let settings = scenario::settings(plan);
+    let (kinds, hosts) = scenario::workers(&outline, &settings);
+    let ranks = plan.schedulers as usize;
+    let mut stage = Stage::new(kinds, hosts, scenario::ways(&settings), Capacity::default(), ranks)?;
+    let mut processes = start(program, &mut stage, &settings, 0..ranks, plan.seed)?;
+    let (jobs, counting) = scenario::submissions(&outline, &settings);
+    let aims: Vec<Duration> = jobs.iter().map(|job| job.aim).collect();
+    let last = jobs.iter().map(|job| job.at + job.patience).max().unwrap_or_default();
+    let begun = Instant::now();
+    stage.submit(begun, jobs);
+    let micros = Duration::from_micros;
+    stage.run_until(begun + micros(outline.counts.0))?;
+    let (before, from) = (snapshot(&stage, &processes), Instant::now());
+    stage.run_until(begun + micros(outline.counts.1))?;
+    let (after, spent) = (snapshot(&stage, &processes), from.elapsed().as_secs_f64());
+    // Until the last answer: none is later than its client's patience and some slack.
+    let left = (begun + last + Duration::from_secs(10)).saturating_duration_since(Instant::now());
+    stage.run_while(left, |stage| stage.outcomes().iter().any(Option::is_none))?;
+    for process in &mut processes {
+        process.look()?;
+    }
+    let mut real = Real {
+        processes: plan.schedulers,
+        workers: plan.workers,
+        tenants: plan.tenants,
+        seconds: spent,
+        ..Real::default()
+    };
+    real.tell_jobs(stage.outcomes(), &counting, &aims);
+    real.tell_use(&before, &after, spent);
+    let all = stage.crew().seen();
+    (real.doubled, real.overlapping, real.running_peak) = (all.doubled, all.overlapping, all.running_peak);
+    real.restart = restart(program, &mut stage, &settings, &mut processes, plan.seed)?;
+    let counts = stage.counts();
+    real.datagram_longest = counts.datagram_longest;
+    real.datagrams_unknown = counts.of(Flow::UnknownSent).messages;
+    let (each, to_all) = stage.relay().addresses().map_err(|error| error.to_string())?;
+    let homes = processes.iter().filter_map(|process| process.peers);
+    let ports: Vec<u16> =
+        each.into_iter().chain([to_all]).chain(homes).map(|at: SocketAddr| at.port()).collect();
+    real.datagrams_dropped = datagrams_dropped(&ports);
+    real.news_dropped = stage.news_dropped;
+    real.calls_turned_away = stage.discovery().turned_away;
+    Ok(real)
+}
+
+impl Real {
+    fn tell_jobs(&mut self, outcomes: &[Option<Outcome>], counting: &[bool], aims: &[Duration]) {
+        for (nr, outcome) in outcomes.iter().enumerate() {
+            let told = outcome.map_or(Told::Nothing, |outcome| outcome.told);
+            self.lost += u64::from(told == Told::Nothing);
+            if !counting[nr] {
+                continue;
+            }
+            self.jobs += 1;
+            self.served += u64::from(told == Told::Served);
+            self.refused += u64::from(told == Told::Refused);
+            self.failed += u64::from(told == Told::Failed);
+            let late = outcome.is_some_and(|outcome| told == Told::Served && outcome.time > aims[nr]);
+            self.late += u64::from(late);
+        }
+    }
+
+    fn tell_use(&mut self, before: &Snapshot, after: &Snapshot, spent: f64) {
+        let pairs = || before.usages.iter().zip(&after.usages);
+        let (then, now) = (&before.seen, &after.seen);
+        self.started = now.started - then.started;
+        self.attempts = now.attempts - then.attempts;
+        self.turned_away = now.turned_away - then.turned_away;
+        self.given_up = now.given_up - then.given_up;
+        self.resident_kib = Spread::of(after.usages.iter().map(|usage| usage.resident_kib as f64));
+        self.resident_peak_kib = Spread::of(after.usages.iter().map(|usage| usage.resident_peak_kib as f64));
+        self.cpu_ms_per_s = Spread::of(pairs().map(|(then, now)| (now.cpu_ms - then.cpu_ms) / spent));
+        self.on_cpu_ms_per_s =
+            Spread::of(pairs().map(|(then, now)| (now.on_cpu_ms - then.on_cpu_ms) / spent));
+        let cpu: f64 = pairs().map(|(then, now)| now.on_cpu_ms - then.on_cpu_ms).sum();
+        self.cpu_us_per_job = cpu * 1e3 / self.jobs.max(1) as f64;
+        self.counts = after.counts.since(&before.counts);
+        self.traffic = self.counts.by_function();
+    }
+}
+
+/// Kills the last process and starts it anew; what that adds to what the fleet exchanges at rest.
+fn restart(
+    program: &Path,
+    stage: &mut Stage,
+    settings: &serde_json::Value,
+    processes: &mut Vec<Process>,
+    seed: u64,
+) -> Result<Restart, String> {
+    let rank = processes.len() - 1;
+    stage.run_until(Instant::now() + REST)?;
+    let begun = stage.counts().clone();
+    stage.run_until(Instant::now() + START)?;
+    let rest = stage.counts().since(&begun).by_function();
+    drop(processes.pop());
+    stage.home(rank, None, None);
+    stage.run_until(Instant::now() + REST)?;
+    let (before, from) = (stage.counts().clone(), Instant::now());
+    let anew = start(program, stage, settings, rank..rank + 1, seed ^ 1)?;
+    let used = usages(&anew);
+    processes.extend(anew);
+    stage.run_until(from + START)?;
+    let counts = stage.counts().since(&before);
+    let mut traffic = counts.by_function();
+    for (name, sum) in &mut traffic {
+        let at_rest = rest.get(name).copied().unwrap_or_default();
+        sum.messages = sum.messages.saturating_sub(at_rest.messages);
+        sum.bytes = sum.bytes.saturating_sub(at_rest.bytes);
+    }
+    // Its greeting goes out once; each of the others answers, and hears the greeting: that is their traffic, not its own.
+    let own = [Flow::WatchAsked, Flow::WatchOpened, Flow::WatchWhole, Flow::ListAsked, Flow::ListAnswered];
+    let bytes = counts.sum(&own).bytes + counts.of(Flow::GreetingsSent).bytes;
+    let used = used.first().copied().unwrap_or_default();
+    Ok(Restart { traffic, bytes, resident_kib: used.resident_kib, on_cpu_ms: used.on_cpu_ms })
+}
--- a/crates/rig/src/calibrate/relay.rs
+++ b/crates/rig/src/calibrate/relay.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Sends a datagram to the scheduler of one rank as if that of another had: only what is passed on is counted.
+    pub fn say(&mut self, from: usize, to: usize, body: &[u8], counts: &mut Counts) {
+        let Some(home) = self.homes[to] else { return };
+        if self.sockets[from].send_to(body, home).is_ok() {
+            counts.add(flows(body).1, body.len());
+            counts.relay_out = counts.relay_out.plus(Traffic { messages: 1, bytes: body.len() as u64 });
+        }
+    }
+
     /// Datagrams that came while the sender's address was not known yet, and still isn't.
     pub fn unplaced(&self) -> usize {
         self.early.len()
--- /dev/null
+++ b/crates/rig/src/calibrate/scenario.rs
@@ -0,0 +1,86 @@
+//! A plan of the hollow fleet as real processes and stand-ins play it: the same settings, workers and requests.
+
+use super::crew::{Kind, Ways};
+use super::discovery::Host;
+use super::submitters::Submission;
+use calicolb_hollow::{Outline, Plan};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A worker closes a connection that has been idle for so long; the hollow fleet has the same.
+const CONN_IDLE_US: u64 = 10_000_000;
+
+/// What all schedulers are told, but for rank and zone.
+pub fn settings(plan: &Plan) -> Value {
+    let mut settings = plan.settings_json();
+    settings["ceilings"]["conn_idle_us"] = json!(CONN_IDLE_US);
+    settings
+}
+
+/// The workers, and their lines on the list; where each listens is filled in by the stage.
+pub fn workers(outline: &Outline, settings: &Value) -> (Vec<Kind>, Vec<Host>) {
+    let class = |kind: usize| settings["kinds"][kind].as_str().unwrap_or_default().to_owned();
+    let kinds = outline.workers.iter().map(|worker| Kind {
+        name: worker.name.clone(),
+        slots: worker.slots,
+        memory: 0.0,
+        speed: worker.speed,
+        born: None,
+    });
+    let hosts = outline.workers.iter().map(|worker| Host {
+        host: worker.name.clone(),
+        dial: SocketAddr::from(([127, 0, 0, 1], 0)),
+        site: worker.zone.clone(),
+        class: class(worker.kind),
+        block: worker.cell,
+        health: "in_service",
+        share: 1.0,
+        born_ms: 0,
+    });
+    (kinds.collect(), hosts.collect())
+}
+
+/// What workers go by, as the settings say.
+pub fn ways(settings: &Value) -> Ways {
+    let micros = |value: &Value| Duration::from_micros(value.as_u64().unwrap_or(0));
+    let fields = settings["report"]["fields"].as_array().cloned().unwrap_or_default();
+    let answers = settings["report"]["how"] == "answers";
+    Ways {
+        cold: micros(&settings["rules"]["cold_us"]),
+        start_speed: settings["rules"]["start_capacity"].as_f64().unwrap_or(1.0),
+        tells_start: settings["extra"]["tells_start"] == true,
+        progress: micros(&settings["extra"]["progress_us"]),
+        report: fields
+            .iter()
+            .filter(|_| answers)
+            .filter_map(|field| field.as_str().map(str::to_owned))
+            .collect(),
+    }
+}
+
+/// The requests as clients submit them, and which of them count.
+pub fn submissions(outline: &Outline, settings: &Value) -> (Vec<Submission>, Vec<bool>) {
+    let one = |(nr, request): (usize, &calicolb_hollow::RequestOutline)| {
+        let tenant = request.tenant.and_then(|tenant| settings["orgs"][tenant]["name"].as_str());
+        let mut headers = vec![
+            ("Request-Class", request.class_name.to_owned()),
+            ("Request-Timeout", format!("{:.3}", request.patience as f64 / 1e6)),
+            ("Work-Hint", format!("{:.0}", request.hint)),
+            ("Request-Info", format!("needs={}", request.slots)),
+        ];
+        headers.extend(tenant.map(|name| ("Tenant", name.to_owned())));
+        Submission {
+            at: Duration::from_micros(request.at),
+            rank: request.rank as usize,
+            id: format!("r{nr:08x}"),
+            target: format!("/{}", request.class_name),
+            headers,
+            body: format!("work={:.0} slots={}", request.work, request.slots),
+            aim: Duration::from_micros(request.aim),
+            patience: Duration::from_micros(request.patience),
+        }
+    };
+    let jobs = outline.requests.iter().enumerate().map(one).collect();
+    (jobs, outline.requests.iter().map(|request| request.counts).collect())
+}
--- a/crates/rig/src/calibrate/stage.rs
+++ b/crates/rig/src/calibrate/stage.rs
@@ -191,7 +191,12 @@
     /// Writes the whole list, under a new version, on every watch.
     pub fn renew(&mut self) {
         let chunk = self.discovery.renew();
-        self.broadcast(&chunk);
+        self.broadcast(Flow::WatchWhole, &chunk);
+    }
+
+    /// Sends a datagram to the scheduler of one rank as if that of another had.
+    pub fn say(&mut self, from: usize, to: usize, body: &[u8]) {
+        self.relay.say(from, to, body, &mut self.counts);
     }
 
     /// Watches that are open.
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -10,6 +10,7 @@
 mod workers;
 
 use appliance::Appliance;
+use calicolb_rig::calibrate::command::Calibrate;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use ledger::Ledger;
@@ -31,7 +32,8 @@
   calicolb-rig demo
   calicolb-rig run --speak gearman --seeds 5 --seconds 20 --roll
   calicolb-rig rush --speak gearman --seconds 5
-  calicolb-rig idle --connections 1000"
+  calicolb-rig idle --connections 1000
+  calicolb-rig calibrate --processes 30 --workers 60 --starts 20 --seconds 20 --seed 7 --json"
 )]
 struct Cli {
     #[command(subcommand)]
@@ -57,6 +59,8 @@
         #[arg(long, default_value_t = 5)]
         seconds: u64,
     },
+    /// Play a plan of the hollow fleet by real processes of the program among stand-ins, and hold the two against each other.
+    Calibrate(Calibrate),
 }
 
 /// Who speaks what.
@@ -112,6 +116,7 @@
         Command::Rush(rush) => self::rush(&rush),
         Command::Scale(scale) => scale.run(),
         Command::Idle { connections, seconds } => idle(connections, seconds),
+        Command::Calibrate(how) => calicolb_rig::calibrate::command::run(&how),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
