--- a/crates/hollow/src/troubles.rs
+++ b/crates/hollow/src/troubles.rs
@@ -3,7 +3,7 @@
 use crate::Micros;
 use crate::plan::{MILLI, SECOND, Trouble};
 use crate::workers::Life;
-use crate::world::{Happening, News, World, arrival};
+use crate::world::{Happening, News, World};
 use calicolb::api::Ending;
 use rand::RngExt;
 
@@ -59,7 +59,8 @@
         let at = self.plan.trouble_at();
         let mut steps: Vec<(Micros, Step)> = Vec::new();
         match self.plan.event {
-            Trouble::None => {}
+            // Changes of configuration are laid with the control machines.
+            Trouble::None | Trouble::Config => {}
             Trouble::Worker => {
                 let worker = self.rng.random_range(0..self.plan.workers);
                 steps.push((at, Step::WorkerVanishes(worker)));
@@ -163,11 +164,12 @@
                 let list = self.discovery.list();
                 let process = self.new_process(rank);
                 self.with(process, |process, _| process.warm(&list));
+                self.begin_learning(process);
             }
             Step::SchedulerRestarts(rank) => self.restart(rank),
             Step::Bequeaths(process) => self.bequeath(process),
             Step::Killed(process) => self.kill(process),
-            Step::Regions(cut) => self.links.cut_regions(cut),
+            Step::Regions(cut) => self.links.cut_regions(self.now, cut),
         }
     }
 
@@ -206,6 +208,7 @@
             heir.inherit(knowledge, next);
             heir.warm(&list);
         });
+        self.begin_learning(heir);
         self.settle(elder);
         self.lay(self.now + BEQUEATHS, Happening::Trouble(Step::Bequeaths(elder)));
         self.lay(self.now + KILLED, Happening::Trouble(Step::Killed(elder)));
@@ -215,7 +218,7 @@
         let left = self.processes[elder as usize].bequeath();
         let Some(heir) = self.alive(self.processes[elder as usize].rank) else { return };
         for (job, id, worker, sent) in left {
-            let arrival = arrival(&self.jobs[job as usize]);
+            let arrival = self.jobs[job as usize].arrival();
             let there = self.processes[heir as usize].adopt(job, arrival, worker, sent);
             self.processes[elder as usize].bequeathed.insert(id, (heir, there));
         }
