--- a/crates/rig/src/calibrate/crew.rs
+++ b/crates/rig/src/calibrate/crew.rs
@@ -8,6 +8,11 @@
 /// Jobs that may wait at a worker, as a multiple of its slots; more are turned away unstarted.
 const QUEUE: usize = 2;
 
+/// A report is made at this interval, and told from so long after that on: as real ones, and as the hollow fleet's, it is of
+/// some time ago.
+const REPORT_EVERY: Duration = Duration::from_millis(700);
+const REPORT_DELAY: Duration = Duration::from_millis(200);
+
 /// What one stand-in worker is.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -19,6 +24,8 @@
     pub memory: f64,
     /// Its speed when it is warm.
     pub speed: f64,
+    /// How far into its interval a report is made.
+    pub phase: Duration,
     /// When it was started; `None`: long ago.
     pub born: Option<Instant>,
 }
@@ -81,6 +88,36 @@
     draining: bool,
     running: Vec<Run>,
     queue: VecDeque<Job>,
+    /// Its load of late, from when on.
+    loads: VecDeque<(Instant, Load)>,
+}
+
+/// Slots in use, units of the second resource in use, jobs that run, and jobs that wait.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    slots: u32,
+    memory: f64,
+    running: usize,
+    waiting: usize,
+}
+
+impl Station {
+    fn load(&self) -> Load {
+        Load {
+            slots: self.running.iter().map(|run| run.job.slots).sum(),
+            memory: self.running.iter().map(|run| run.job.memory).sum(),
+            running: self.running.len(),
+            waiting: self.queue.len(),
+        }
+    }
+
+    fn note_load(&mut self, now: Instant) {
+        self.loads.push_back((now, self.load()));
+        // The last one that is older than any report that may yet be told is kept.
+        while self.loads.get(1).is_some_and(|next| now - next.0 >= REPORT_EVERY + REPORT_DELAY) {
+            self.loads.pop_front();
+        }
+    }
 }
 
 /// What the workers saw.
@@ -104,6 +141,8 @@
 
 /// See the head of this file.
 pub struct Crew {
+    /// Reports are made at intervals from here on.
+    epoch: Instant,
     ways: Ways,
     stations: Vec<Station>,
     /// Where attempts of a request are that have neither ended nor been given up.
@@ -116,8 +155,15 @@
 impl Crew {
     /// These workers.
     pub fn new(kinds: Vec<Kind>, ways: Ways) -> Crew {
-        let station = |kind| Station { kind, draining: false, running: Vec::new(), queue: VecDeque::new() };
+        let station = |kind| Station {
+            kind,
+            draining: false,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            loads: VecDeque::new(),
+        };
         Crew {
+            epoch: Instant::now(),
             ways,
             stations: kinds.into_iter().map(station).collect(),
             open: HashMap::new(),
@@ -192,6 +238,7 @@
             effects.push(Effect::Wake(wake, self.next));
             station.running.push(Run { job, number: self.next, begun: now, ends });
         }
+        station.note_load(now);
         self.seen.running_peak = self.seen.running_peak.max(self.runs.len());
         effects
     }
@@ -211,12 +258,13 @@
             return vec![told, Effect::Wake(run.ends.min(now + progress), number)];
         }
         let run = station.running.swap_remove(nr);
+        station.note_load(now);
         self.runs.remove(&number);
         self.forget(&run.job.id, at);
         let station = &self.stations[at];
         let mut more = vec![("result", json!(result(&run.job.id)))];
         if !self.ways.report.is_empty() {
-            more.push(("load", self.report(at)));
+            more.push(("load", self.report(now, at)));
         }
         let mut effects = vec![news(at, &station.kind.name, &run.job.id, "done", &more)];
         effects.extend(self.begin(now, at));
@@ -259,17 +307,20 @@
     }
 
     /// The load report of a worker, with the fields that the settings name.
-    pub fn report(&self, at: usize) -> serde_json::Value {
+    pub fn report(&self, now: Instant, at: usize) -> serde_json::Value {
         let station = &self.stations[at];
-        let slots: u32 = station.running.iter().map(|run| run.job.slots).sum();
-        let memory: f64 = station.running.iter().map(|run| run.job.memory).sum();
+        let age = now.saturating_duration_since(self.epoch + REPORT_DELAY + station.kind.phase);
+        let past = Duration::from_nanos((age.as_nanos() % REPORT_EVERY.as_nanos()) as u64);
+        let made = now.checked_sub(past + REPORT_DELAY);
+        let then = station.loads.iter().rev().find(|load| made.is_some_and(|made| load.0 <= made));
+        let load = then.map_or(Load::default(), |load| load.1);
         let all = f64::from(station.kind.slots.max(1));
         let value = |name: &str| match name {
-            "x0" => json!(station.kind.slots.saturating_sub(slots)),
-            "x1" => json!(rounded(station.kind.memory - memory)),
-            "inflight" | "outstanding" => json!(station.running.len() + station.queue.len()),
-            "queue" | "backlog" => json!(station.queue.len()),
-            "util" | "utilization" => json!(rounded(f64::from(slots) / all)),
+            "x0" => json!(station.kind.slots.saturating_sub(load.slots)),
+            "x1" => json!(rounded(station.kind.memory - load.memory)),
+            "inflight" | "outstanding" => json!(load.running + load.waiting),
+            "queue" | "backlog" => json!(load.waiting),
+            "util" | "utilization" => json!(rounded(f64::from(load.slots) / all)),
             _ => json!(0),
         };
         let fields: Map<_, _> = self.ways.report.iter().map(|name| (name.clone(), value(name))).collect();
--- a/crates/rig/src/calibrate/process.rs
+++ b/crates/rig/src/calibrate/process.rs
@@ -13,6 +13,8 @@
 pub struct Usage {
     /// User and system time, in steps of the kernel's clock (10 ms as a rule), in milliseconds.
     pub cpu_ms: f64,
+    /// Of that, system time.
+    pub system_ms: f64,
     /// The time that its threads spent on a processor, by the scheduler's own clock, in milliseconds.
     pub on_cpu_ms: f64,
     /// Memory now and at the most, in KiB.
@@ -106,6 +108,7 @@
     let tick_ms = 1e3 / rustix::param::clock_ticks_per_second() as f64;
     Usage {
         cpu_ms: (ticks(11) + ticks(12)) as f64 * tick_ms,
+        system_ms: ticks(12) as f64 * tick_ms,
         on_cpu_ms: on_cpu as f64 / 1e6,
         resident_kib: memory("VmRSS:"),
         resident_peak_kib: memory("VmHWM:"),
--- a/crates/rig/src/calibrate/scenario.rs
+++ b/crates/rig/src/calibrate/scenario.rs
@@ -26,6 +26,7 @@
         slots: worker.slots,
         memory: 0.0,
         speed: worker.speed,
+        phase: Duration::from_millis(u64::from(worker.cell) * 37 % 700),
         born: None,
     });
     let hosts = outline.workers.iter().map(|worker| Host {
--- a/crates/rig/src/calibrate/stage/parts.rs
+++ b/crates/rig/src/calibrate/stage/parts.rs
@@ -82,7 +82,7 @@
         match (message.method.as_str(), message.target.as_str()) {
             ("GET", "/metrics/load" | "/alive") => {
                 self.counts.add(Flow::ProbesAsked, message.length);
-                let report = self.crew.report(at).to_string();
+                let report = self.crew.report(now, at).to_string();
                 let answer =
                     message::write_response(200, "OK", "Content-Type: application/json\r\n", &report);
                 self.counts.add(Flow::ProbesAnswered, answer.len());
