--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `clients` | classes, tenants with skew, uneven shares of the schedulers |
 //! | `agreed` | the settings as a document, and the control machines that agree on it |
 //! | `learners` | how a scheduler learns what was agreed |
+//! | `outline` | the workers and requests of a plan, for who plays the same by real processes |
 //! | `encode` | the bytes of what is written, as the program writes them |
 //! | `ledger` | counts, and the account |
 //!
@@ -33,6 +34,7 @@
 mod learners;
 mod ledger;
 mod links;
+mod outline;
 mod plan;
 mod schedulers;
 mod troubles;
@@ -41,6 +43,7 @@
 
 pub use ledger::{Account, Agreed, Aside, Traffic};
 pub use links::Links;
+pub use outline::{Outline, RequestOutline, WorkerOutline, outline};
 pub use plan::{Plan, Trouble};
 
 /// A time or a span in simulated microseconds.
--- a/crates/hollow/src/world.rs
+++ b/crates/hollow/src/world.rs
@@ -207,6 +207,19 @@
         self.ledger.close(wrong, shares, state, agreed)
     }
 
+    /// The requests of a play in which nothing goes wrong, in the order in which they come in.
+    pub(crate) fn requests(mut self) -> Vec<Job> {
+        while let Some(Reverse(next)) = self.queue.pop() {
+            self.now = next.at;
+            match next.what {
+                Happening::Fill => self.arrive(true),
+                Happening::Arrive => self.arrive_and_go_on(),
+                _ => {}
+            }
+        }
+        self.jobs
+    }
+
     /// How many bytes of JSON a process knows.
     fn known(&self, process: u32) -> u64 {
         let knowledge = self.processes[process as usize].dispatcher.knowledge();
@@ -259,13 +272,7 @@
                 self.begin_learning(process);
             }
             Happening::Fill => self.arrive(true),
-            Happening::Arrive => {
-                self.arrive(false);
-                let next = self.now + self.clients.gap();
-                if next < self.plan.span().1 {
-                    self.lay(next, Happening::Arrive);
-                }
-            }
+            Happening::Arrive => self.arrive_and_go_on(),
             Happening::Request { job } => self.request(job),
             Happening::Overdue { job } => self.overdue(job),
             Happening::Due { process, due } => self.with(process, |process, now| process.due(now, due)),
--- a/crates/hollow/src/world/requests.rs
+++ b/crates/hollow/src/world/requests.rs
@@ -3,6 +3,14 @@
 use super::*;
 
 impl World {
+    pub(super) fn arrive_and_go_on(&mut self) {
+        self.arrive(false);
+        let next = self.now + self.clients.gap();
+        if next < self.plan.span().1 {
+            self.lay(next, Happening::Arrive);
+        }
+    }
+
     pub(super) fn arrive(&mut self, under_way: bool) {
         let counts = self.ledger.counts(self.now);
         let job = self.clients.draw(self.now, counts, under_way);
