Fit power laws with intervals, and hold the largest size out of each

The new package calicolb-slopes fits a law to the logarithms of one mean a size (least squares of linregress, Student's t of statrs), keeps the largest size out of the fit and says whether it lies within the prediction's interval. It marks what grows faster than is allowed, and what bends upwards beyond the law of the smaller sizes.

--- /dev/null
+++ b/crates/slopes/src/clock.rs
@@ -0,0 +1,58 @@
+//! The processor time of the calling thread, whatever else the machine does meanwhile.
+
+use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
+
+/// What one reading may be off by, as a part of the whole.
+const PRECISION: f64 = 0.01;
+/// Samples of which the median counts: a page fault or a cold cache must not stand for the usual.
+const SAMPLES: usize = 5;
+
+/// Processor time that this thread has used.
+pub fn thread_cpu() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let (seconds, nanos) =
+        (u64::try_from(time.tv_sec).unwrap_or(0), u32::try_from(time.tv_nsec).unwrap_or(0));
+    Duration::new(seconds, nanos)
+}
+
+/// The smallest step that the clock was seen to make, its own reading included.
+pub fn granularity() -> Duration {
+    let step = |_| {
+        let before = thread_cpu();
+        loop {
+            let after = thread_cpu();
+            if after > before {
+                return after - before;
+            }
+        }
+    };
+    (0..64).map(step).min().unwrap_or(Duration::ZERO)
+}
+
+/// Processor microseconds that one round of the work takes: the median of [`SAMPLES`] series, each of so many rounds
+/// that the clock's step is a hundredth of it at most, and of `least` at least. What a round needs is laid by `prepare`,
+/// whose time is not counted, in lots of `lot` rounds.
+pub fn micros_a_round<T>(
+    least: Duration,
+    lot: usize,
+    mut prepare: impl FnMut() -> T,
+    mut work: impl FnMut(T),
+) -> f64 {
+    let enough = least.max(granularity().div_f64(PRECISION));
+    let mut samples: Vec<f64> = (0..SAMPLES)
+        .map(|_| {
+            let (mut spent, mut rounds) = (Duration::ZERO, 0_u32);
+            while spent < enough {
+                let inputs: Vec<T> = (0..lot.max(1)).map(|_| prepare()).collect();
+                rounds += inputs.len() as u32;
+                let before = thread_cpu();
+                inputs.into_iter().for_each(&mut work);
+                spent += thread_cpu() - before;
+            }
+            spent.as_secs_f64() * 1e6 / f64::from(rounds)
+        })
+        .collect();
+    samples.sort_by(f64::total_cmp);
+    samples[SAMPLES / 2]
+}
--- /dev/null
+++ b/crates/slopes/src/fit.rs
@@ -0,0 +1,225 @@
+//! Power laws by least squares on logarithms, what they predict, and how well that holds where they were not fitted.
+//! No I/O and no clock: numbers in, numbers out.
+//!
+//! Replays of one size with several seeds are averaged first, and the law is fitted to one point a size: what a size
+//! does to the value beyond the power law is alike in all its replays, and counting each of them as a witness of its
+//! own would make the intervals too narrow.
+
+use linregress::fit_low_level_regression_model;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// Probability that an interval covers what it is about.
+pub const CONFIDENCE: f64 = 0.95;
+/// A prediction for a size further outside the fitted ones than by this factor is an extrapolation.
+pub const FAR: f64 = 2.0;
+/// Sizes that a law needs at least: with fewer there is no residual to judge it by.
+pub const LEAST_SIZES: usize = 3;
+
+/// One measured value.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Point {
+    /// The size that was varied; above 0.
+    pub size: f64,
+    /// What was measured at that size.
+    pub value: f64,
+}
+
+/// From `low` to `high`, both included.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Interval {
+    /// Its lower end.
+    pub low: f64,
+    /// Its upper end.
+    pub high: f64,
+}
+
+impl Interval {
+    /// The value lies within, or outside by no more than rounding.
+    pub fn contains(&self, value: f64) -> bool {
+        let slack = 1e-9 * value.abs();
+        value >= self.low - slack && value <= self.high + slack
+    }
+}
+
+/// Why no law was fitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    /// Fewer sizes than [`LEAST_SIZES`].
+    #[error("too few sizes")]
+    TooFew,
+    /// A size or a value is 0, negative or not a number: it has no logarithm.
+    #[error("a value without a logarithm")]
+    NoLogarithm,
+    /// The least squares have no solution.
+    #[error("no solution")]
+    NoSolution,
+}
+
+/// `value = factor * size ^ exponent`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Law {
+    /// The value at size 1.
+    pub factor: f64,
+    /// How fast the value grows: 0 not at all, 1 in proportion to the size, 2 with its square.
+    pub exponent: f64,
+    /// Where the exponent lies with [`CONFIDENCE`].
+    pub exponent_in: Interval,
+    /// Share of the logarithms' variance that the law explains; `None` where they do not vary.
+    pub r2: Option<f64>,
+    /// Smallest and largest size fitted.
+    pub sizes: Interval,
+    /// Variance of the residuals, on logarithms.
+    residual: f64,
+    /// Quantile of Student's t for [`CONFIDENCE`].
+    quantile: f64,
+    /// How many sizes, their mean logarithm, and the sum of its squared distances.
+    spread: (f64, f64, f64),
+}
+
+/// What a law says of a size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// The value that is expected.
+    pub value: f64,
+    /// Where a value measured there lies with [`CONFIDENCE`].
+    pub within: Interval,
+    /// The size is more than [`FAR`] times outside the fitted ones.
+    pub far: bool,
+}
+
+impl Law {
+    /// Fits a law to what was measured.
+    pub fn fit(points: &[Point]) -> Result<Law, Unfit> {
+        let means = means(points);
+        if means.len() < LEAST_SIZES {
+            return Err(Unfit::TooFew);
+        }
+        let positive = |value: f64| value.is_finite() && value > 0.0;
+        if !means.iter().all(|point| positive(point.size) && positive(point.value)) {
+            return Err(Unfit::NoLogarithm);
+        }
+        let logs: Vec<(f64, f64)> = means.iter().map(|point| (point.size.ln(), point.value.ln())).collect();
+        let rows: Vec<f64> = logs.iter().flat_map(|&(x, y)| [y, 1.0, x]).collect();
+        let model = fit_low_level_regression_model(&rows, logs.len(), 3).map_err(|_| Unfit::NoSolution)?;
+        let &[intercept, exponent] = model.parameters() else { return Err(Unfit::NoSolution) };
+        let count = logs.len() as f64;
+        let quantile = StudentsT::new(0.0, 1.0, count - 2.0)
+            .map_err(|_| Unfit::NoSolution)?
+            .inverse_cdf(f64::midpoint(1.0, CONFIDENCE));
+        let mean = logs.iter().map(|log| log.0).sum::<f64>() / count;
+        let distance = logs.iter().map(|log| (log.0 - mean).powi(2)).sum::<f64>();
+        let mean_value = logs.iter().map(|log| log.1).sum::<f64>() / count;
+        let varies = logs.iter().any(|log| (log.1 - mean_value).abs() > 1e-12 * mean_value.abs().max(1.0));
+        let residual = model.scale().max(0.0);
+        let half = quantile * (residual / distance).sqrt();
+        Ok(Law {
+            factor: intercept.exp(),
+            exponent,
+            exponent_in: Interval { low: exponent - half, high: exponent + half },
+            r2: varies.then(|| model.rsquared()),
+            sizes: Interval { low: means[0].size, high: means[means.len() - 1].size },
+            residual,
+            quantile,
+            spread: (count, mean, distance),
+        })
+    }
+
+    /// What the law says of this size, which must be above 0.
+    pub fn predict(&self, size: f64) -> Prediction {
+        let (count, mean, distance) = self.spread;
+        let log = self.factor.ln() + self.exponent * size.ln();
+        let variance = self.residual * (1.0 + 1.0 / count + (size.ln() - mean).powi(2) / distance);
+        let half = self.quantile * variance.sqrt();
+        Prediction {
+            value: log.exp(),
+            within: Interval { low: (log - half).exp(), high: (log + half).exp() },
+            far: size > self.sizes.high * FAR || size < self.sizes.low / FAR,
+        }
+    }
+
+    /// The size at which the value reaches this one; `None` where it does not grow.
+    pub fn reaches(&self, value: f64) -> Option<f64> {
+        let size = ((value / self.factor).ln() / self.exponent).exp();
+        (self.exponent_in.low > 0.0 && size.is_finite()).then_some(size)
+    }
+}
+
+/// The mean value of each size, smallest size first.
+pub fn means(points: &[Point]) -> Vec<Point> {
+    let mut sorted = points.to_vec();
+    sorted.sort_by(|a, b| a.size.total_cmp(&b.size));
+    let of = |alike: &[Point]| Point {
+        size: alike[0].size,
+        value: alike.iter().map(|point| point.value).sum::<f64>() / alike.len() as f64,
+    };
+    sorted.chunk_by(|a, b| a.size == b.size).map(of).collect()
+}
+
+/// The largest size, which no law saw, beside what the law of all the others says of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HeldOut {
+    /// The size.
+    pub size: f64,
+    /// The mean of what was measured there.
+    pub measured: f64,
+    /// What the law says.
+    pub predicted: Prediction,
+}
+
+impl HeldOut {
+    /// By how much the prediction is off, as a part of what was measured: above 0 it is too large.
+    pub fn error(&self) -> f64 {
+        self.predicted.value / self.measured - 1.0
+    }
+
+    /// What was measured lies within the prediction's interval.
+    pub fn inside(&self) -> bool {
+        self.predicted.within.contains(self.measured)
+    }
+}
+
+/// How a value grows with a size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Growth {
+    /// There is none of it at any size.
+    None,
+    /// By a law, fitted to all sizes but the largest.
+    Law(Law, HeldOut),
+    /// No law could be fitted.
+    Unfit(Unfit),
+}
+
+/// What speaks against a growth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// The exponent is above what is allowed, its whole interval.
+    Steep,
+    /// The largest size has more than the law of the smaller ones says, by more than the interval and a tenth.
+    Bends,
+}
+
+impl Growth {
+    /// Keeps the largest size out, fits a law to the others and compares.
+    pub fn of(points: &[Point]) -> Growth {
+        if points.iter().all(|point| point.value == 0.0) {
+            return Growth::None;
+        }
+        let means = means(points);
+        let Some((last, rest)) = means.split_last() else { return Growth::Unfit(Unfit::TooFew) };
+        match Law::fit(rest) {
+            Ok(law) => {
+                let predicted = law.predict(last.size);
+                Growth::Law(law, HeldOut { size: last.size, measured: last.value, predicted })
+            }
+            Err(why) => Growth::Unfit(why),
+        }
+    }
+
+    /// What speaks against it where the value may grow with this exponent at most.
+    pub fn marks(&self, allowed: f64) -> Vec<Mark> {
+        let Growth::Law(law, held) = self else { return Vec::new() };
+        let steep = law.exponent_in.low > allowed;
+        let bends = held.measured > held.predicted.within.high && held.error() < -0.1;
+        [(steep, Mark::Steep), (bends, Mark::Bends)].into_iter().filter(|of| of.0).map(|of| of.1).collect()
+    }
+}
