Measure the control functions on the decision module, and play whole fleets of it

Slopes need points. Single costs (whole list, one change, dealing, greeting, trouble, load, report, timer of held jobs, a whole job, knowledge handed over, workers that have gone) are measured by the thread's own processor time and by heap bytes on a scheduler that knows a fleet of a given size. Messages are counted in a play of a whole fleet of schedulers on the module as it is, in one thread, with the least of a world round them; the same seed plays the same.

Tests: a calm fleet serves every job; a start is greeted and answered by all, a start of all costs each 4 (S - 1) messages; a lost zone is told of.

--- a/crates/slopes/src/clock.rs
+++ b/crates/slopes/src/clock.rs
@@ -30,24 +30,25 @@
     (0..64).map(step).min().unwrap_or(Duration::ZERO)
 }
 
-/// Processor microseconds that one round of the work takes: the median of [`SAMPLES`] series, each of so many rounds
-/// that the clock's step is a hundredth of it at most, and of `least` at least. What a round needs is laid by `prepare`,
-/// whose time is not counted, in lots of `lot` rounds.
-pub fn micros_a_round<T>(
+/// Processor microseconds that one round of the work on `state` takes: the median of [`SAMPLES`] series, each so long that
+/// the clock's step is a hundredth of it at most, and `least` at least. What a round needs is laid by `prepare`, whose
+/// time is not counted, for `lot` rounds at a time.
+pub fn micros_a_round<S, T>(
     least: Duration,
     lot: usize,
-    mut prepare: impl FnMut() -> T,
-    mut work: impl FnMut(T),
+    state: &mut S,
+    mut prepare: impl FnMut(&mut S) -> T,
+    mut work: impl FnMut(&mut S, T),
 ) -> f64 {
     let enough = least.max(granularity().div_f64(PRECISION));
     let mut samples: Vec<f64> = (0..SAMPLES)
         .map(|_| {
             let (mut spent, mut rounds) = (Duration::ZERO, 0_u32);
             while spent < enough {
-                let inputs: Vec<T> = (0..lot.max(1)).map(|_| prepare()).collect();
+                let inputs: Vec<T> = (0..lot.max(1)).map(|_| prepare(state)).collect();
                 rounds += inputs.len() as u32;
                 let before = thread_cpu();
-                inputs.into_iter().for_each(&mut work);
+                inputs.into_iter().for_each(|input| work(state, input));
                 spent += thread_cpu() - before;
             }
             spent.as_secs_f64() * 1e6 / f64::from(rounds)
--- /dev/null
+++ b/crates/slopes/src/play.rs
@@ -0,0 +1,309 @@
+//! A whole fleet of schedulers on the decision module as it is, in one thread and without a clock of its own: what
+//! they tell each other, the probes and the timers are counted for each scheduler and second.
+//!
+//! The world round them is the least that brings these out: workers of [`LANES`] lanes with a queue in order of arrival,
+//! a network of one delay that loses nothing, jobs of exponential length at Poisson times, each at a scheduler drawn at
+//! random. The list stands still; its cost is measured by itself ([`crate::probe`]).
+
+use crate::counts::{Counts, Sort, sort};
+use crate::probe_jobs::{PUMP, arrival, report};
+use crate::scene::{self, BEGIN, LANES, MILLI, SECOND, Size};
+use calicolb_decisions::api::*;
+use calicolb_decisions::rules::Dispatcher;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+/// How long a message or an answer is on its way.
+const DELAY: Micros = 500;
+/// Bytes of a probe's request and answer, heads and the report in the body.
+const PROBE_BYTES: u64 = 150;
+/// The jobs that run from the beginning arrive within this time.
+const FILLING: Micros = 3 * SECOND;
+/// From then on the fleet settles for so long before anything is measured.
+const SETTLING: Micros = 4 * SECOND;
+
+/// What happens once the fleet has settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Incident {
+    /// Nothing.
+    None,
+    /// The scheduler of rank 0 starts anew.
+    Restart,
+    /// All workers of zone 0 die at once; discovery has not told yet.
+    ZoneLost,
+}
+
+enum What {
+    /// A job reaches a scheduler; the next one is drawn, if there is to be one.
+    Job { next: bool },
+    /// An event reaches a scheduler.
+    Reach(u32, Event),
+    /// A task ends on a worker, if it still runs.
+    End(usize, Task),
+    /// It happens.
+    Incident,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+struct Task {
+    at: u32,
+    request: RequestId,
+    attempt: u32,
+    length: Micros,
+}
+
+#[derive(Default)]
+struct Host {
+    running: Vec<Task>,
+    waiting: VecDeque<Task>,
+    dead: bool,
+}
+
+struct Play<'a> {
+    size: &'a Size,
+    seed: u64,
+    rng: fastrand::Rng,
+    schedulers: Vec<Dispatcher>,
+    hosts: Vec<Host>,
+    index: HashMap<WorkerId, usize>,
+    /// What is to come, by time and in order of laying.
+    times: BinaryHeap<Reverse<(Micros, u64)>>,
+    coming: HashMap<u64, What>,
+    laid: u64,
+    now: Micros,
+    /// Of each open request: how many attempts, and where the last went.
+    sent: HashMap<(u32, RequestId), (u32, usize)>,
+    next_id: u32,
+    counts: Counts,
+}
+
+/// Plays a fleet for so many seconds once it has settled; an incident happens at the beginning of these.
+pub fn play(size: &Size, seed: u64, seconds: u64, incident: Incident) -> Counts {
+    // The list stands still: nobody has gone.
+    let size = &Size { days: 0, ..*size };
+    let begin = (FILLING + SETTLING) / SECOND;
+    let counts = Counts::new(size.schedulers as usize, (begin, begin + seconds));
+    let mut play = Play {
+        size,
+        seed,
+        rng: fastrand::Rng::with_seed(seed),
+        schedulers: (0..size.schedulers)
+            .map(|rank| Dispatcher::new(scene::settings(size, rank), seed ^ u64::from(rank) << 20, BEGIN))
+            .collect(),
+        hosts: (0..size.workers).map(|_| Host::default()).collect(),
+        index: (0..size.workers).map(|nr| (scene::worker_id(seed, nr), nr as usize)).collect(),
+        times: BinaryHeap::new(),
+        coming: HashMap::new(),
+        laid: 0,
+        now: BEGIN,
+        sent: HashMap::new(),
+        next_id: 0,
+        counts,
+    };
+    play.begin();
+    play.lay(FILLING + SETTLING, What::Incident);
+    play.run(BEGIN + FILLING + SETTLING + seconds * SECOND, incident);
+    play.counts
+}
+
+impl Play<'_> {
+    fn lay(&mut self, after: Micros, what: What) {
+        self.laid += 1;
+        self.times.push(Reverse((self.now + after, self.laid)));
+        self.coming.insert(self.laid, what);
+    }
+
+    /// All schedulers start, and as many jobs as run in the mean are there within a few seconds; as their length is
+    /// exponential, what is left of each is like a whole one.
+    fn begin(&mut self) {
+        for at in 0..self.size.schedulers {
+            let list = Event::Members(ListKind::Saved, scene::members(self.size, self.seed));
+            self.lay(0, What::Reach(at, list));
+        }
+        let running = (f64::from(self.size.workers) * self.size.running_a_worker) as u64;
+        for _ in 0..running {
+            let after = 100 * MILLI + self.rng.u64(0..FILLING);
+            self.lay(after, What::Job { next: false });
+        }
+        self.lay(FILLING, What::Job { next: true });
+    }
+
+    fn run(&mut self, until: Micros, incident: Incident) {
+        while let Some(Reverse((time, nr))) = self.times.pop() {
+            if time >= until {
+                return;
+            }
+            self.now = time;
+            match self.coming.remove(&nr) {
+                Some(What::Job { next }) => self.job(next),
+                Some(What::Reach(at, event)) => self.reach(at, event),
+                Some(What::End(at, task)) => self.end(at, task),
+                Some(What::Incident) => self.incident(incident),
+                None => {}
+            }
+        }
+    }
+
+    fn exponential(&mut self, mean: f64) -> Micros {
+        (-mean * (1.0 - self.rng.f64()).ln() * SECOND as f64) as Micros
+    }
+
+    fn job(&mut self, next: bool) {
+        if next {
+            let gap = self.exponential(1.0 / self.size.starts_per_s);
+            self.lay(gap, What::Job { next });
+        }
+        self.counts.jobs += u64::from(self.measured());
+        self.next_id += 1;
+        let class = usize::from(self.rng.u8(0..10) > 0);
+        let tenant = (self.size.tenants > 0).then(|| self.rng.usize(0..self.size.tenants as usize));
+        let job = arrival(self.now, self.next_id, class, tenant, self.size.task_s());
+        let at = self.rng.u32(0..self.size.schedulers);
+        self.reach(at, Event::Arrival(job));
+    }
+
+    fn measured(&self) -> bool {
+        self.counts.measures((self.now - BEGIN) / SECOND)
+    }
+
+    fn count(&mut self, at: u32, sort: Sort, bytes: u64) {
+        self.counts.add(at as usize, sort, (self.now - BEGIN) / SECOND, bytes);
+    }
+
+    /// An event reaches a scheduler, and what that asks for is carried out.
+    fn reach(&mut self, at: u32, event: Event) {
+        match &event {
+            Event::Peer { body, .. } => self.count(at, sort(body), body.len() as u64),
+            Event::Timer(PUMP) => self.count(at, Sort::Timers, 0),
+            _ => {}
+        }
+        let mut out = Vec::new();
+        self.schedulers[at as usize].on_event(self.now, event, &mut out);
+        out.into_iter().for_each(|action| self.act(at, action));
+    }
+
+    fn act(&mut self, at: u32, action: Action) {
+        match action {
+            Action::Send { request, worker, .. } => self.send(at, request, worker),
+            Action::Cancel { request, attempt } => self.cancel(at, request, attempt),
+            Action::Refuse { request, .. } | Action::Fail(request) => {
+                self.counts.unserved += u64::from(self.measured());
+                self.sent.remove(&(at, request));
+            }
+            Action::Probe(worker) => self.probe(at, worker),
+            Action::Tell { to, body } => {
+                let all = to.map_or(0..self.size.schedulers, |to| to..to + 1);
+                for to in all.filter(|&to| to != at) {
+                    self.count(at, sort(&body), body.len() as u64);
+                    self.lay(DELAY, What::Reach(to, Event::Peer { from: at, body: body.clone() }));
+                }
+            }
+            Action::SetTimer { timer, after } => self.lay(after, What::Reach(at, Event::Timer(timer))),
+            Action::FetchList | Action::Subscribe(_) | Action::CloseIdle(_) | Action::Log(_) => {}
+        }
+    }
+
+    fn send(&mut self, at: u32, request: RequestId, worker: WorkerId) {
+        let Some(&host) = self.index.get(&worker) else { return };
+        let length = self.exponential(self.size.task_s());
+        let attempts = self.sent.get(&(at, request)).map_or(0, |sent| sent.0);
+        self.sent.insert((at, request), (attempts + 1, host));
+        let task = Task { at, request, attempt: attempts, length };
+        if self.hosts[host].dead {
+            return self.ended(host, task, Ending::Unreachable);
+        }
+        self.hosts[host].waiting.push_back(task);
+        self.fill(host);
+    }
+
+    /// Waiting tasks start while there are lanes.
+    fn fill(&mut self, host: usize) {
+        while self.hosts[host].running.len() < LANES as usize {
+            let Some(task) = self.hosts[host].waiting.pop_front() else { return };
+            self.hosts[host].running.push(task);
+            let (request, attempt) = (task.request, task.attempt);
+            let note = Event::Note { request, attempt, note: Note::Started };
+            self.lay(2 * DELAY, What::Reach(task.at, note));
+            self.lay(DELAY + task.length, What::End(host, task));
+        }
+    }
+
+    fn end(&mut self, host: usize, task: Task) {
+        let Some(nr) = self.hosts[host].running.iter().position(|running| *running == task) else { return };
+        self.hosts[host].running.swap_remove(nr);
+        self.fill(host);
+        self.ended(host, task, Ending::Ok);
+    }
+
+    fn report(&self, host: usize) -> Report {
+        let host = &self.hosts[host];
+        report(host.running.len() as u32, host.waiting.len() as u32)
+    }
+
+    /// The scheduler hears how an attempt ended.
+    fn ended(&mut self, host: usize, task: Task, ending: Ending) {
+        let served = ending == Ending::Ok;
+        if served {
+            self.sent.remove(&(task.at, task.request));
+        }
+        let outcome = Outcome {
+            request: task.request,
+            attempt: task.attempt,
+            worker: scene::worker_id(self.seed, host as u32),
+            ending,
+            elapsed: task.length,
+            concluded: served,
+            report: served.then(|| self.report(host)),
+        };
+        self.lay(DELAY, What::Reach(task.at, Event::Outcome(outcome)));
+    }
+
+    fn cancel(&mut self, at: u32, request: RequestId, attempt: u32) {
+        let Some(&(_, host)) = self.sent.get(&(at, request)) else { return };
+        let is = |task: &Task| (task.at, task.request, task.attempt) == (at, request, attempt);
+        let there = &mut self.hosts[host];
+        let task = there.running.iter().chain(&there.waiting).copied().find(is);
+        there.running.retain(|task| !is(task));
+        there.waiting.retain(|task| !is(task));
+        if let Some(task) = task {
+            self.ended(host, task, Ending::Cancelled);
+            self.fill(host);
+        }
+    }
+
+    fn probe(&mut self, at: u32, worker: WorkerId) {
+        let Some(&host) = self.index.get(&worker) else { return };
+        // A request and an answer.
+        self.count(at, Sort::Probes, PROBE_BYTES / 2);
+        self.count(at, Sort::Probes, PROBE_BYTES / 2);
+        let (ending, report) = match self.hosts[host].dead {
+            true => (Ending::Unreachable, None),
+            false => (Ending::Ok, Some(self.report(host))),
+        };
+        let probed = Event::Probed { worker, ending, elapsed: 2 * DELAY, report };
+        self.lay(2 * DELAY, What::Reach(at, probed));
+    }
+
+    fn incident(&mut self, incident: Incident) {
+        match incident {
+            Incident::None => {}
+            Incident::Restart => {
+                let settings = scene::settings(self.size, 0);
+                self.schedulers[0] = Dispatcher::new(settings, !self.seed, self.now);
+                let list = Event::Members(ListKind::Saved, scene::members(self.size, self.seed));
+                self.reach(0, list);
+            }
+            Incident::ZoneLost => {
+                for host in (0..self.hosts.len()).step_by(self.size.zones as usize) {
+                    self.hosts[host].dead = true;
+                    let running = std::mem::take(&mut self.hosts[host].running);
+                    let waiting = std::mem::take(&mut self.hosts[host].waiting);
+                    running
+                        .into_iter()
+                        .chain(waiting)
+                        .for_each(|task| self.ended(host, task, Ending::Broken));
+                }
+            }
+        }
+    }
+}
