Add calicolb-rig slopes: what each control function costs, by the size of the fleet

The command measures all of them, keeps the largest size of each axis out of the fit, predicts it and the base, marks what grows faster than it may or bends beyond its law, and writes a table, a CSV file for each function and axis and a chart for each axis.

A law predicts by a line where that lies clearly closer than the power law.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod ledger;
 mod load;
+mod slopes;
 mod table;
 mod workers;
 
@@ -29,7 +30,8 @@
   calicolb-rig demo
   calicolb-rig run --speak gearman --seeds 5 --seconds 20 --roll
   calicolb-rig rush --speak gearman --seconds 5
-  calicolb-rig idle --connections 1000"
+  calicolb-rig idle --connections 1000
+  calicolb-rig slopes --out target/slopes"
 )]
 struct Cli {
     #[command(subcommand)]
@@ -53,6 +55,8 @@
         #[arg(long, default_value_t = 5)]
         seconds: u64,
     },
+    /// What each control function costs by the size of the fleet: exponents, predictions, and what is beyond its budget.
+    Slopes(slopes::Slopes),
 }
 
 /// Who speaks what.
@@ -107,6 +111,7 @@
         Command::Run(run) => series(&run),
         Command::Rush(rush) => self::rush(&rush),
         Command::Idle { connections, seconds } => idle(connections, seconds),
+        Command::Slopes(slopes) => slopes::run(&slopes),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/rig/src/slopes/chart.rs
@@ -0,0 +1,81 @@
+//! A chart for each axis: what was measured, with the laws drawn through it, both scales logarithmic.
+
+use calicolb_slopes::axes::{Axis, Quantity, Row};
+use calicolb_slopes::fit::{Growth, means};
+use plotters::prelude::*;
+use std::error::Error;
+use std::path::Path;
+
+/// Width and height, in pixels.
+const SIZE: (u32, u32) = (1_200, 900);
+/// The four panels.
+const PANELS: [(Quantity, &str); 4] = [
+    (Quantity::Messages, "messages by the event"),
+    (Quantity::Bytes, "bytes by the event"),
+    (Quantity::CpuUs, "processor microseconds by the event"),
+    (Quantity::State, "bytes of state"),
+];
+
+/// Draws one axis.
+pub fn draw(path: &Path, axis: Axis, rows: &[&Row]) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    for (area, (quantity, title)) in root.split_evenly((2, 2)).iter().zip(PANELS) {
+        let of: Vec<&Row> = rows.iter().copied().filter(|row| row.quantity == quantity).collect();
+        panel(area, axis, title, &of)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+
+fn panel(area: &Area<'_>, axis: Axis, title: &str, rows: &[&Row]) -> Result<(), Box<dyn Error>> {
+    // What is 0 has no place on a logarithmic scale.
+    let shown: Vec<_> = rows
+        .iter()
+        .map(|row| (row, means(&row.points).into_iter().filter(|at| at.value > 0.0).collect::<Vec<_>>()))
+        .filter(|(_, points)| !points.is_empty())
+        .collect();
+    let all = shown.iter().flat_map(|(_, points)| points);
+    let bounds = |values: &mut dyn Iterator<Item = f64>| {
+        let (low, high) =
+            values.fold((f64::INFINITY, 0.0_f64), |(low, high), value| (low.min(value), high.max(value)));
+        if high > 0.0 { (low / 1.5, high * 1.5) } else { (0.5, 2.0) }
+    };
+    let x = bounds(&mut all.clone().map(|at| at.size));
+    let y = bounds(&mut all.map(|at| at.value));
+    let mut chart = ChartBuilder::on(area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(70)
+        .build_cartesian_2d((x.0..x.1 * 4.0).log_scale(), (y.0..y.1).log_scale())?;
+    chart.configure_mesh().x_desc(axis.name()).light_line_style(WHITE).draw()?;
+    for (nr, (row, points)) in shown.iter().enumerate() {
+        let color = Palette99::pick(nr).to_rgba();
+        let mut name = row.function.name().to_owned();
+        if let Growth::Law(law, _) = &row.growth {
+            name = format!("{name} {:.2}", law.exponent);
+            let ends = [law.sizes.low, points[points.len() - 1].size];
+            let line = ends.map(|size| (size, law.predict(size).value.clamp(y.0, y.1)));
+            chart.draw_series(LineSeries::new(line, color.stroke_width(1)))?;
+        }
+        let kept_out = points.len().saturating_sub(1);
+        let dots = points.iter().enumerate().map(|(at, point)| {
+            // The size that was kept out of the fit is hollow.
+            let style = if at == kept_out { color.stroke_width(1) } else { color.filled() };
+            Circle::new((point.size, point.value), 4, style)
+        });
+        chart.draw_series(dots)?.label(name).legend(move |(x, y)| Circle::new((x + 8, y), 4, color.filled()));
+    }
+    if !shown.is_empty() {
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperRight)
+            .border_style(BLACK.mix(0.2))
+            .background_style(WHITE.mix(0.8))
+            .draw()?;
+    }
+    Ok(())
+}
--- a/crates/slopes/src/counts.rs
+++ b/crates/slopes/src/counts.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::ops::Add;
 
+/// Bytes of the heads of UDP and IP round a datagram.
+pub const HEADS: f64 = 28.0;
+
 /// What is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Sort {
@@ -27,6 +30,13 @@
     pub bytes: u64,
 }
 
+impl Count {
+    /// The bytes of datagrams with the heads of UDP and IP.
+    pub fn with_heads(&self) -> f64 {
+        self.bytes as f64 + HEADS * self.messages as f64
+    }
+}
+
 impl Add for Count {
     type Output = Count;
 
--- a/crates/slopes/src/fit.rs
+++ b/crates/slopes/src/fit.rs
@@ -1,5 +1,5 @@
-//! Power laws by least squares on logarithms, what they predict, and how well that holds where they were not fitted.
-//! No I/O and no clock: numbers in, numbers out.
+//! Power laws by least squares on logarithms, lines where these lie closer, what they predict, and how well that holds
+//! where they were not fitted. No I/O and no clock: numbers in, numbers out.
 //!
 //! Replays of one size with several seeds are averaged first, and the law is fitted to one point a size: what a size
 //! does to the value beyond the power law is alike in all its replays, and counting each of them as a witness of its
@@ -12,6 +12,9 @@
 pub const CONFIDENCE: f64 = 0.95;
 /// A prediction for a size further outside the fitted ones than by this factor is an extrapolation.
 pub const FAR: f64 = 2.0;
+/// A line predicts only where its residuals vary so many times less than those of the power law: who took the closer of
+/// the two each time would be surer than the figures allow.
+const CLEARLY: f64 = 6.0;
 /// Sizes that a law needs at least: with fewer there is no residual to judge it by.
 pub const LEAST_SIZES: usize = 3;
 
@@ -55,25 +58,68 @@
     NoSolution,
 }
 
-/// `value = factor * size ^ exponent`.
+/// By which form a law predicts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// `factor * size ^ exponent`.
+    Power,
+    /// `start + slope * size`: something that is there at any size, and more in proportion to it.
+    Line,
+}
+
+/// How a value grows: by its exponent, and by the form that predicts: a power law, or a line where that lies clearly
+/// closer to what was measured.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Law {
-    /// The value at size 1.
-    pub factor: f64,
-    /// How fast the value grows: 0 not at all, 1 in proportion to the size, 2 with its square.
+    /// How fast the value grows: 0 not at all, 1 in proportion to the size, 2 with its square. Always that of the power
+    /// law.
     pub exponent: f64,
     /// Where the exponent lies with [`CONFIDENCE`].
     pub exponent_in: Interval,
-    /// Share of the logarithms' variance that the law explains; `None` where they do not vary.
+    /// Share of the logarithms' variance that the power law explains; `None` where they do not vary.
     pub r2: Option<f64>,
     /// Smallest and largest size fitted.
     pub sizes: Interval,
-    /// Variance of the residuals, on logarithms.
-    residual: f64,
+    /// By which it predicts.
+    pub form: Form,
+    /// The two parameters of that form, on logarithms or not, as it wants.
+    fitted: Fitted,
     /// Quantile of Student's t for [`CONFIDENCE`].
     quantile: f64,
-    /// How many sizes, their mean logarithm, and the sum of its squared distances.
-    spread: (f64, f64, f64),
+}
+
+/// Two parameters by least squares, and what it takes to say how sure they are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Fitted {
+    parameters: (f64, f64),
+    /// Variance of the residuals.
+    residual: f64,
+    /// The inverse of the rows' product with themselves: its diagonal, and what stands beside it.
+    inverse: (f64, f64, f64),
+}
+
+impl Fitted {
+    /// Fits `target = a * first + b * second`, of rows `(target, first, second)`.
+    fn to(rows: &[(f64, f64, f64)]) -> Option<(Fitted, f64)> {
+        let flat: Vec<f64> =
+            rows.iter().flat_map(|&(target, first, second)| [target, first, second]).collect();
+        let model = fit_low_level_regression_model(&flat, rows.len(), 3).ok()?;
+        let &[a, b] = model.parameters() else { return None };
+        let sum = |product: fn(&(f64, f64, f64)) -> f64| rows.iter().map(product).sum::<f64>();
+        let (uu, vv, uv) = (sum(|row| row.1 * row.1), sum(|row| row.2 * row.2), sum(|row| row.1 * row.2));
+        let determinant = uu * vv - uv * uv;
+        let inverse = (vv / determinant, uu / determinant, -uv / determinant);
+        let sound = [a, b, inverse.0, inverse.1, inverse.2].iter().all(|value| value.is_finite());
+        let fitted = Fitted { parameters: (a, b), residual: model.scale().max(0.0), inverse };
+        sound.then_some((fitted, model.rsquared()))
+    }
+
+    /// The standard error of what is predicted for such a row, its own scatter included.
+    fn error(&self, first: f64, second: f64) -> f64 {
+        let (uu, vv, uv) = self.inverse;
+        let lever = uu * first * first + vv * second * second + 2.0 * uv * first * second;
+        (self.residual * (1.0 + lever)).sqrt()
+    }
 }
 
 /// What a law says of a size.
@@ -98,49 +144,60 @@
         if !means.iter().all(|point| positive(point.size) && positive(point.value)) {
             return Err(Unfit::NoLogarithm);
         }
-        let logs: Vec<(f64, f64)> = means.iter().map(|point| (point.size.ln(), point.value.ln())).collect();
-        let rows: Vec<f64> = logs.iter().flat_map(|&(x, y)| [y, 1.0, x]).collect();
-        let model = fit_low_level_regression_model(&rows, logs.len(), 3).map_err(|_| Unfit::NoSolution)?;
-        let &[intercept, exponent] = model.parameters() else { return Err(Unfit::NoSolution) };
-        let count = logs.len() as f64;
-        let quantile = StudentsT::new(0.0, 1.0, count - 2.0)
+        let logs: Vec<_> = means.iter().map(|point| (point.value.ln(), 1.0, point.size.ln())).collect();
+        let (power, r2) = Fitted::to(&logs).ok_or(Unfit::NoSolution)?;
+        let quantile = StudentsT::new(0.0, 1.0, (means.len() - 2) as f64)
             .map_err(|_| Unfit::NoSolution)?
             .inverse_cdf(f64::midpoint(1.0, CONFIDENCE));
-        let mean = logs.iter().map(|log| log.0).sum::<f64>() / count;
-        let distance = logs.iter().map(|log| (log.0 - mean).powi(2)).sum::<f64>();
-        let mean_value = logs.iter().map(|log| log.1).sum::<f64>() / count;
-        let varies = logs.iter().any(|log| (log.1 - mean_value).abs() > 1e-12 * mean_value.abs().max(1.0));
-        let residual = model.scale().max(0.0);
-        let half = quantile * (residual / distance).sqrt();
+        // Errors in proportion to the value, as they are on logarithms: the rows of the line are divided by it.
+        let parts: Vec<_> =
+            means.iter().map(|point| (1.0, 1.0 / point.value, point.size / point.value)).collect();
+        let above = |line: &Fitted| {
+            means.iter().all(|point| line.parameters.0 + line.parameters.1 * point.size > 0.0)
+        };
+        let line = Fitted::to(&parts).map(|(line, _)| line).filter(above);
+        let closer = line.filter(|line| line.residual * CLEARLY < power.residual);
+        let level = logs.iter().map(|log| log.0).sum::<f64>() / logs.len() as f64;
+        let varies = logs.iter().any(|log| (log.0 - level).abs() > 1e-12 * level.abs().max(1.0));
+        let half = quantile * (power.residual * power.inverse.1).sqrt();
+        let exponent = power.parameters.1;
         Ok(Law {
-            factor: intercept.exp(),
             exponent,
             exponent_in: Interval { low: exponent - half, high: exponent + half },
-            r2: varies.then(|| model.rsquared()),
+            r2: varies.then_some(r2),
             sizes: Interval { low: means[0].size, high: means[means.len() - 1].size },
-            residual,
+            form: if closer.is_some() { Form::Line } else { Form::Power },
+            fitted: closer.unwrap_or(power),
             quantile,
-            spread: (count, mean, distance),
         })
     }
 
     /// What the law says of this size, which must be above 0.
     pub fn predict(&self, size: f64) -> Prediction {
-        let (count, mean, distance) = self.spread;
-        let log = self.factor.ln() + self.exponent * size.ln();
-        let variance = self.residual * (1.0 + 1.0 / count + (size.ln() - mean).powi(2) / distance);
-        let half = self.quantile * variance.sqrt();
+        let (a, b) = self.fitted.parameters;
+        let (value, error) = match self.form {
+            Form::Power => ((a + b * size.ln()).exp(), self.fitted.error(1.0, size.ln())),
+            Form::Line => {
+                let value = (a + b * size).max(f64::MIN_POSITIVE);
+                (value, self.fitted.error(1.0 / value, size / value))
+            }
+        };
+        let factor = (self.quantile * error).exp();
         Prediction {
-            value: log.exp(),
-            within: Interval { low: (log - half).exp(), high: (log + half).exp() },
+            value,
+            within: Interval { low: value / factor, high: value * factor },
             far: size > self.sizes.high * FAR || size < self.sizes.low / FAR,
         }
     }
 
-    /// The size at which the value reaches this one; `None` where it does not grow.
+    /// The size at which the value reaches this one; `None` where it does not surely grow.
     pub fn reaches(&self, value: f64) -> Option<f64> {
-        let size = ((value / self.factor).ln() / self.exponent).exp();
-        (self.exponent_in.low > 0.0 && size.is_finite()).then_some(size)
+        let (a, b) = self.fitted.parameters;
+        let size = match self.form {
+            Form::Power => ((value.ln() - a) / b).exp(),
+            Form::Line => (value - a) / b,
+        };
+        (self.exponent_in.low > 0.0 && size.is_finite() && size > 0.0).then_some(size)
     }
 }
 
--- a/crates/slopes/tests/fit.rs
+++ b/crates/slopes/tests/fit.rs
@@ -1,6 +1,6 @@
 //! The statistics on data whose truth is known.
 
-use calicolb_slopes::fit::{CONFIDENCE, Growth, Interval, Law, Mark, Point, Unfit};
+use calicolb_slopes::fit::{CONFIDENCE, Form, Growth, Interval, Law, Mark, Point, Unfit};
 
 /// Sizes as they are measured, three replays each.
 const SIZES: [f64; 6] = [50.0, 100.0, 200.0, 400.0, 690.0, 2_000.0];
@@ -20,7 +20,8 @@
 fn an_exact_law_is_recovered_and_predicts_exactly() {
     let law = Law::fit(&points(|size| 3.0 * size.powf(1.5))).expect("it can be fitted");
     assert!((law.exponent - 1.5).abs() < 1e-9, "{law:?}");
-    assert!((law.factor - 3.0).abs() < 1e-6, "{law:?}");
+    assert_eq!(law.form, Form::Power);
+    assert!((law.predict(1.0).value - 3.0).abs() < 1e-6, "{law:?}");
     assert!(law.r2.is_some_and(|r2| r2 > 1.0 - 1e-9), "{law:?}");
     let there = law.predict(1_000.0);
     assert!((there.value / (3.0 * 1_000.0_f64.powf(1.5)) - 1.0).abs() < 1e-9 && !there.far);
@@ -53,6 +54,23 @@
     assert!(near.contains(share(held)), "held-out value covered in {}", share(held));
 }
 
+#[test]
+fn what_is_there_at_any_size_and_grows_in_proportion_beyond_is_predicted_by_a_line() {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let Growth::Law(law, out) =
+        Growth::of(&points(|size| (900.0 + 4.0 * size) * (0.01 * normal(&mut rng)).exp()))
+    else {
+        panic!("it can be fitted")
+    };
+    assert_eq!(law.form, Form::Line, "{law:?}");
+    // A power law alone would be off by a third there.
+    assert!(out.inside() && out.error().abs() < 0.03, "{out:?}");
+    assert!(law.exponent > 0.0 && law.exponent < 1.0, "the exponent is still the power law's: {law:?}");
+    let there = law.predict(1_000.0);
+    assert!((there.value / 4_900.0 - 1.0).abs() < 0.03, "{there:?}");
+    assert!(law.reaches(4_900.0).is_some_and(|size| (size / 1_000.0 - 1.0).abs() < 0.03));
+}
+
 #[test]
 fn a_planted_square_is_marked_and_what_grows_in_proportion_is_not() {
     let mut rng = fastrand::Rng::with_seed(11);
