Play calm, start and loss as phases of one fleet

Three plays for each size and seed laid the same fleet three times; at 1,000 schedulers most of a play is that.

--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -5,7 +5,8 @@
 
 use calicolb_slopes::axes::{Axis, Budget, Row, Sample, rows};
 use calicolb_slopes::clock;
-use calicolb_slopes::functions::{Effort, Function, Measured, Plays, measure};
+use calicolb_slopes::counts::Counts;
+use calicolb_slopes::functions::{Effort, Function, Measured, measure, phases};
 use calicolb_slopes::report;
 use calicolb_slopes::scene::Size;
 use calicolb_slopes::suspicions::{self, Finding};
@@ -157,12 +158,12 @@
         bar.set_style(style);
     }
     let seconds = args.effort().seconds;
-    let mut plays: Vec<(Size, u64, Plays)> = Vec::new();
+    let mut plays: Vec<(Size, u64, Counts)> = Vec::new();
     let mut of = |size: &Size, seed: u64| {
         let still = Size { days: 0, ..*size };
         let known = plays.iter().position(|(played, with, _)| (played, *with) == (&still, seed));
         let at = known.unwrap_or_else(|| {
-            plays.push((still, seed, Plays::of(&still, seed, seconds)));
+            plays.push((still, seed, phases(&still, seed, seconds)));
             plays.len() - 1
         });
         measure(size, seed, args.effort(), &plays[at].2)
--- a/crates/slopes/src/counts.rs
+++ b/crates/slopes/src/counts.rs
@@ -1,7 +1,7 @@
 //! What schedulers of a play sent and received, counted by scheduler and second.
 
 use std::collections::BTreeMap;
-use std::ops::Add;
+use std::ops::{Add, Range};
 
 /// Bytes of the heads of UDP and IP round a datagram.
 pub const HEADS: f64 = 28.0;
@@ -50,18 +50,21 @@
 pub struct Counts {
     /// Of each scheduler; a second without any is not there.
     tallies: Vec<BTreeMap<(Sort, u64), Count>>,
-    /// Jobs that arrived in the measured time.
-    pub jobs: u64,
-    /// Jobs of these that were refused or failed.
-    pub unserved: u64,
-    /// The first second that is measured, and the one after the last.
-    span: (u64, u64),
+    /// The phases that are measured, one after the other: from which second up to which, jobs that arrived, and jobs
+    /// that were refused or failed.
+    phases: Vec<(Range<u64>, u64, u64)>,
 }
 
 impl Counts {
-    /// Nothing yet, of so many schedulers, with what is measured from one second up to another.
-    pub(crate) fn new(schedulers: usize, span: (u64, u64)) -> Self {
-        Counts { tallies: vec![BTreeMap::new(); schedulers], jobs: 0, unserved: 0, span }
+    /// Nothing yet, of so many schedulers, with phases of so many seconds from this second on.
+    pub(crate) fn new(schedulers: usize, begin: u64, lengths: impl Iterator<Item = u64>) -> Self {
+        let mut from = begin;
+        let phase = |length: u64| {
+            let span = from..from + length;
+            from = span.end;
+            (span, 0, 0)
+        };
+        Counts { tallies: vec![BTreeMap::new(); schedulers], phases: lengths.map(phase).collect() }
     }
 
     /// One more message at a scheduler.
@@ -70,30 +73,44 @@
         *count = *count + Count { messages: 1, bytes };
     }
 
-    /// This second is measured.
-    pub(crate) fn measures(&self, second: u64) -> bool {
-        (self.span.0..self.span.1).contains(&second)
+    /// Jobs that arrived in this second, and such that were refused or failed.
+    pub(crate) fn jobs_in(&mut self, second: u64, arrived: u64, unserved: u64) {
+        let phase = self.phases.iter_mut().find(|(span, ..)| span.contains(&second));
+        if let Some((_, jobs, lost)) = phase {
+            (*jobs, *lost) = (*jobs + arrived, *lost + unserved);
+        }
+    }
+
+    /// Jobs that arrived in a phase.
+    pub fn jobs(&self, phase: usize) -> u64 {
+        self.phases[phase].1
+    }
+
+    /// Jobs that were refused or failed in a phase.
+    pub fn unserved(&self, phase: usize) -> u64 {
+        self.phases[phase].2
     }
 
-    fn measured(&self, sort: Sort) -> impl Iterator<Item = Count> {
+    fn measured(&self, phase: usize, sort: Sort) -> impl Iterator<Item = Count> {
+        let span = self.phases[phase].0.clone();
         let all = self.tallies.iter().flatten();
-        all.filter(move |((of, second), _)| *of == sort && self.measures(*second)).map(|(_, count)| *count)
+        all.filter(move |((of, second), _)| *of == sort && span.contains(second)).map(|(_, count)| *count)
     }
 
-    /// Of one sort in the measured time, over all schedulers: each message is counted where it is sent and where it is
-    /// received.
-    pub fn total(&self, sort: Sort) -> Count {
-        self.measured(sort).fold(Count::default(), Count::add)
+    /// Of one sort in a phase, over all schedulers: each message is counted where it is sent and where it is received.
+    pub fn total(&self, phase: usize, sort: Sort) -> Count {
+        self.measured(phase, sort).fold(Count::default(), Count::add)
     }
 
-    /// Of one sort, the worst second of the scheduler that was worst off in the measured time, by bytes.
-    pub fn worst(&self, sort: Sort) -> Count {
-        self.measured(sort).max_by_key(|count| (count.bytes, count.messages)).unwrap_or_default()
+    /// Of one sort, the worst second of the scheduler that was worst off in a phase, by bytes.
+    pub fn worst(&self, phase: usize, sort: Sort) -> Count {
+        self.measured(phase, sort).max_by_key(|count| (count.bytes, count.messages)).unwrap_or_default()
     }
 
     /// Greetings of the very beginning, when all schedulers start at once: the worst scheduler's, all in all.
     pub fn mass_restart(&self) -> Count {
-        let early = |at: &(Sort, u64)| at.0 == Sort::Greetings && at.1 < self.span.0;
+        let begin = self.phases.first().map_or(u64::MAX, |(span, ..)| span.start);
+        let early = |at: &(Sort, u64)| at.0 == Sort::Greetings && at.1 < begin;
         let of = |tally: &BTreeMap<(Sort, u64), Count>| {
             tally
                 .iter()
--- a/crates/slopes/src/functions.rs
+++ b/crates/slopes/src/functions.rs
@@ -146,26 +146,17 @@
     Load { bytes: cost.bytes.map(|bytes| bytes * per_s), cpu_ms: cost.cpu_us.map(|us| us * per_s / 1_000.0) }
 }
 
-/// The plays of one size and seed: they know no days of service, so that one lot serves all of these.
-#[derive(Debug)]
-pub struct Plays {
-    /// Nothing happens.
-    pub calm: Counts,
-    /// One scheduler starts anew; before that, all did.
-    pub start: Counts,
-    /// A zone is lost.
-    pub lost: Counts,
-}
+/// Phases of a play: nothing happens, ...
+pub const CALM: usize = 0;
+/// ... one scheduler starts anew, ...
+pub const START: usize = 1;
+/// ... a zone is lost. Before all of them, all schedulers start at once.
+pub const LOST: usize = 2;
 
-impl Plays {
-    /// Plays them; the calm one for so many seconds.
-    pub fn of(size: &Size, seed: u64, seconds: u64) -> Self {
-        Plays {
-            calm: play(size, seed, seconds, Incident::None),
-            start: play(size, seed, 1, Incident::Restart),
-            lost: play(size, seed, STORM_S, Incident::ZoneLost),
-        }
-    }
+/// Plays a fleet through all phases, the calm one for so many seconds. A play knows no days of service: one serves all
+/// of these.
+pub fn phases(size: &Size, seed: u64, seconds: u64) -> Counts {
+    play(size, seed, &[(seconds, Incident::None), (1, Incident::Restart), (STORM_S, Incident::ZoneLost)])
 }
 
 /// The load of so many events a second whose messages are datagrams: their heads count, as they do on a network.
@@ -174,8 +165,8 @@
     Load { bytes: cost.bytes.map(|bytes| (bytes + heads) * per_s), ..load(cost, per_s) }
 }
 
-/// Measures all functions at one size.
-pub fn measure(size: &Size, seed: u64, effort: Effort, plays: &Plays) -> Vec<Measured> {
+/// Measures all functions at one size, with what was counted in its play.
+pub fn measure(size: &Size, seed: u64, effort: Effort, counts: &Counts) -> Vec<Measured> {
     let Effort { times, seconds } = effort;
     let one = |function, cost, mean, worst| Measured { function, cost, mean, worst };
     let (none, a_day) = (Load::default(), 1.0 / DAY_S);
@@ -196,15 +187,14 @@
     let dealing = probe::dealing(size, seed, times);
     all.push(one(Function::Dealing, dealing, none, none));
 
-    let calm = &plays.calm;
-    all.push(talk(size, seed, times, calm));
+    all.push(talk(size, seed, times, counts));
     let greeting = probe::greeting(size, seed, times).cpu_us;
-    all.extend(greetings(size, &plays.start, greeting, dealing.cpu_us));
-    all.push(troubles(size, seed, times, &plays.lost));
+    all.extend(greetings(size, counts, greeting, dealing.cpu_us));
+    all.push(troubles(size, seed, times, counts));
 
-    let jobs = calm.jobs.max(1) as f64;
+    let jobs = counts.jobs(CALM).max(1) as f64;
     let per_s = size.starts_per_s / f64::from(size.schedulers);
-    let (total, most) = (calm.total(Sort::Probes), calm.worst(Sort::Probes));
+    let (total, most) = (counts.total(CALM, Sort::Probes), counts.worst(CALM, Sort::Probes));
     let each = probe_jobs::probed(size, seed, times).cpu_us;
     let cost = Cost {
         messages: Some(total.messages as f64 / jobs),
@@ -216,7 +206,7 @@
         Load { bytes: Some(most.bytes as f64), cpu_ms: each.map(|us| us * most.messages as f64 / 2_000.0) };
     all.push(one(Function::Probes, cost, load(&cost, per_s), worst));
 
-    let (total, most) = (calm.total(Sort::Timers), calm.worst(Sort::Timers));
+    let (total, most) = (counts.total(CALM, Sort::Timers), counts.worst(CALM, Sort::Timers));
     let each = probe_jobs::timer(size, seed, times).cpu_us;
     let a_second = total.messages as f64 / (f64::from(size.schedulers) * seconds as f64);
     let cost = Cost { messages: Some(a_second), cpu_us: each.map(|us| us * a_second), ..Cost::default() };
@@ -234,8 +224,9 @@
 }
 
 /// Of loads told. A job is told of twice by who has it, and each datagram is heard once.
-fn talk(size: &Size, seed: u64, times: bool, calm: &Counts) -> Measured {
-    let (jobs, total, most) = (calm.jobs.max(1) as f64, calm.total(Sort::Talk), calm.worst(Sort::Talk));
+fn talk(size: &Size, seed: u64, times: bool, counts: &Counts) -> Measured {
+    let (jobs, total, most) =
+        (counts.jobs(CALM).max(1) as f64, counts.total(CALM, Sort::Talk), counts.worst(CALM, Sort::Talk));
     let told = probe::load_told(size, seed, times).cpu_us;
     let heard = probe::load_heard(size, seed, times).cpu_us;
     // Every datagram is counted at both ends.
@@ -254,8 +245,8 @@
 }
 
 /// Of greetings: one start, and all at once, which marks the maps as stale: they are dealt anew with the next job.
-fn greetings(size: &Size, start: &Counts, each: Option<f64>, dealing: Option<f64>) -> [Measured; 2] {
-    let (one, all) = (start.total(Sort::Greetings), start.mass_restart());
+fn greetings(size: &Size, counts: &Counts, each: Option<f64>, dealing: Option<f64>) -> [Measured; 2] {
+    let (one, all) = (counts.total(START, Sort::Greetings), counts.mass_restart());
     let sent = one.messages as f64 / 2.0;
     let cost = Cost {
         messages: Some(sent),
@@ -278,8 +269,8 @@
 }
 
 /// Of a lost zone.
-fn troubles(size: &Size, seed: u64, times: bool, lost: &Counts) -> Measured {
-    let (all, most) = (lost.total(Sort::Troubles), lost.worst(Sort::Troubles));
+fn troubles(size: &Size, seed: u64, times: bool, counts: &Counts) -> Measured {
+    let (all, most) = (counts.total(LOST, Sort::Troubles), counts.worst(LOST, Sort::Troubles));
     let each = probe::trouble(size, seed, times).cpu_us;
     let messages = all.messages as f64 / f64::from(size.schedulers);
     let cost = Cost {
--- a/crates/slopes/src/play.rs
+++ b/crates/slopes/src/play.rs
@@ -22,7 +22,7 @@
 /// From then on the fleet settles for so long before anything is measured.
 const SETTLING: Micros = 4 * SECOND;
 
-/// What happens once the fleet has settled.
+/// What happens at the beginning of a phase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Incident {
     /// Nothing.
@@ -41,7 +41,7 @@
     /// A task ends on a worker, if it still runs.
     End(usize, Task),
     /// It happens.
-    Incident,
+    Incident(Incident),
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -77,12 +77,12 @@
     counts: Counts,
 }
 
-/// Plays a fleet for so many seconds once it has settled; an incident happens at the beginning of these.
-pub fn play(size: &Size, seed: u64, seconds: u64, incident: Incident) -> Counts {
+/// Plays a fleet once it has settled, in phases of so many seconds, each of which begins with an incident.
+pub fn play(size: &Size, seed: u64, phases: &[(u64, Incident)]) -> Counts {
     // The list stands still: nobody has gone.
     let size = &Size { days: 0, ..*size };
     let begin = (FILLING + SETTLING) / SECOND;
-    let counts = Counts::new(size.schedulers as usize, (begin, begin + seconds));
+    let counts = Counts::new(size.schedulers as usize, begin, phases.iter().map(|phase| phase.0));
     let mut play = Play {
         size,
         seed,
@@ -101,8 +101,12 @@
         counts,
     };
     play.begin();
-    play.lay(FILLING + SETTLING, What::Incident);
-    play.run(BEGIN + FILLING + SETTLING + seconds * SECOND, incident);
+    let mut at = FILLING + SETTLING;
+    for &(seconds, incident) in phases {
+        play.lay(at, What::Incident(incident));
+        at += seconds * SECOND;
+    }
+    play.run(BEGIN + at);
     play.counts
 }
 
@@ -128,7 +132,7 @@
         self.lay(FILLING, What::Job { next: true });
     }
 
-    fn run(&mut self, until: Micros, incident: Incident) {
+    fn run(&mut self, until: Micros) {
         while let Some(Reverse((time, nr))) = self.times.pop() {
             if time >= until {
                 return;
@@ -138,7 +142,7 @@
                 Some(What::Job { next }) => self.job(next),
                 Some(What::Reach(at, event)) => self.reach(at, event),
                 Some(What::End(at, task)) => self.end(at, task),
-                Some(What::Incident) => self.incident(incident),
+                Some(What::Incident(incident)) => self.incident(incident),
                 None => {}
             }
         }
@@ -153,7 +157,7 @@
             let gap = self.exponential(1.0 / self.size.starts_per_s);
             self.lay(gap, What::Job { next });
         }
-        self.counts.jobs += u64::from(self.measured());
+        self.counts.jobs_in(self.second(), 1, 0);
         self.next_id += 1;
         let class = usize::from(self.rng.u8(0..10) > 0);
         let tenant = (self.size.tenants > 0).then(|| self.rng.usize(0..self.size.tenants as usize));
@@ -162,12 +166,12 @@
         self.reach(at, Event::Arrival(job));
     }
 
-    fn measured(&self) -> bool {
-        self.counts.measures((self.now - BEGIN) / SECOND)
+    fn second(&self) -> u64 {
+        (self.now - BEGIN) / SECOND
     }
 
     fn count(&mut self, at: u32, sort: Sort, bytes: u64) {
-        self.counts.add(at as usize, sort, (self.now - BEGIN) / SECOND, bytes);
+        self.counts.add(at as usize, sort, self.second(), bytes);
     }
 
     /// An event reaches a scheduler, and what that asks for is carried out.
@@ -187,7 +191,7 @@
             Action::Send { request, worker, .. } => self.send(at, request, worker),
             Action::Cancel { request, attempt } => self.cancel(at, request, attempt),
             Action::Refuse { request, .. } | Action::Fail(request) => {
-                self.counts.unserved += u64::from(self.measured());
+                self.counts.jobs_in(self.second(), 0, 1);
                 self.sent.remove(&(at, request));
             }
             Action::Probe(worker) => self.probe(at, worker),
--- a/crates/slopes/src/suspicions.rs
+++ b/crates/slopes/src/suspicions.rs
@@ -77,8 +77,8 @@
 /// Who starts tells all, and each answers; maps marked as stale.
 pub fn greetings(base: &Size, seed: u64, times: bool) -> Finding {
     let others = f64::from(base.schedulers.max(2) - 1);
-    let counts = play(base, seed, 1, Incident::Restart);
-    let one = counts.total(Sort::Greetings).messages as f64 / 2.0;
+    let counts = play(base, seed, &[(1, Incident::Restart)]);
+    let one = counts.total(0, Sort::Greetings).messages as f64 / 2.0;
     let (at_one, schedulers) = (counts.mass_restart(), f64::from(base.schedulers));
     let mut figures = vec![
         format!(
@@ -123,8 +123,8 @@
 
 /// Troubles are told to all.
 pub fn troubles(base: &Size, seed: u64, budget: f64) -> Finding {
-    let counts = play(base, seed, 3, Incident::ZoneLost);
-    let (all, worst) = (counts.total(Sort::Troubles), counts.worst(Sort::Troubles));
+    let counts = play(base, seed, &[(3, Incident::ZoneLost)]);
+    let (all, worst) = (counts.total(0, Sort::Troubles), counts.worst(0, Sort::Troubles));
     let payload = worst.bytes as f64;
     let heads = payload + HEADS * worst.messages as f64;
     Finding {
@@ -196,9 +196,9 @@
     let mut most = 0.0_f64;
     for schedulers in [30, base.schedulers, 1_000] {
         let size = Size { schedulers, ..*base };
-        let counts = play(&size, seed, seconds, Incident::None);
+        let counts = play(&size, seed, &[(seconds, Incident::None)]);
         let (jobs, all, worst) =
-            (counts.jobs.max(1) as f64, counts.total(Sort::Talk), counts.worst(Sort::Talk));
+            (counts.jobs(0).max(1) as f64, counts.total(0, Sort::Talk), counts.worst(0, Sort::Talk));
         let (datagrams, bytes) = (all.messages as f64 / 2.0 / jobs, all.bytes as f64 / 2.0 / jobs);
         most = most.max(datagrams);
         figures.push(format!(
--- a/crates/slopes/tests/exponents.rs
+++ b/crates/slopes/tests/exponents.rs
@@ -3,7 +3,7 @@
 
 use calicolb_slopes::axes::{Axis, Budget, Quantity, Row, Sample, rows};
 use calicolb_slopes::fit::Growth;
-use calicolb_slopes::functions::{Effort, Function, Plays, measure};
+use calicolb_slopes::functions::{Effort, Function, measure, phases};
 use std::sync::LazyLock;
 
 /// Three replays of each size.
@@ -21,8 +21,8 @@
         .flat_map(at)
         .map(|(axis, to, seed)| {
             let size = axis.set(&base, to);
-            let plays = Plays::of(&size, seed, EFFORT.seconds);
-            Sample { axis, size: f64::from(to), seed, measured: measure(&size, seed, EFFORT, &plays) }
+            let counts = phases(&size, seed, EFFORT.seconds);
+            Sample { axis, size: f64::from(to), seed, measured: measure(&size, seed, EFFORT, &counts) }
         })
         .collect()
 });
