--- a/crates/slopes/src/axes.rs
+++ b/crates/slopes/src/axes.rs
@@ -176,7 +176,7 @@
     pub state_bytes: f64,
 }
 
-/// The letter's: 2.9% of a core, 24 KB a second, 128 MB.
+/// That of the operators' letter on scale: 2.9% of a core, 24 KB a second, 128 MB.
 impl Default for Budget {
     fn default() -> Self {
         Budget { cpu_ms_per_s: 29.0, bytes_per_s: 24e3, state_bytes: 128e6 }
--- a/crates/slopes/src/scene.rs
+++ b/crates/slopes/src/scene.rs
@@ -42,7 +42,7 @@
     pub replaced_a_day: u32,
 }
 
-/// The letter's size: 690 workers, 240 tenants, 140 starts a second with 3,400 running, 6 zones, 5 failures and 38
+/// The size of the operators' letter on scale: 690 workers, 240 tenants, 140 starts a second with 3,400 running, 6 zones, 5 failures and 38
 /// replacements a day; 300 schedulers, as in the standing test.
 impl Default for Size {
     fn default() -> Self {
