--- a/crates/rig/src/slopes/chart.rs
+++ b/crates/rig/src/slopes/chart.rs
@@ -8,6 +8,8 @@
 
 /// Width and height, in pixels.
 const SIZE: (u32, u32) = (1_200, 900);
+/// Pieces of a law's curve.
+const STEPS: u32 = 32;
 /// The four panels.
 const PANELS: [(Quantity, &str); 4] = [
     (Quantity::Messages, "messages by the event"),
@@ -56,9 +58,11 @@
         let color = Palette99::pick(nr).to_rgba();
         let mut name = row.function.name().to_owned();
         if let Growth::Law(law, _) = &row.growth {
-            name = format!("{name} {:.2}", law.exponent);
-            let ends = [law.sizes.low, points[points.len() - 1].size];
-            let line = ends.map(|size| (size, law.predict(size).value.clamp(y.0, y.1)));
+            // Without a sign before a 0.
+            name = format!("{name} {:.2}", (law.exponent * 100.0).round() / 100.0 + 0.0);
+            let (low, high) = (law.sizes.low, points[points.len() - 1].size);
+            let at = |step: u32| low * (high / low).powf(f64::from(step) / f64::from(STEPS));
+            let line = (0..=STEPS).map(at).map(|size| (size, law.predict(size).value.clamp(y.0, y.1)));
             chart.draw_series(LineSeries::new(line, color.stroke_width(1)))?;
         }
         let kept_out = points.len().saturating_sub(1);
--- a/crates/slopes/src/axes.rs
+++ b/crates/slopes/src/axes.rs
@@ -5,6 +5,9 @@
 use crate::scene::Size;
 use serde::Serialize;
 
+/// An exponent within this of 0 is that of what does not grow.
+pub const FLAT: f64 = 0.05;
+
 /// What is varied while all else stays as in the base.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -44,7 +47,7 @@
             Axis::Schedulers => [10, 30, 100, 200, 500, 1_000],
             Axis::Tenants => [1, 10, 50, 150, 500, 1_000],
             Axis::Starts => [20, 40, 80, 160, 240, 480],
-            Axis::Days => [1, 7, 30, 90, 180, 365],
+            Axis::Days => [1, 7, 30, 90, 200, 365],
         }
     }
 
@@ -232,8 +235,10 @@
                 }
                 let growth = Growth::of(&points);
                 let reaches = match &growth {
-                    Growth::Law(law, _) => quantity.budget(budget).and_then(|most| law.reaches(most)),
-                    Growth::None | Growth::Unfit(_) => None,
+                    Growth::Law(law, _) if law.exponent >= FLAT => {
+                        quantity.budget(budget).and_then(|most| law.reaches(most))
+                    }
+                    Growth::Law(..) | Growth::None | Growth::Unfit(_) => None,
                 };
                 rows.push(Row { function, axis, quantity, points, growth, reaches });
             }
--- a/crates/slopes/src/fit.rs
+++ b/crates/slopes/src/fit.rs
@@ -63,7 +63,7 @@
 pub enum Form {
     /// `factor * size ^ exponent`.
     Power,
-    /// `start + slope * size`: something that is there at any size, and more in proportion to it.
+    /// `start + slope * size`: something that is there at any size, and more in proportion to it; never one that falls.
     Line,
 }
 
@@ -152,8 +152,10 @@
         // Errors in proportion to the value, as they are on logarithms: the rows of the line are divided by it.
         let parts: Vec<_> =
             means.iter().map(|point| (1.0, 1.0 / point.value, point.size / point.value)).collect();
+        // One that falls would come to nothing and less beyond the sizes fitted.
         let above = |line: &Fitted| {
-            means.iter().all(|point| line.parameters.0 + line.parameters.1 * point.size > 0.0)
+            let (start, slope) = line.parameters;
+            slope >= 0.0 && means.iter().all(|point| start + slope * point.size > 0.0)
         };
         let line = Fitted::to(&parts).map(|(line, _)| line).filter(above);
         let closer = line.filter(|line| line.residual * CLEARLY < power.residual);
--- a/crates/slopes/src/report.rs
+++ b/crates/slopes/src/report.rs
@@ -1,14 +1,14 @@
 //! The tables, as text.
 
-use crate::axes::{Axis, Budget, Quantity, Row};
+use crate::axes::{Axis, Budget, FLAT, Quantity, Row};
 use crate::fit::{Form, Growth, Interval, Law, Mark, Prediction, means};
 use crate::functions::{Function, Measured};
 use crate::scene::Size;
 use crate::suspicions::{BY_READING, Finding};
 use std::fmt::Write as _;
 
-/// Exponents within this of 0 are told in one line.
-const FLAT: f64 = 0.05;
+/// A law that is off by more than this at the size kept out of it predicts nothing where there is a better one.
+const OFF: f64 = 0.25;
 
 /// A figure with three digits that count.
 pub fn figure(value: f64) -> String {
@@ -119,16 +119,18 @@
 }
 
 /// The law that a function's quantity is predicted by: of the axes along which it surely grows or shrinks, that whose
-/// law is least off at the size kept out; where there is none, of all axes.
+/// law is least off at the size kept out; where all of these are off by more than [`OFF`], of all axes.
 pub fn best(rows: &[Row], function: Function, quantity: Quantity) -> Option<(Axis, &Law)> {
     let of = rows.iter().filter(|row| row.function == function && row.quantity == quantity);
     let laws = of.filter_map(|row| match &row.growth {
         Growth::Law(law, held) => Some((row.axis, law, held.error().abs())),
         Growth::None | Growth::Unfit(_) => None,
     });
-    let still = |law: &Law| law.exponent.abs() < FLAT || law.exponent_in.contains(0.0);
-    let order =
-        |a: &(Axis, &Law, f64), b: &(Axis, &Law, f64)| still(a.1).cmp(&still(b.1)).then(a.2.total_cmp(&b.2));
+    let poor =
+        |law: &Law, error: f64| law.exponent.abs() < FLAT || law.exponent_in.contains(0.0) || error > OFF;
+    let order = |a: &(Axis, &Law, f64), b: &(Axis, &Law, f64)| {
+        poor(a.1, a.2).cmp(&poor(b.1, b.2)).then(a.2.total_cmp(&b.2))
+    };
     laws.min_by(order).map(|(axis, law, _)| (axis, law))
 }
 
@@ -149,13 +151,14 @@
     let _ = writeln!(
         text,
         "{} workers, {} schedulers, {} tenants, {} starts a second, day {}; predicted along the axis whose law held \
-         best at the size kept out of it",
+         best at the size kept out of it; headroom: the budget by what is predicted, and at worst by the upper end of \
+         its interval or what was measured, if that is more",
         base.workers, base.schedulers, base.tenants, base.starts_per_s, base.days
     );
     let _ = writeln!(
         text,
-        "{:<14} {:<19} {:<10} {:>9} {:<20} {:>9} {:>7}  {:>8}  used up at",
-        "function", "quantity", "axis", "predicted", "95%", "measured", "error", "headroom"
+        "{:<14} {:<19} {:<10} {:>9} {:<20} {:>9} {:>7}  {:>8} {:>8}  used up at",
+        "function", "quantity", "axis", "predicted", "95%", "measured", "error", "headroom", "at worst"
     );
     for function in Function::ALL {
         for quantity in Quantity::ALL {
@@ -174,10 +177,12 @@
                 continue;
             };
             let Prediction { value, within, far } = law.predict(axis.of(base));
-            let room = quantity.budget(budget).map(|most| most / within.high.max(seen));
-            let headroom = room.map_or(String::new(), |room| {
-                format!("{}x{}", figure(room), if room < 1.0 { " OVER" } else { "" })
-            });
+            let room = |of: f64| {
+                let times = quantity.budget(budget).map(|most| most / of);
+                times.map_or(String::new(), |times| format!("{}x", figure(times)))
+            };
+            let (headroom, at_worst) = (room(value), room(within.high.max(seen)));
+            let over = quantity.budget(budget).is_some_and(|most| most < value.max(seen));
             let of = rows.iter().filter(|row| row.function == function && row.quantity == quantity);
             let ends: Vec<String> = of
                 .filter_map(|row| row.reaches.map(|size| (row, size)))
@@ -186,7 +191,7 @@
                 .collect();
             let _ = writeln!(
                 text,
-                "{:<14} {:<19} {:<10} {:>9} {:<20} {:>9} {:>7}  {headroom:>8}  {}{}",
+                "{:<14} {:<19} {:<10} {:>9} {:<20} {:>9} {:>7}  {headroom:>8} {at_worst:>8}  {}{}{}",
                 function.name(),
                 quantity.name(),
                 axis.name(),
@@ -194,6 +199,7 @@
                 interval(&within),
                 figure(seen),
                 percent(value / seen - 1.0),
+                if over { "OVER " } else { "" },
                 ends.join(", "),
                 if far { " (extrapolated)" } else { "" }
             );
