--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,8 @@
 //! file of `src/rules`.
 
 pub mod api;
+mod handover;
 mod peer;
+pub mod renewal;
 pub mod rules;
 mod state;
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -17,10 +17,11 @@
         if request.done || attempt >= self.settings.limits.tries as usize {
             return false;
         }
-        // Rule 2.
+        // Rule 2, and nothing goes where an earlier attempt has not surely ended, copies allowed or not.
         let before = &request.attempts[..attempt];
+        let twice = Request::may_run(before, at);
         let mut risky = before.iter().filter(|attempt| attempt.state != State::NeverRan);
-        let harmless = match self.settings.classes[request.class].effect {
+        let harmless = match request.effect {
             Effect::Safe => true,
             Effect::Unsafe => risky.next().is_none(),
             // The group's memory runs from the first send; half of it is kept as margin for the journey.
@@ -31,7 +32,7 @@
         };
         // Rule 3: nothing at all after being told, so the grace is never needed; nor by a list that is too old.
         let old = self.list.until.is_some_and(|until| now >= until);
-        harmless && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
+        harmless && !twice && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
     }
 
     /// Every rule on where a job may go now; that none of its attempts is out any more is asked when it goes.
@@ -77,7 +78,7 @@
         if doubled || !self.may_send(now, &self.requests[&id], at) {
             return false;
         }
-        let Request { size, slots, class, .. } = self.requests[&id];
+        let Request { size, slots, effect, .. } = self.requests[&id];
         let mut lanes = Vec::new();
         self.lane_ends(at, now, &mut lanes);
         lanes.sort_unstable();
@@ -96,7 +97,7 @@
             self.spent.cold_jobs += 1;
         }
         self.out.push(Action::Send { request: id, worker: worker.id, timeout: None });
-        let repeats = self.settings.classes[class].effect != Effect::Unsafe;
+        let repeats = effect != Effect::Unsafe;
         if repeats && self.settings.limits.cancel && self.settings.tells_start {
             self.queue.unstarted.insert((now + START_NEWS, id));
             self.wake_at(now, now + START_NEWS);
@@ -106,13 +107,12 @@
     }
 
     /// Every final answer of this dispatcher: a refusal where it is certain that nothing ran, else a failure.
-    pub(super) fn finish(&mut self, now: Micros, id: RequestId) {
+    pub(crate) fn finish(&mut self, now: Micros, id: RequestId) {
         self.unhold(id);
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
         request.done = true;
         let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
-        let effect = self.settings.classes[request.class].effect;
-        if clear || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
+        if clear || matches!(request.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
             let pause = (self.know.mean_time / 4.0) as Micros;
@@ -165,6 +165,9 @@
     }
 
     pub(super) fn on_note(&mut self, now: Micros, id: RequestId, attempt: u32, note: Note) {
+        if note == Note::Over {
+            self.requests.entry(id).and_modify(|request| request.over(attempt));
+        }
         let Some((at, nr)) = self.own(id, attempt) else { return };
         match note {
             Note::Started => self.on_started(now, id, attempt),
@@ -173,8 +176,7 @@
                 // run twice is tried elsewhere, any other can only be waited for.
                 self.workers[at].own[nr].awaits_start = false;
                 self.strike(now, at, 1);
-                let effect = self.settings.classes[self.requests[&id].class].effect;
-                if effect == Effect::Safe && self.settings.limits.cancel {
+                if self.requests[&id].effect == Effect::Safe && self.settings.limits.cancel {
                     self.out.push(Action::Cancel { request: id, attempt });
                 }
             }
@@ -189,17 +191,18 @@
                 own.progress = Some((now, done));
                 own.end = now + ((1.0 - done) / pace).min(3600.0 * SECOND as f64) as Micros;
             }
-            Note::Silent | Note::Progress(_) => {}
+            Note::Silent | Note::Progress(_) | Note::Over => {}
         }
     }
 
     pub(super) fn on_outcome(&mut self, now: Micros, outcome: Outcome) {
-        let Outcome { request: id, attempt, ending, elapsed, concluded, .. } = outcome;
+        let Outcome { request: id, attempt, ending, elapsed, running, concluded, .. } = outcome;
         let Some((at, nr)) = self.own(id, attempt) else { return };
         let own = self.workers[at].own.swap_remove(nr);
         let mut speed = None;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let state = if ending.never_ran() { State::NeverRan } else { State::MayHaveRan };
+        let ran = if running { State::MayRun } else { State::MayHaveRan };
+        let state = if ending.never_ran() { State::NeverRan } else { ran };
         request.attempts[attempt as usize].state = state;
         request.done |= concluded;
         let (class, hint) = (request.class, request.hint);
@@ -244,8 +247,8 @@
         if request.done || request.held || request.out() {
             return;
         }
-        let risky = request.attempts.iter().any(|attempt| attempt.state == State::MayHaveRan);
-        let once = matches!(self.settings.classes[request.class].effect, Effect::Unsafe) && risky;
+        let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
+        let once = request.effect == Effect::Unsafe && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
         if ending == Ending::Unusable {
