--- a/crates/slopes/src/play.rs
+++ b/crates/slopes/src/play.rs
@@ -257,6 +257,7 @@
             ending,
             elapsed: task.length,
             concluded: served,
+            running: false,
             report: served.then(|| self.report(host)),
         };
         self.lay(DELAY, What::Reach(task.at, Event::Outcome(outcome)));
--- a/crates/slopes/src/probe_jobs.rs
+++ b/crates/slopes/src/probe_jobs.rs
@@ -67,6 +67,7 @@
                     ending: Ending::Ok,
                     elapsed,
                     concluded: true,
+                    running: false,
                     report: Some(report(3, 0)),
                 };
                 dispatcher.on_event(*now, Event::Outcome(outcome), &mut out);
--- a/crates/slopes/src/quota.rs
+++ b/crates/slopes/src/quota.rs
@@ -70,6 +70,7 @@
                 ending: Ending::Ok,
                 elapsed: MILLI,
                 concluded: true,
+                running: false,
                 report: None,
             }),
             None => Event::Lapsed(request),
