--- a/crates/slopes/src/clock.rs
+++ b/crates/slopes/src/clock.rs
@@ -5,8 +5,8 @@
 
 /// What one reading may be off by, as a part of the whole.
 const PRECISION: f64 = 0.01;
-/// Samples of which the median counts: a page fault or a cold cache must not stand for the usual.
-const SAMPLES: usize = 5;
+/// Samples of which the least counts: whoever else is on the machine can only add to what a thread needs.
+const SAMPLES: usize = 7;
 
 /// Processor time that this thread has used.
 pub fn thread_cpu() -> Duration {
@@ -30,7 +30,7 @@
     (0..64).map(step).min().unwrap_or(Duration::ZERO)
 }
 
-/// Processor microseconds that one round of the work on `state` takes: the median of [`SAMPLES`] series, each so long that
+/// Processor microseconds that one round of the work on `state` takes: the least of [`SAMPLES`] series, each so long that
 /// the clock's step is a hundredth of it at most, and `least` at least. What a round needs is laid by `prepare`, whose
 /// time is not counted, for `lot` rounds at a time.
 pub fn micros_a_round<S, T>(
@@ -41,7 +41,7 @@
     mut work: impl FnMut(&mut S, T),
 ) -> f64 {
     let enough = least.max(granularity().div_f64(PRECISION));
-    let mut samples: Vec<f64> = (0..SAMPLES)
+    (0..SAMPLES)
         .map(|_| {
             let (mut spent, mut rounds) = (Duration::ZERO, 0_u32);
             while spent < enough {
@@ -53,7 +53,5 @@
             }
             spent.as_secs_f64() * 1e6 / f64::from(rounds)
         })
-        .collect();
-    samples.sort_by(f64::total_cmp);
-    samples[SAMPLES / 2]
+        .fold(f64::INFINITY, f64::min)
 }
--- a/crates/slopes/src/probe.rs
+++ b/crates/slopes/src/probe.rs
@@ -153,7 +153,9 @@
 /// The own load at one worker told to its cohort.
 pub fn load_told(size: &Size, seed: u64, times: bool) -> Cost {
     let all = event_us(size, seed, 4, times, |_| Event::Succeeded(false));
-    Cost { cpu_us: all.map(|all| all / f64::from(size.workers)), ..Cost::default() }
+    // Those that have gone are told of as well.
+    let told = f64::from(size.workers + size.days * size.replaced_a_day);
+    Cost { cpu_us: all.map(|all| all / told), ..Cost::default() }
 }
 
 /// What knowledge a successor is handed: written by one process and read by the other, both on this machine.
--- /dev/null
+++ b/crates/slopes/tests/clock.rs
@@ -0,0 +1,28 @@
+//! The clock of processor time.
+
+use calicolb_slopes::clock::{granularity, micros_a_round, thread_cpu};
+use std::thread;
+use std::time::Duration;
+
+/// Work that no compiler takes away.
+fn work(rounds: u64) {
+    std::hint::black_box((0..rounds).fold(0_u64, |sum, nr| std::hint::black_box(sum ^ nr.wrapping_mul(nr))));
+}
+
+#[test]
+fn rest_costs_nothing_and_work_does() {
+    let before = thread_cpu();
+    thread::sleep(Duration::from_millis(60));
+    let rested = thread_cpu() - before;
+    assert!(rested < Duration::from_millis(30), "{rested:?}");
+    let step = granularity();
+    assert!(step > Duration::ZERO && step <= Duration::from_millis(10), "{step:?}");
+}
+
+#[test]
+fn twice_the_work_costs_twice_and_what_is_prepared_is_not_counted() {
+    let least = Duration::from_millis(2);
+    let us = |rounds: u64| micros_a_round(least, 4, &mut (), |()| work(400_000), |(), ()| work(rounds));
+    let ratio = us(80_000) / us(40_000);
+    assert!((1.6..2.5).contains(&ratio), "{ratio}");
+}
