--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod load;
 mod scale;
+mod slopes;
 mod table;
 mod workers;
 
@@ -33,7 +34,8 @@
   calicolb-rig run --speak gearman --seeds 5 --seconds 20 --roll
   calicolb-rig rush --speak gearman --seconds 5
   calicolb-rig idle --connections 1000
-  calicolb-rig calibrate --processes 30 --workers 60 --starts 20 --seconds 20 --seed 7 --json"
+  calicolb-rig calibrate --processes 30 --workers 60 --starts 20 --seconds 20 --seed 7 --json
+  calicolb-rig slopes --out target/slopes"
 )]
 struct Cli {
     #[command(subcommand)]
@@ -61,6 +63,8 @@
     },
     /// Play a plan of the hollow fleet by real processes of the program among stand-ins, and hold the two against each other.
     Calibrate(Calibrate),
+    /// What each control function costs by the size of the fleet: exponents, predictions, and what is beyond its budget.
+    Slopes(slopes::Slopes),
 }
 
 /// Who speaks what.
@@ -117,6 +121,7 @@
         Command::Scale(scale) => scale.run(),
         Command::Idle { connections, seconds } => idle(connections, seconds),
         Command::Calibrate(how) => calicolb_rig::calibrate::command::run(&how),
+        Command::Slopes(slopes) => slopes::run(&slopes),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
