Bring the first version to learners at once, and test watches that hang by their lines alone

Before the first version a learner has settings of its own under number 0; told the changes since the empty version, it found a gap and called anew.

--- a/src/net/control/answers.rs
+++ b/src/net/control/answers.rs
@@ -153,8 +153,9 @@
         let name = name.to_owned();
         let lines = self.since(seq, digest);
         let agreed = self.voter.agreed();
-        // One that is ahead of this machine is told on when this machine has come further.
-        let (seq, digest) = if seq > agreed.seq { (seq, digest) } else { (agreed.seq, Some(agreed.digest)) };
+        // One that is ahead of this machine is told on when this machine has come further. Before the first version each
+        // learner has settings of its own under the number 0.
+        let (seq, digest) = if seq >= agreed.seq { (seq, digest) } else { (agreed.seq, Some(agreed.digest)) };
         let watch = Watch { name, seq, digest };
         self.learners.begin(token, watch);
         self.tell(now, token, &lines);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -141,6 +141,11 @@
     }
     regions.part(false);
     regions.level("the return");
+    for id in [4, 5] {
+        regions.wait("the machines there have a majority again", WITHIN, || {
+            regions.state(id).is_some_and(|state| state["majority"] == json!(true))
+        });
+    }
     for rank in 0..4 {
         regions.wait("a scheduler knows that it is level", WITHIN, || {
             regions.figure(rank, "control.behind").as_deref() == Some("0")
@@ -215,7 +220,9 @@
 #[test]
 fn a_machine_that_stands_still_for_five_seconds_holds_nothing_up() {
     let _place = Place::take();
-    let mut regions = Regions::start("a_machine_that_stands_still_for_five_seconds_holds_nothing_up", [2, 1]);
+    // It is the missing lines of the watch that tell, long before a scheduler counts itself as behind.
+    let setup = Setup { silence: Duration::from_secs(60), ..Setup::new([2, 1]) };
+    let mut regions = Regions::of("a_machine_that_stands_still_for_five_seconds_holds_nothing_up", setup);
     let leader = regions.leader();
     // The machine that a scheduler watches stands still as well, where that is another one.
     let mut watched = None;
--- a/tests/regions/mod.rs
+++ b/tests/regions/mod.rs
@@ -71,12 +71,20 @@
     pub looks: bool,
     /// Learners that may watch a machine at once.
     pub learners: usize,
+    /// Who has heard nothing of a majority for so long is behind.
+    pub silence: Duration,
 }
 
 impl Setup {
     /// What most tests start, with so many schedulers in each region.
     pub fn new(schedulers: [usize; 2]) -> Setup {
-        Setup { schedulers, pause: Duration::from_millis(25), looks: true, learners: 400 }
+        Setup {
+            schedulers,
+            pause: Duration::from_millis(25),
+            looks: true,
+            learners: 400,
+            silence: Duration::from_secs(3),
+        }
     }
 }
 
@@ -139,7 +147,8 @@
         }
         for rank in 0..count {
             let control: Vec<_> = (1..=MACHINES).map(|id| regions.learn[&(rank, id)].at).collect();
-            let scheduler = Scheduler::start(&regions.folder, rank, count, &control, regions._worker.at);
+            let scheduler =
+                Scheduler::start(&regions.folder, rank, count, &control, setup.silence, regions._worker.at);
             regions._worker.learn(rank, scheduler.at);
             regions.clients.push(Clients::start(rank, scheduler.at, setup.pause));
             if setup.looks {
--- a/tests/regions/schedulers.rs
+++ b/tests/regions/schedulers.rs
@@ -46,6 +46,7 @@
         rank: usize,
         count: usize,
         control: &[SocketAddr],
+        silence: Duration,
         worker: SocketAddr,
     ) -> Scheduler {
         let control: Vec<String> = control.iter().map(SocketAddr::to_string).collect();
@@ -55,7 +56,7 @@
             "discovery": worker.to_string(), "seed": format!("{:x}", rank * 7919), "limits": {"sockets": 256},
             "known": {"seq": 41, "whole": true, "hosts": [{"host": "w1", "dial": worker.to_string(),
                 "site": "north", "class": "big", "block": 0, "health": "in_service", "share": 1.0, "born_ms": 0}]},
-            "control": control, "control_silence_ms": 3_000,
+            "control": control, "control_silence_ms": silence.as_millis() as u64,
             "settings": settings(rank, count),
         });
         let file = folder.join(format!("n{rank}.json"));
