--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -13,7 +13,7 @@
 /// Proposals that a voter holds at once: the one on its way and those that wait for it.
 pub const PROPOSALS: usize = 64;
 /// Entries of a voter's log that aren't decided yet; beyond it none is added.
-pub const UNDECIDED: usize = 64;
+pub const UNDECIDED: usize = 16;
 /// Decided entries that a voter keeps in its log before it folds them into a snapshot.
 pub const LOG: usize = 4_096;
 /// Bytes of a voter's log, decided or not, before it folds the decided ones into a snapshot.
@@ -41,5 +41,8 @@
 pub const GIVE_UP_TICKS: u64 = 100;
 /// Ticks for which an answer of another voter counts as touch with it.
 pub const TOUCH_TICKS: u64 = 10;
+/// Ticks for which a leader that a majority follows sees a voter that promised more, before it goes beyond that. Longer
+/// than it takes a leader that was replaced to see that nobody follows it.
+pub const SURPASSED_TICKS: u64 = 2 * TOUCH_TICKS;
 /// Ticks after which a voter that is cut off surely says that it has no majority.
 pub const LAPSE_TICKS: u64 = 2 * TOUCH_TICKS + 1;
