--- a/crates/hollow/tests/fleet.rs
+++ b/crates/hollow/tests/fleet.rs
@@ -226,3 +226,23 @@
     let thirty = play(&small(Trouble::None, SEED));
     assert!(thirty.quota_over_ratio > alone.quota_over_ratio, "{}", thirty.quota_over_ratio);
 }
+
+#[test]
+fn an_account_has_exactly_the_fields_that_are_asked_for() {
+    let fields = "schedulers workers tenants jobs started running_peak served late refused lost doubled \
+        urgent_start_p999_ms control_cpu_ms_per_s_mean control_cpu_ms_per_s_worst control_bytes_per_s_mean \
+        control_bytes_per_s_worst control_datagrams_per_s_worst state_bytes_per_scheduler \
+        discovery_bytes_per_s_worst quota_in_share_ratio quota_over_ratio recovered_ms peak_rss_mb wall_s traffic";
+    let mut wanted: Vec<&str> = fields.split_whitespace().collect();
+    wanted.sort_unstable();
+    let account = play(&small(Trouble::None, SEED));
+    let value = serde_json::to_value(&account).expect("it is written");
+    let mut told: Vec<&str> = value.as_object().expect("an object").keys().map(String::as_str).collect();
+    told.sort_unstable();
+    assert_eq!(told, wanted);
+    // What is measured of this machine is there, and is not among the counts.
+    assert!(account.wall_s > 0.0 && account.peak_rss_mb > 1.0 && account.control_cpu_ms_per_s_worst > 0.0);
+    let counts = account.counts();
+    assert_eq!((counts.wall_s, counts.peak_rss_mb, counts.control_cpu_ms_per_s_mean), (0.0, 0.0, 0.0));
+    assert!(account.state_bytes_per_scheduler > 1_000 && account.control_bytes_per_s_worst > 0);
+}
