--- a/crates/rig/src/calibrate/command.rs
+++ b/crates/rig/src/calibrate/command.rs
@@ -1,6 +1,6 @@
 //! The command: one size played by real processes and by the hollow fleet, or one process measured by itself.
 
-use super::compare::{Compared, compare};
+use super::compare::{Chance, Compared, chance, compare};
 use super::direct::{Direct, Measured, measure};
 use super::play::{Real, play};
 use super::process::program;
@@ -52,8 +52,12 @@
     #[arg(long, default_value_t = 7)]
     pub seed: u64,
     /// Plays of so many seeds, from that one on, are held against each other together: chance tells less in many.
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=100))]
+    /// With 0 no process is started: only the hollow fleet is played.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(..=100))]
     pub seeds: u64,
+    /// Plays of the hollow fleet with other seeds: what chance alone does to the counts.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(..=1_000))]
+    pub hollow_seeds: u64,
     /// The program; the one beside this one, unless this says another.
     #[arg(long)]
     pub program: Option<PathBuf>,
@@ -80,6 +84,7 @@
     plays: Vec<Played>,
     one: Measured,
     compared: Compared,
+    chance: Vec<Chance>,
 }
 
 /// What else the machine did: processor time is dearer on a busy one.
@@ -132,18 +137,23 @@
         let real = play(&program, &plan, seed == how.seed)?;
         plays.push(Played { seed, real, hollow: calicolb_hollow::play(&plan) });
     }
-    let one = measure(&program, &Direct::of(&plan(how), 10 * second, 5 * second))?;
+    let one = match how.seeds {
+        0 => Measured::default(),
+        _ => measure(&program, &Direct::of(&plan(how), 10 * second, 5 * second))?,
+    };
     let pairs: Vec<(&Real, &Account)> = plays.iter().map(|play| (&play.real, &play.hollow)).collect();
     let compared = compare(&pairs, &one);
+    let real: Vec<&Real> = plays.iter().map(|play| &play.real).collect();
+    let chance = chance(&plan(how), how.hollow_seeds, &real);
     if !how.json {
-        table(&compared);
+        table(&compared, &chance);
     }
     let broken: Vec<String> = plays
         .iter()
         .filter(|play| play.real.lost > 0 || play.real.doubled > 0)
         .map(|play| format!("seed {}: {} lost, {} doubled", play.seed, play.real.lost, play.real.doubled))
         .collect();
-    print(&Report { machine: Machine::since(before), plays, one, compared }, how.json)?;
+    print(&Report { machine: Machine::since(before), plays, one, compared, chance }, how.json)?;
     if broken.is_empty() { Ok(()) } else { Err(broken.join("; ")) }
 }
 
@@ -172,7 +182,7 @@
     Ok(())
 }
 
-fn table(compared: &Compared) {
+fn table(compared: &Compared, chance: &[Chance]) {
     let percent = |ratio: Option<f64>| ratio.map_or("-".to_owned(), |ratio| format!("{ratio:.3}"));
     println!(
         "{:<11}{:>10}{:>10}{:>8}{:>12}{:>12}{:>8}  alike",
@@ -191,6 +201,13 @@
             row.alike
         );
     }
+    for Chance { function, plays, mean, deviation, real_mean, standard_errors } in chance {
+        let real = real_mean.map_or("-".to_owned(), |real| format!("{real:.1}"));
+        let off = standard_errors.map_or("-".to_owned(), |errors| format!("{errors:.1}"));
+        println!(
+            "{function}: hollow {mean:.1} a play, +- {deviation:.1} over {plays} seeds; real {real}, {off} standard errors off"
+        );
+    }
     let cpu = &compared.cpu;
     println!(
         "control CPU, ms a second: real {:.3} (idle {:.3}, heard {:.3}), hollow {:.3}, ratio {}; the whole process {:.3}",
--- a/crates/rig/src/calibrate/compare.rs
+++ b/crates/rig/src/calibrate/compare.rs
@@ -3,7 +3,7 @@
 use super::counts::{FUNCTIONS, Flow, Traffic};
 use super::direct::Measured;
 use super::play::Real;
-use calicolb_hollow::Account;
+use calicolb_hollow::{Account, Plan};
 use serde::Serialize;
 
 /// Counts of messages and bytes are alike within this part of the real figure, ...
@@ -28,6 +28,46 @@
     pub alike: bool,
 }
 
+/// What chance alone does to a function's messages in one play of this size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Chance {
+    /// The function.
+    pub function: &'static str,
+    /// Plays of the hollow fleet, each of its own seed.
+    pub plays: u64,
+    /// Messages in a play: mean, and standard deviation from play to play.
+    pub mean: f64,
+    /// See above.
+    pub deviation: f64,
+    /// Messages in a play of real processes, mean of those that there were.
+    pub real_mean: Option<f64>,
+    /// How far that is from the mean of the hollow plays, in standard errors of so many real plays: within 2 as a rule if
+    /// the two are alike.
+    pub standard_errors: Option<f64>,
+}
+
+/// Plays the hollow fleet with this many seeds beyond the plan's, and tells how its counts vary; `real`: plays of real
+/// processes of the same size.
+pub fn chance(plan: &Plan, plays: u64, real: &[&Real]) -> Vec<Chance> {
+    // Seeds that no real play had.
+    let accounts: Vec<Account> = (0..plays)
+        .map(|nr| calicolb_hollow::play(&Plan { seed: plan.seed + 1_000 + nr, ..plan.clone() }))
+        .collect();
+    let of = |function: &'static str| {
+        let counts: Vec<f64> =
+            accounts.iter().map(|of| of.traffic.get(function).map_or(0.0, |of| of.messages as f64)).collect();
+        let mean = counts.iter().sum::<f64>() / counts.len().max(1) as f64;
+        let squares: f64 = counts.iter().map(|count| (count - mean).powi(2)).sum();
+        let deviation = (squares / (counts.len().max(2) - 1) as f64).sqrt();
+        let had = real.iter().map(|of| of.traffic.get(function).map_or(0.0, |of| of.messages as f64));
+        let real_mean = (!real.is_empty()).then(|| had.sum::<f64>() / real.len() as f64);
+        let error = deviation * (1.0 / real.len().max(1) as f64 + 1.0 / plays.max(1) as f64).sqrt();
+        let standard_errors = real_mean.filter(|_| error > 0.0).map(|real| (real - mean) / error);
+        Chance { function, plays, mean, deviation, real_mean, standard_errors }
+    };
+    FUNCTIONS.iter().map(|(function, _)| of(function)).collect()
+}
+
 /// Processor time on control, in milliseconds a second, mean of all schedulers.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Cpu {
--- a/crates/rig/tests/stand_ins.rs
+++ b/crates/rig/tests/stand_ins.rs
@@ -4,6 +4,7 @@
 use calicolb_rig::calibrate::counts::{Flow, Traffic};
 use calicolb_rig::calibrate::crew::{Crew, Effect, Job, Kind, Verdict, Ways};
 use calicolb_rig::calibrate::discovery::{Answer, Capacity, Discovery, Host};
+use calicolb_rig::calibrate::relay::flows;
 use calicolb_rig::calibrate::stage::{Change, Stage};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -260,17 +261,33 @@
         let mut stream = TcpStream::connect(second).expect("the worker listens");
         call(&mut stream, "DELETE /jobs/r2 HTTP/1.1\r\nHost: w\r\n\r\n", "\r\n\r\n")
     });
+    // At the other worker it still is.
+    with(&mut stage, move || attempt(first, "r2"));
+    assert_eq!(seen(&stage), (5, 2, 1, 1));
     with(&mut stage, move || {
         let mut stream = TcpStream::connect(first).expect("the worker listens");
         call(&mut stream, "DELETE /jobs/r2 HTTP/1.1\r\nHost: w\r\n\r\n", "\r\n\r\n")
     });
     with(&mut stage, move || attempt(second, "r2"));
-    assert_eq!(seen(&stage), (5, 1, 1, 2));
+    assert_eq!(seen(&stage), (6, 2, 1, 2));
     let counts = stage.counts();
-    assert_eq!(counts.of(Flow::AttemptsSent).messages, 5);
+    assert_eq!(counts.of(Flow::AttemptsSent).messages, 6);
     assert_eq!(counts.of(Flow::GiveUpsSent).messages, 2);
 }
 
+#[test]
+fn datagrams_are_told_apart_by_their_length() {
+    for length in 0..=256 {
+        let sent = match length {
+            3 => Flow::GreetingsSent,
+            6 => Flow::TroublesSent,
+            8..=11 => Flow::TalkSent,
+            _ => Flow::UnknownSent,
+        };
+        assert_eq!(flows(&vec![1; length]).0, sent, "{length}");
+    }
+}
+
 #[test]
 fn datagrams_come_from_the_address_that_stands_for_the_sender_and_are_counted_by_shape() {
     let mut stage = stage(1, 3);
