Rename shelf and touch in the agreed package to log storage and sessions

Need: names follow the standard terms of the field: what the consensus crate keeps is its log storage, what it asks of its host are sessions with its peers.

Change: files, types and the bound; nothing else.

--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -39,10 +39,10 @@
 pub const RETRY_TICKS: u64 = 10;
 /// Ticks after which the proposer of an undecided change is told that its outcome is unknown.
 pub const GIVE_UP_TICKS: u64 = 100;
-/// Ticks for which an answer of another voter counts as touch with it.
-pub const TOUCH_TICKS: u64 = 10;
+/// Ticks for which an answer of another voter counts as contact with it.
+pub const CONTACT_TICKS: u64 = 10;
 /// Ticks for which a leader that a majority follows sees a voter that promised more, before it goes beyond that. Longer
 /// than it takes a leader that was replaced to see that nobody follows it.
-pub const SURPASSED_TICKS: u64 = 2 * TOUCH_TICKS;
+pub const SURPASSED_TICKS: u64 = 2 * CONTACT_TICKS;
 /// Ticks after which a voter that is cut off surely says that it has no majority.
-pub const LAPSE_TICKS: u64 = 2 * TOUCH_TICKS + 1;
+pub const LAPSE_TICKS: u64 = 2 * CONTACT_TICKS + 1;
--- a/crates/agreed/src/history.rs
+++ b/crates/agreed/src/history.rs
@@ -3,9 +3,9 @@
 use crate::bounds;
 use crate::change::{Delta, Version};
 use crate::digest::Digest;
+use crate::log_storage::Image;
 use crate::outcome::Answer;
 use crate::replica::{Entry, Replica};
-use crate::shelf::Image;
 use std::collections::VecDeque;
 
 /// Deltas that a voter has at its start.
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -15,13 +15,13 @@
 mod envelope;
 mod history;
 mod learner;
+mod log_storage;
 mod outcome;
 mod proposals;
 mod replica;
-mod shelf;
+mod sessions;
 pub mod store;
 mod tighten;
-mod touch;
 mod voter;
 
 pub use change::{Change, Delta, Mismatch, Version};
--- a/crates/agreed/src/shelf.rs
+++ b/crates/agreed/src/log_storage.rs
@@ -97,7 +97,7 @@
     }
 }
 
-pub(crate) struct Shelf<S> {
+pub(crate) struct LogStorage<S> {
     store: S,
     pub(crate) image: Image,
     staged: Vec<Record>,
@@ -105,9 +105,9 @@
     broken: bool,
 }
 
-impl<S: Store> Shelf<S> {
+impl<S: Store> LogStorage<S> {
     /// Reads the store back and counts this start, durably.
-    pub(crate) fn open(mut store: S) -> Result<Shelf<S>, StoreError> {
+    pub(crate) fn open(mut store: S) -> Result<LogStorage<S>, StoreError> {
         let mut image = Image::default();
         for batch in store.load()? {
             let records: Option<Vec<Record>> = serde_json::from_slice(&batch).ok();
@@ -119,10 +119,10 @@
         if !image.snapshot.version.is_sound() {
             return Err(StoreError::Corrupt { at: 0 });
         }
-        let mut shelf = Shelf { store, image, staged: Vec::new(), replaced: 0, broken: false };
-        shelf.stage(Record::Start(shelf.image.start + 1));
-        shelf.commit()?;
-        Ok(shelf)
+        let mut log_storage = LogStorage { store, image, staged: Vec::new(), replaced: 0, broken: false };
+        log_storage.stage(Record::Start(log_storage.image.start + 1));
+        log_storage.commit()?;
+        Ok(log_storage)
     }
 
     fn stage(&mut self, record: Record) {
@@ -168,8 +168,8 @@
     serde_json::to_vec(records).map_err(|error| StoreError::Disk { what: "encoding", error: error.into() })
 }
 
-/// The shelf, held by both the consensus crate and the voter.
-pub(crate) struct Shared<S>(Arc<Mutex<Shelf<S>>>);
+/// The log_storage, held by both the consensus crate and the voter.
+pub(crate) struct Shared<S>(Arc<Mutex<LogStorage<S>>>);
 
 impl<S> Clone for Shared<S> {
     fn clone(&self) -> Shared<S> {
@@ -178,11 +178,11 @@
 }
 
 impl<S: Store> Shared<S> {
-    pub(crate) fn new(shelf: Shelf<S>) -> Shared<S> {
-        Shared(Arc::new(Mutex::new(shelf)))
+    pub(crate) fn new(log_storage: LogStorage<S>) -> Shared<S> {
+        Shared(Arc::new(Mutex::new(log_storage)))
     }
 
-    pub(crate) fn lock(&self) -> MutexGuard<'_, Shelf<S>> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, LogStorage<S>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -211,10 +211,10 @@
     }
 
     fn append_entries(&mut self, entries: Vec<Entry>) -> StorageResult<()> {
-        let mut shelf = self.lock();
-        let from = shelf.image.end();
+        let mut log_storage = self.lock();
+        let from = log_storage.image.end();
         if !entries.is_empty() {
-            shelf.stage(Record::Entries { from, entries });
+            log_storage.stage(Record::Entries { from, entries });
         }
         Ok(())
     }
@@ -225,10 +225,10 @@
     }
 
     fn set_promise(&mut self, ballot: Ballot) -> StorageResult<()> {
-        let mut shelf = self.lock();
+        let mut log_storage = self.lock();
         // The crate sets what it has just read at each start; that a voter has promised nothing isn't a promise.
-        if shelf.image.promise.unwrap_or_default() != ballot {
-            shelf.stage(Record::Promise(ballot));
+        if log_storage.image.promise.unwrap_or_default() != ballot {
+            log_storage.stage(Record::Promise(ballot));
         }
         Ok(())
     }
@@ -260,8 +260,8 @@
     }
 
     fn get_suffix(&self, from: usize) -> StorageResult<Vec<Entry>> {
-        let shelf = self.lock();
-        Ok(shelf.image.entries(from, shelf.image.end()).to_vec())
+        let log_storage = self.lock();
+        Ok(log_storage.image.entries(from, log_storage.image.end()).to_vec())
     }
 
     fn get_promise(&self) -> StorageResult<Option<Ballot>> {
--- a/crates/agreed/src/touch.rs
+++ b/crates/agreed/src/sessions.rs
@@ -6,7 +6,7 @@
 //! Only answers count as evidence: an answer to a round of heartbeats proves that both directions worked after the
 //! round began, by this voter's own ticks, however long the answer was on its way.
 
-use crate::bounds::TOUCH_TICKS;
+use crate::bounds::CONTACT_TICKS;
 use crate::envelope::Envelope;
 use omnipaxos::ballot_leader_election::Ballot;
 use omnipaxos::messages::Message;
@@ -47,17 +47,17 @@
 }
 
 #[derive(Debug)]
-pub(crate) struct Touch {
+pub(crate) struct Sessions {
     start: u64,
     tick: u64,
     peers: BTreeMap<u64, Peer>,
     rounds: VecDeque<(u32, u64)>,
 }
 
-impl Touch {
-    pub(crate) fn new(start: u64, peers: impl Iterator<Item = u64>) -> Touch {
+impl Sessions {
+    pub(crate) fn new(start: u64, peers: impl Iterator<Item = u64>) -> Sessions {
         let peers = peers.map(|peer| (peer, Peer::default())).collect();
-        Touch { start, tick: 0, peers, rounds: VecDeque::new() }
+        Sessions { start, tick: 0, peers, rounds: VecDeque::new() }
     }
 
     pub(crate) fn pass(&mut self, ticks: u64) {
@@ -71,7 +71,7 @@
             && self.rounds.back().is_none_or(|(round, _)| *round != request.round)
         {
             self.rounds.push_back((request.round, self.tick));
-            if self.rounds.len() as u64 > TOUCH_TICKS {
+            if self.rounds.len() as u64 > CONTACT_TICKS {
                 self.rounds.pop_front();
             }
         }
@@ -129,7 +129,7 @@
         let tick = self.tick;
         let evidence =
             self.peers.iter().filter_map(|(id, peer)| peer.evidence.map(|evidence| (*id, evidence)));
-        evidence.filter(move |(_, evidence)| tick - evidence.tick <= TOUCH_TICKS)
+        evidence.filter(move |(_, evidence)| tick - evidence.tick <= CONTACT_TICKS)
     }
 
     /// Whether a majority follows this voter, as its answers of late say.
--- a/crates/agreed/src/voter.rs
+++ b/crates/agreed/src/voter.rs
@@ -6,12 +6,12 @@
 use crate::document::{Check, Document, Fault, change_within_bounds, within_bounds};
 use crate::envelope::Envelope;
 use crate::history::History;
+use crate::log_storage::{LogStorage, Shared};
 use crate::outcome::{Answer, Outcome, Refused, StartError, Ticket, VoterId};
 use crate::proposals::Proposals;
 use crate::replica::{Entry, ProposalId, Snapshot};
-use crate::shelf::{Shared, Shelf};
+use crate::sessions::{Own, Sessions, Verdict};
 use crate::store::{Store, StoreError};
-use crate::touch::{Own, Touch, Verdict};
 use omnipaxos::messages::Message;
 use omnipaxos::messages::sequence_paxos::PaxosMsg;
 use omnipaxos::storage::SnapshotType;
@@ -25,8 +25,8 @@
 pub struct Voter<S: Store> {
     id: VoterId,
     omni: OmniPaxos<Entry, Shared<S>>,
-    shelf: Shared<S>,
-    touch: Touch,
+    log_storage: Shared<S>,
+    sessions: Sessions,
     start: u64,
     tick: u64,
     stopped: bool,
@@ -50,8 +50,8 @@
         if nodes.len() != voters.len() || nodes.len() < 3 || !within || !nodes.contains(&id) {
             return Err(StartError::Voters);
         }
-        let shelf = Shared::new(Shelf::open(store)?);
-        let start = shelf.lock().image.start;
+        let log_storage = Shared::new(LogStorage::open(store)?);
+        let start = log_storage.lock().image.start;
         let peers: Vec<VoterId> = nodes.iter().copied().filter(|node| *node != id).collect();
         let cluster = ClusterConfig { configuration_id: 1, nodes, flexible_quorum: None };
         let server = ServerConfig {
@@ -62,13 +62,13 @@
             leader_priority: u32::try_from((seed ^ id.wrapping_mul(0x9e37_79b9)) % 1_000).unwrap_or(0),
             ..ServerConfig::default()
         };
-        let omni = cluster.build_for_server(server, shelf.clone()).map_err(|_| StartError::Voters)?;
-        let history = History::of(&shelf.lock().image);
+        let omni = cluster.build_for_server(server, log_storage.clone()).map_err(|_| StartError::Voters)?;
+        let history = History::of(&log_storage.lock().image);
         let mut voter = Voter {
             id,
             omni,
-            shelf,
-            touch: Touch::new(start, peers.into_iter()),
+            log_storage,
+            sessions: Sessions::new(start, peers.into_iter()),
             start,
             tick: 0,
             stopped: false,
@@ -97,7 +97,7 @@
     /// it missed by [`Voter::missed`] before it does anything else.
     pub fn tick(&mut self) {
         self.tick += 1;
-        self.touch.pass(1);
+        self.sessions.pass(1);
         self.guarded(&[], OmniPaxos::tick);
         self.pass_promises();
         self.proposals.give_up(self.tick);
@@ -110,13 +110,13 @@
     /// Ticks that the host missed: what was heard before counts as that much older.
     pub fn missed(&mut self, ticks: u64) {
         self.tick = self.tick.saturating_add(ticks);
-        self.touch.pass(ticks);
+        self.sessions.pass(ticks);
     }
 
     /// Takes in a message of another voter. What isn't one is dropped.
     pub fn receive(&mut self, from: VoterId, bytes: &[u8]) {
         let Some(envelope) = Envelope::decode(bytes, from, self.id).filter(|_| !self.stopped) else { return };
-        let verdict = self.touch.judge(from, &envelope);
+        let verdict = self.sessions.judge(from, &envelope);
         if verdict == Verdict::Drop {
             return;
         }
@@ -192,8 +192,8 @@
             return false;
         }
         match self.omni.get_current_leader() {
-            Some((leader, true)) if leader == self.id => self.touch.is_followed(self.id),
-            Some((leader, true)) => self.touch.follows(leader, self.omni.get_decided_idx()),
+            Some((leader, true)) if leader == self.id => self.sessions.is_followed(self.id),
+            Some((leader, true)) => self.sessions.follows(leader, self.omni.get_decided_idx()),
             _ => false,
         }
     }
@@ -213,13 +213,13 @@
     /// Entries of the log that aren't folded into its snapshot.
     #[must_use]
     pub fn log_entries(&self) -> usize {
-        self.shelf.lock().image.log.len()
+        self.log_storage.lock().image.log.len()
     }
 
     /// Bytes that the store takes up.
     #[must_use]
     pub fn store_bytes(&self) -> u64 {
-        self.shelf.lock().bytes()
+        self.log_storage.lock().bytes()
     }
 
     /// What a learner lacks that has this version.
@@ -256,7 +256,7 @@
     /// such a voter for long enough, leads on by a higher ballot.
     fn pass_promises(&mut self) {
         let surpassed =
-            !self.stopped && self.leads() && self.touch.is_surpassed(self.id, self.omni.get_promise());
+            !self.stopped && self.leads() && self.sessions.is_surpassed(self.id, self.omni.get_promise());
         if !surpassed {
             self.surpassed_since = None;
             return;
@@ -296,18 +296,18 @@
     }
 
     fn step(&mut self, passing: &[Entry]) {
-        if self.shelf.lock().commit().is_err() {
+        if self.log_storage.lock().commit().is_err() {
             self.stop();
             return;
         }
-        self.history.advance(&self.shelf.lock().image, passing);
+        self.history.advance(&self.log_storage.lock().image, passing);
         let first = self.proposals.first().map(|first| self.proposal_id(first.ticket));
         if let Some(mark) = first.and_then(|id| self.history.replica().made_by(id)) {
             self.proposals.agree(mark);
         }
-        if self.shelf.lock().is_long(self.log_bound) {
+        if self.log_storage.lock().is_long(self.log_bound) {
             let folded = self.omni.snapshot(None, true).is_ok();
-            if !folded || self.shelf.lock().commit().is_err() {
+            if !folded || self.log_storage.lock().commit().is_err() {
                 self.stop();
                 return;
             }
@@ -318,10 +318,10 @@
         let own = Own {
             decided: self.omni.get_decided_idx(),
             leader: leader.filter(|(_, accepts)| *accepts).map_or(0, |(leader, _)| leader),
-            leads: self.leads() && self.touch.is_followed(self.id),
+            leads: self.leads() && self.sessions.is_followed(self.id),
         };
         for message in messages {
-            let wrapped = self.touch.wrap(message, own);
+            let wrapped = self.sessions.wrap(message, own);
             if let Some((to, bytes)) = wrapped.and_then(|(to, envelope)| Some((to, envelope.encode()?))) {
                 self.outgoing.push_back((to, bytes));
             }
