--- a/crates/hollow/tests/outline.rs
+++ b/crates/hollow/tests/outline.rs
@@ -29,6 +29,13 @@
         assert!(drawn.requests.is_sorted_by_key(|request| request.at));
         assert!(drawn.requests.iter().all(|request| request.counts == (request.at >= drawn.counts.0)));
         assert!(drawn.requests.iter().all(|request| request.at < drawn.counts.1 && request.rank < 4));
+        // Every scheduler, class and tenant has some.
+        let had = |of: fn(&calicolb_hollow::RequestOutline) -> usize| {
+            drawn.requests.iter().map(of).collect::<std::collections::BTreeSet<_>>().len()
+        };
+        assert_eq!(had(|request| request.rank as usize), 4);
+        assert_eq!(had(|request| request.class), 5);
+        assert_eq!(had(|request| request.tenant.unwrap_or(99)), 5);
         // Eight accelerators are one machine of the nine.
         assert_eq!(drawn.workers.iter().map(|worker| worker.slots).sum::<u32>(), 8 * 12 + 8);
         assert_eq!(drawn, outline(&plan));
