--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -6,12 +6,14 @@
 pub const KEY_BYTES: usize = 256;
 /// Bytes of a document in its canonical form, at most.
 pub const DOCUMENT_BYTES: usize = 256 * 1024;
+/// Bytes of a change, at most.
+pub const CHANGE_BYTES: usize = 2 * DOCUMENT_BYTES;
 /// How deep a value may be nested.
 pub const DEPTH: usize = 16;
 /// Proposals that a voter holds at once: the one on its way and those that wait for it.
 pub const PROPOSALS: usize = 64;
 /// Entries of a voter's log that aren't decided yet; beyond it none is added.
-pub const UNDECIDED: usize = 64;
+pub const UNDECIDED: usize = 16;
 /// Decided entries that a voter keeps in its log before it folds them into a snapshot.
 pub const LOG: usize = 4_096;
 /// Bytes of a voter's log, decided or not, before it folds the decided ones into a snapshot.
@@ -21,7 +23,7 @@
 /// Bytes of the deltas that a voter keeps for learners.
 pub const DELTA_BYTES: usize = 4 * 1024 * 1024;
 /// Bytes of a message between voters: a log within its bounds, a snapshot and their frame.
-pub const MESSAGE_BYTES: usize = LOG_BYTES + UNDECIDED * 2 * DOCUMENT_BYTES + 4 * DOCUMENT_BYTES;
+pub const MESSAGE_BYTES: usize = LOG_BYTES + UNDECIDED * CHANGE_BYTES + 4 * DOCUMENT_BYTES;
 /// Messages that a voter holds for its host, at most; the oldest are dropped first, as a network would.
 pub const OUTGOING: usize = 1_024;
 /// Control machines, at most.
@@ -39,5 +41,8 @@
 pub const GIVE_UP_TICKS: u64 = 100;
 /// Ticks for which an answer of another voter counts as touch with it.
 pub const TOUCH_TICKS: u64 = 10;
+/// Ticks for which a leader that a majority follows sees a voter that promised more, before it goes beyond that. Longer
+/// than it takes a leader that was replaced to see that nobody follows it.
+pub const SURPASSED_TICKS: u64 = 2 * TOUCH_TICKS;
 /// Ticks after which a voter that is cut off surely says that it has no majority.
 pub const LAPSE_TICKS: u64 = 2 * TOUCH_TICKS + 1;
--- a/crates/hollow/src/schedulers.rs
+++ b/crates/hollow/src/schedulers.rs
@@ -64,6 +64,8 @@
     unwanted: bool,
     told_off: bool,
     over: bool,
+    /// It is over for the module, and may still be running at its worker.
+    loose: bool,
 }
 
 struct Entry {
@@ -225,9 +227,9 @@
         }
         let open = self.entries.get(&id.request).is_some_and(|entry| !entry.concluded && now < entry.expires);
         if !open {
-            self.end(now, id, Ending::Moot, None);
+            self.end(now, id, Ending::Moot, false, None);
         } else if !self.dispatcher.may_begin(now, RequestId(id.request), id.number) {
-            self.end(now, id, Ending::Unreachable, None);
+            self.end(now, id, Ending::Unreachable, false, None);
         } else {
             return true;
         }
@@ -253,17 +255,41 @@
 
     /// An attempt has ended, as its connection or the worker tells.
     pub(crate) fn over(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
-        if ending == Ending::Ok && self.attempt(id).is_some() {
+        if self.attempt(id).is_none() {
+            return self.surely_over(id);
+        }
+        if ending == Ending::Ok {
             self.conclude(id.request, Answer::Served);
         }
-        self.end(now, id, ending, report);
+        self.end(now, id, ending, false, report);
+    }
+
+    /// The worker has heard that an attempt is given up. One that has ended here already is over there too, if the worker
+    /// had taken it.
+    fn called_off(&mut self, now: Micros, id: AttemptId) {
+        let entry = self.entries.get(&id.request);
+        let attempt = entry.and_then(|entry| entry.attempts.get(id.number as usize));
+        match attempt.filter(|attempt| attempt.loose && attempt.taken) {
+            Some(_) => self.surely_over(id),
+            None => self.end(now, id, Ending::Cancelled, false, None),
+        }
+    }
+
+    /// An attempt that had ended here, and might still have been running, is over at its worker too.
+    fn surely_over(&mut self, id: AttemptId) {
+        let entry = self.entries.get_mut(&id.request);
+        let attempt = entry.and_then(|entry| entry.attempts.get_mut(id.number as usize));
+        let Some(attempt) = attempt.filter(|attempt| attempt.loose) else { return };
+        attempt.loose = false;
+        let note = Note::Over;
+        self.events.push_back(Event::Note { request: RequestId(id.request), attempt: id.number, note });
     }
 
     /// The connection of an attempt has broken, or never came up.
     pub(crate) fn broke(&mut self, now: Micros, id: AttemptId) {
         let Some(attempt) = self.attempt(id).filter(|attempt| !attempt.taken) else { return };
         let ending = if attempt.written.is_some() { Ending::Broken } else { Ending::Unreachable };
-        self.end(now, id, ending, None);
+        self.end(now, id, ending, ending == Ending::Broken, None);
     }
 
     pub(crate) fn note(&mut self, id: AttemptId, note: Note) {
@@ -305,7 +331,7 @@
                     self.tell_off(id);
                 }
             }
-            Due::CalledOff(id) => self.end(now, id, Ending::Cancelled, None),
+            Due::CalledOff(id) => self.called_off(now, id),
             Due::Watch => {
                 if self.armed.is_some_and(|at| at > now) {
                     return;
@@ -470,7 +496,7 @@
         let ends = entry.expires.min(timeout.map_or(Micros::MAX, |span| now.saturating_add(span)));
         entry.attempts.push(Attempt::new(worker, now));
         if entry.concluded || ends <= now || id.number >= tries {
-            return self.end(now, id, Ending::Moot, None);
+            return self.end(now, id, Ending::Moot, false, None);
         }
         self.work.push(Work::Due(ends, Due::Attempt(id)));
         self.work.push(Work::Send { id, worker });
@@ -483,7 +509,7 @@
 
     fn give_up(&mut self, now: Micros, id: AttemptId, ending: Ending) {
         self.tell_off(id);
-        self.end(now, id, ending, None);
+        self.end(now, id, ending, !ending.never_ran(), None);
     }
 
     fn tell_off(&mut self, id: AttemptId) {
@@ -493,9 +519,10 @@
         self.work.push(Work::GiveUp { id, worker, taken });
     }
 
-    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) {
+    /// Ends an attempt, once; it may still be `running` at its worker.
+    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, running: bool, report: Option<Report>) {
         let Some(attempt) = self.attempt(id) else { return };
-        attempt.over = true;
+        (attempt.over, attempt.loose) = (true, running);
         let (worker, elapsed) = (attempt.worker, now.saturating_sub(attempt.sent));
         let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
         self.events.push_back(Event::Outcome(Outcome {
@@ -504,6 +531,7 @@
             worker,
             ending,
             elapsed,
+            running,
             concluded,
             report,
         }));
@@ -520,6 +548,15 @@
 
 impl Attempt {
     fn new(worker: WorkerId, sent: Micros) -> Self {
-        Attempt { worker, sent, written: None, taken: false, unwanted: false, told_off: false, over: false }
+        Attempt {
+            worker,
+            sent,
+            written: None,
+            taken: false,
+            unwanted: false,
+            told_off: false,
+            over: false,
+            loose: false,
+        }
     }
 }
