--- a/crates/rig/src/calibrate/play.rs
+++ b/crates/rig/src/calibrate/play.rs
@@ -92,7 +92,7 @@
 pub struct Restart {
     /// Control messages by function, less what the fleet exchanges at rest in the same time.
     pub traffic: BTreeMap<&'static str, Traffic>,
-    /// Of these, the bytes in and out of the process that starts: its watch, its greeting to all, and the answers.
+    /// Of these, the bytes of the process that starts: its watch and its greeting to all, without the answers to that.
     pub bytes: u64,
     /// Its memory when it watches the list, in KiB.
     pub resident_kib: u64,
