--- a/tests/list.rs
+++ b/tests/list.rs
@@ -357,3 +357,86 @@
         "#
     ));
 }
+
+#[test]
+fn a_restarted_process_sends_nothing_to_a_worker_that_left_while_it_was_away() {
+    // Its configuration still names the worker, and its first call to discovery may be seconds away, as in a fleet that
+    // starts at once. The worker's address is in use again, as after the loss of a zone.
+    let settings = [
+        ("/settings/request_classes/0/aim_us", "15000000"),
+        ("/settings/rules/drain_grace_us", "500000"),
+        ("/settings/rules/ask_every_us", "8000000"),
+    ];
+    Setup { hops: 2, settings: &settings, ..Setup::default() }.play(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close h2
+        restart program
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 watch
+        send d.2 chunk {"seq":42,"whole":false,"hosts":[{"host":"h1","dial":"127.0.0.1:9","site":"north","class":"big","health":"terminated"}]}\n{"seq":43,"whole":false,"hosts":[{"host":"h9","dial":"nonsense"}]}\n
+        expect program a line of the list is dropped
+        send c1 POST /look Request-Id:a2 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#,
+    );
+}
+
+#[test]
+fn a_change_that_breaks_off_confirms_nothing_however_many_empty_lines_follow() {
+    play_asked(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        mark
+        send d chunk {"seq":42,"whole":false,"hosts":[{"host":"h1","dial":"127.0.0.1:9","site":"north",
+        until 1500
+        send d chunk \n
+        until 3000
+        send d chunk \n
+        until 4500
+        send d chunk \n
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        within 9000
+        until 7000
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#,
+    );
+}
+
+#[test]
+fn new_configurations_in_a_row_do_not_keep_an_old_list_in_force() {
+    // Each names another discovery, and none of them says a word.
+    play_asked(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        mark
+        send file d2
+        send program HUP
+        until 2000
+        send file d
+        send program HUP
+        until 4000
+        send file d2
+        send program HUP
+        until 6000
+        send file d
+        send program HUP
+        until 7500
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#,
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,6 +6,7 @@
 //!   made to next hop `h1`, `d…` the next one made to discovery. `expect program REST` waits for a log line.
 //!   From the door, `expect o… LINE` reads one line, and passes over others before it.
 //! * `close WHO` closes a connection, or the listener of a next hop that has none of this name.
+//! * `restart program` kills it with SIGKILL and starts it again with the configuration as it is: nothing survives but that.
 //! * `start heir` starts the program again beside itself, where the clients' socket was passed to it: then `program`
 //!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`).
 //! * `mark` begins to count; `after MS` says that so much has passed since at least, `within MS` at most.
@@ -482,6 +483,12 @@
                 let gained = now.saturating_sub(self.weight);
                 if gained <= most { Ok(()) } else { Err(format!("it has gained {gained} KiB, to {now}")) }
             }
+            ("restart", "program") => {
+                self.program.kill().map_err(|error| error.to_string())?;
+                self.program.wait().map_err(|error| error.to_string())?;
+                (self.program, self.log) = run(&self.file, 1024, self.passed.as_ref());
+                self.find()
+            }
             ("start", "heir") => {
                 let (program, log) = run(&self.file, 1024, self.passed.as_ref());
                 self.elders.push(std::mem::replace(&mut self.program, program));
