Log each call for the list, each version and each refusal's reason, and count them

Added: log lines (info) for each call to discovery, version taken in and change of the list's validity, each with the version; the reason of each refusal (debug, with the request's number) and a counter for each reason; figures scheduler.list.* and scheduler.rejected.*. No decision changes.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -5,6 +5,7 @@
 //! [`Action`](crate::api::Action)s that come back. Names of classes, tenants, zones and kinds stay
 //! with the host: the module sees indices into the lists of [`Settings`](crate::api::Settings).
 
+pub use crate::rejections::Rejection;
 use serde::{Deserialize, Serialize};
 
 /// A time or a span on the host's clock, in microseconds.
@@ -464,6 +465,8 @@
         request: RequestId,
         /// How long the client should stay away.
         come_back: Option<Micros>,
+        /// Why it is refused.
+        why: Rejection,
     },
     /// Final answer: failed, nothing is promised about its effect.
     Fail(RequestId),
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 mod handover;
 mod peer;
+pub mod rejections;
 pub mod renewal;
 pub mod rules;
 mod state;
--- a/crates/decisions/src/renewal.rs
+++ b/crates/decisions/src/renewal.rs
@@ -177,6 +177,6 @@
         };
         let held = self.queue.held.iter().map(|&(_, id)| id);
         let over: Vec<RequestId> = held.filter(|id| self.requests.get(id).is_some_and(&over)).collect();
-        over.into_iter().for_each(|id| self.finish(now, id));
+        over.into_iter().for_each(|id| self.finish(now, id, Rejection::SettingsChanged));
     }
 }
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -31,8 +31,11 @@
             }),
         };
         // Rule 3: nothing at all after being told, so the grace is never needed; nor by a list that is too old.
-        let old = self.list.until.is_some_and(|until| now >= until);
-        harmless && !twice && !old && worker.standing == Standing::On && !worker.refuses(request.skill)
+        harmless
+            && !twice
+            && !self.list.stale(now)
+            && worker.standing == Standing::On
+            && !worker.refuses(request.skill)
     }
 
     /// Every rule on where a job may go now; that none of its attempts is out any more is asked when it goes.
@@ -107,17 +110,18 @@
     }
 
     /// Every final answer of this dispatcher: a refusal where it is certain that nothing ran, else a failure.
-    pub(crate) fn finish(&mut self, now: Micros, id: RequestId) {
+    pub(crate) fn finish(&mut self, now: Micros, id: RequestId, why: Rejection) {
         self.unhold(id);
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
         request.done = true;
+        let why = self.rejections.count(why);
         let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
         if clear || matches!(request.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
             let pause = (self.know.mean_time / 4.0) as Micros;
             let come_back = limits.retry_advice.then_some(pause.min(limits.retry_advice_max).min(left / 4));
-            self.out.push(Action::Refuse { request: id, come_back });
+            self.out.push(Action::Refuse { request: id, come_back, why });
         } else {
             self.out.push(Action::Fail(id));
         }
@@ -251,11 +255,20 @@
         let once = request.effect == Effect::Unsafe && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
-        if ending == Ending::Unusable {
+        let rejection = match ending {
+            Ending::Unusable => Some(Rejection::Unusable),
+            Ending::Moot => Some(Rejection::Moot),
+            _ if once => Some(Rejection::NotRepeatable),
+            _ if spent => Some(Rejection::AttemptsSpent),
+            _ if over => Some(Rejection::Expired),
+            _ => None,
+        };
+        if rejection == Some(Rejection::Unusable) {
+            self.rejections.count(Rejection::Unusable);
             self.out.push(Action::Fail(id));
             self.close(id);
-        } else if once || spent || over || ending == Ending::Moot {
-            self.finish(now, id);
+        } else if let Some(why) = rejection {
+            self.finish(now, id, why);
         } else {
             self.hold(id);
             self.wake_at(now, now + self.settings.tick);
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::api::*;
 use crate::peer::{self, Load, Said};
+use crate::rejections::Rejections;
 use crate::state::*;
 use calicolb_fleet::census::MOST_RANKS;
 use calicolb_fleet::cold::{Allowance, ColdShare, Rota, Sender, warmth};
@@ -84,6 +85,8 @@
     pub(crate) company: Company,
     /// What has been spent of what all dispatchers share, for operators.
     pub spent: Spending,
+    /// Why requests got no result, for operators.
+    pub rejections: Rejections,
 }
 
 impl Dispatcher {
@@ -106,6 +109,7 @@
             cohorts: Vec::new(),
             company,
             spent: Spending::default(),
+            rejections: Rejections::default(),
             settings,
         }
     }
--- a/crates/decisions/src/rules/release.rs
+++ b/crates/decisions/src/rules/release.rs
@@ -94,7 +94,7 @@
     pub(crate) fn pump(&mut self, now: Micros) {
         let soon = now + 2 * self.settings.tick;
         while let Some(&(_, id)) = self.queue.expiries.first().filter(|first| first.0 <= soon) {
-            self.finish(now, id);
+            self.finish(now, id, Rejection::Expired);
         }
         self.move_on(now);
         let (mut wake, mut misses, mut from) = (Micros::MAX, 0, (0, RequestId(0)));
@@ -157,7 +157,7 @@
             Some((at, start, _)) if start <= now => {
                 self.unhold(id);
                 if !self.send(now, id, at) {
-                    self.finish(now, id);
+                    self.finish(now, id, Rejection::NoCapacity);
                 }
                 return true;
             }
@@ -176,7 +176,8 @@
                         (true, request.expires, request.expires);
                     self.hold(id);
                 } else if !request.late || now + request.size as Micros > request.expires {
-                    self.finish(now, id);
+                    let why = if self.list.stale(now) { Rejection::StaleList } else { Rejection::NoCapacity };
+                    self.finish(now, id, why);
                     return true;
                 }
                 *wake = (*wake).min(now + 2 * RECHECK);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -308,6 +308,13 @@
     pub(crate) until: Option<Micros>,
 }
 
+impl Listing {
+    /// Nothing new may be sent by the list: any worker may be draining or gone.
+    pub(crate) fn stale(&self, now: Micros) -> bool {
+        self.until.is_some_and(|until| now >= until)
+    }
+}
+
 pub(crate) struct Range {
     pub(crate) upper: f64,
     pub(crate) home: Vec<usize>,
--- a/src/net/core/desk.rs
+++ b/src/net/core/desk.rs
@@ -721,6 +721,11 @@
         self.dispatcher.spent.figures()
     }
 
+    /// Why requests got no result, by the names that operators see.
+    pub fn rejections(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        self.dispatcher.rejections.figures()
+    }
+
     /// Listed next hops that the module does not send to at present.
     pub fn avoided(&self, now: Micros) -> usize {
         self.dispatcher.avoided(now)
@@ -734,7 +739,10 @@
     fn carry_out(&mut self, now: Micros, action: Action, deadlines: &mut Deadlines) {
         match action {
             Action::Send { request, worker, timeout } => self.send(now, request, worker, timeout, deadlines),
-            Action::Refuse { request, come_back } => self.conclude(request.0, Answer::Busy { come_back }),
+            Action::Refuse { request, come_back, why } => {
+                note!(debug: request = request.0, ?why, "a request is refused");
+                self.conclude(request.0, Answer::Busy { come_back });
+            }
             Action::Fail(request) => self.conclude(request.0, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let id = AttemptId { request: request.0, number: attempt };
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -17,7 +17,7 @@
 use crate::net::protocol::Spare;
 use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
 use calicolb::wire::WireError;
-use calicolb_freshness::{Act, ListClock, MISSED, Mode, TURN};
+use calicolb_freshness::{Act, ListClock, MISSED, Mode, State, TURN};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use serde_json::Value;
@@ -43,6 +43,20 @@
     before: Option<Call>,
     /// What the module was last told of until when the list may be acted on.
     until: Option<Micros>,
+    counters: Counters,
+}
+
+/// What has happened to the list since the start of the process.
+#[derive(Default)]
+struct Counters {
+    /// Calls for the list or for a watch.
+    calls: u64,
+    /// Calls and watches that were refused, reset, fell silent or could not be read.
+    lost: u64,
+    /// Versions that were taken in.
+    versions: u64,
+    /// Versions older than the known one, which were not taken in.
+    outdated: u64,
 }
 
 impl RouteSet {
@@ -60,6 +74,7 @@
             watch: None,
             before: None,
             until: None,
+            counters: Counters::default(),
         }
     }
 
@@ -77,6 +92,19 @@
         }
     }
 
+    /// The state of the list for operators: by name and value.
+    pub fn figures(&self, now: Micros) -> [(&'static str, u64); 7] {
+        [
+            ("list.version", self.seq),
+            ("list.watch_open", u64::from(matches!(self.clock.state(), State::Told(_)))),
+            ("list.stale", u64::from(self.until.is_some_and(|until| now >= until))),
+            ("list.calls", self.counters.calls),
+            ("list.lost", self.counters.lost),
+            ("list.versions_taken", self.counters.versions),
+            ("list.versions_outdated", self.counters.outdated),
+        ]
+    }
+
     /// The list as it is known, for another process to begin with.
     pub fn list(&self) -> Update {
         let hosts = self.listed.values().filter_map(|line| serde_json::to_value(line).ok()).collect();
@@ -126,11 +154,24 @@
         }
         let until = self.clock.until();
         if until != self.until {
+            self.log_validity(ctx.now, until);
             self.until = until;
             ctx.desk.list_until(until);
         }
     }
 
+    /// Logs that the list is in force without a limit again, or until when it is.
+    fn log_validity(&self, now: Micros, until: Option<Micros>) {
+        let seq = self.seq;
+        match until {
+            None => note!(seq, "discovery: the list is confirmed"),
+            Some(until) => {
+                let left_ms = until.saturating_sub(now) / 1_000;
+                note!(seq, left_ms, "discovery: the list stays in force without a word for this long");
+            }
+        }
+    }
+
     fn leave_before(&mut self, ctx: &mut Ctx<'_>) {
         if let Some(call) = self.before.take() {
             hang_up(ctx, call);
@@ -149,6 +190,8 @@
 
     fn call(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, target: &str) -> Option<Call> {
         let discovery = self.discovery?;
+        self.counters.calls += 1;
+        note!(seq = self.seq, %discovery, target, "discovery: a call");
         let mut made = TcpStream::connect(discovery);
         // Out of descriptors, say: without the list nothing can be sent at all, so that clients at rest make room.
         if made.is_err() && spare.shed(ctx) {
@@ -248,7 +291,8 @@
     }
 
     fn lose(&mut self, ctx: &mut Ctx<'_>, call: Call, due: Due, why: &str) {
-        note!("discovery: {why}");
+        self.counters.lost += 1;
+        note!(seq = self.seq, "discovery: {why}");
         hang_up(ctx, call);
         if due == Due::Fetch {
             ctx.deadlines.clear(due);
@@ -270,6 +314,7 @@
     /// since. Should nothing newer be had for as long as discovery may take to tell, it has begun anew, and is believed.
     fn update(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update) -> Result<(), &'static str> {
         if update.seq < self.seq && ctx.now < self.seq_at + MISSED {
+            self.counters.outdated += 1;
             return Err("the list is older than the one that is known");
         }
         self.seq_at = ctx.now;
@@ -279,6 +324,7 @@
     }
 
     fn take(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update, kind: ListKind) {
+        let (before, lines) = (self.seq, update.hosts.len());
         self.seq = update.seq;
         let mut members = Vec::with_capacity(update.hosts.len());
         for value in update.hosts {
@@ -303,6 +349,10 @@
             self.listed.remove(&member.worker);
             hops.forget(ctx, member.worker);
         }
+        let count = |standing| members.iter().filter(|member| member.standing == standing).count();
+        let (draining, gone) = (count(Standing::Draining), count(Standing::Gone));
+        self.counters.versions += 1;
+        note!(seq = self.seq, before, ?kind, lines, draining, gone, "discovery: a version is taken in");
         ctx.desk.members(Source::Listed, kind, members);
     }
 
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -400,12 +400,14 @@
             Some(Order::Ping) if self.begun => "done\n".to_owned(),
             Some(Order::Ping) => "error no list of stock workers is known yet\n".to_owned(),
             Some(Order::Info) => {
+                let list = self.routes.figures(now);
                 let present = Present {
                     in_flight: self.desk.owed(),
                     known: self.desk.known(),
                     avoided: self.desk.avoided(now),
                 };
                 let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
+                let shared = shared.chain(self.desk.rejections()).chain(list);
                 let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
                 let others = others.chain([("settings.taken_up", self.renewals)]);
                 let others = others.map(|(name, value)| (name, value.to_string()));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -339,7 +339,7 @@
                 pair(out, "\tgive_up_after_us=", *span);
             }
         }
-        Action::Refuse { request, come_back } => {
+        Action::Refuse { request, come_back, .. } => {
             pair(out, "\ttxn=", request.0.into());
             if let Some(span) = come_back {
                 pair(out, "\tcome_back_us=", *span);
