--- a/crates/decisions/src/rules/list.rs
+++ b/crates/decisions/src/rules/list.rs
@@ -11,9 +11,10 @@
                 let rest = if std::mem::replace(&mut self.list.lost, true) { SECOND / 2 } else { 1 };
                 Some(rest + self.rng.u64(0..SECOND))
             }
-            // Spread over time, so that dispatchers which start together do not swamp the list.
+            // Spread over time, so that dispatchers which start together do not swamp the list; and soon, since nothing
+            // may be sent by a saved list before it is confirmed.
             ListKind::Saved if self.settings.list_on_request && !self.list.subscribed => {
-                Some(1 + self.rng.u64(0..(self.settings.rules.ask_every / 2).clamp(1, 4 * SECOND)))
+                Some(1 + self.rng.u64(0..(self.settings.rules.ask_every / 2).clamp(1, FIRST_CALL)))
             }
             _ => None,
         };
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -53,6 +53,8 @@
 const COLD_SHARE: f64 = 0.4;
 /// A planned job gives way to one that is worth so many times as much for its work.
 const GIVES_WAY: f64 = 2.0;
+/// A process that starts calls for the list within this time.
+const FIRST_CALL: Micros = 2 * SECOND;
 const TIMER_PUMP: TimerId = TimerId(1);
 const TIMER_LIST: TimerId = TimerId(2);
 
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -1,26 +1,34 @@
 //! How fresh a scheduler's list of stock workers is.
 //!
 //! What discovery has to tell counts as told at some time, whether it arrived or not; from then on a scheduler has a
-//! grace to stop sending to what drains or has gone. This crate is the one place that knows when that is. It has no
-//! I/O and no clock: whoever holds the connections says what happened and when, asks when to look again
+//! grace to stop sending to what drains or has gone. The list is therefore held like a lease: each whole word of discovery
+//! renews it, and when it runs out nothing may be sent by it. This crate is the one place that knows when that is. It has
+//! no I/O and no clock: whoever holds the connections says what happened and when, asks when to look again
 //! ([`ListClock::due`]) and what to do then ([`ListClock::act`]), and tells the decision module until when the list may
 //! be acted on ([`ListClock::until`]).
 //!
 //! | state | begins | ends |
 //! | --- | --- | --- |
 //! | [`State::Anew`] | with a call | with the first word of its answer, its end, or [`ANSWER`] |
-//! | [`State::Told`] | with any word of the watch, an empty line too | when nothing came for [`SILENCE`], or it broke |
+//! | [`State::Told`] | with a whole word of the watch: a change or an empty line | when none came for [`SILENCE`], or it broke |
 //! | [`State::Broken`] | with the end, or the silence, of what was open | with the next call |
 //!
+//! A list that discovery has never confirmed to this process, such as the one saved in its configuration, may be of any
+//! age: where the list is asked for, nothing may be sent by it. Only a whole word renews the lease; bytes of a change that
+//! is not complete keep the watch open for [`MISSED`] at most.
+//!
 //! What was missed counts as told [`MISSED`] after discovery had it and could be reached. A call that it refuses or ends tells
 //! that it could not be reached when the call was made, so that the time runs anew from there; silence, of a watch or of a
-//! call, tells nothing of the kind, and after it the time runs on until a word comes.
+//! call, tells nothing of the kind, and after it the time runs on until a word comes. The same holds once another scheduler
+//! has reached discovery meanwhile ([`ListClock::reachable`]).
 //!
 //! Where the list is *pushed*, an agent on the scheduler's own machine answers at once and at no cost: the clock itself
 //! asks for each call ([`Act::Open`]), again and again while nobody answers. Where it is *asked for*, one service serves
 //! the whole fleet and calls have a price: when to ask is the decision module's, and the clock only tells that a watch
 //! or a call has fallen silent ([`Act::Lose`]). See `docs/freshness.md`.
 
+pub mod witness;
+
 /// A time on the caller's clock, or a span, in microseconds.
 pub type Micros = u64;
 
@@ -40,6 +48,8 @@
 /// A call that waits its turn at a service that is asked has this long: such a service answers, or refuses, within 2 s, and
 /// a second call has to fit in before what the first one missed counts.
 pub const TURN: Micros = 3 * SECOND;
+/// A scheduler may be held up for so long between reading its clock and writing: the lease ends earlier by as much.
+pub const HELD_UP: Micros = 150 * MILLI;
 /// Calls to an agent follow each other at this distance at the soonest.
 pub const PACE: Micros = 250 * MILLI;
 
@@ -50,6 +60,8 @@
     Pushed,
     /// One service for the fleet is asked.
     Asked,
+    /// There is no discovery: nobody has anything to tell, and the list holds without a limit.
+    Fixed,
 }
 
 /// See the head of this crate.
@@ -57,7 +69,7 @@
 pub enum State {
     /// A call is out, since this time, and has brought no word yet.
     Anew(Micros),
-    /// A watch is open; its last word came at this time.
+    /// A watch is open; its last whole word came at this time.
     Told(Micros),
     /// No watch is open, and no call is out, since this time.
     Broken(Micros),
@@ -77,18 +89,17 @@
 pub struct ListClock {
     mode: Mode,
     grace: Micros,
+    started: Micros,
     state: State,
     /// The time of the last call.
     called: Option<Micros>,
-    missed: Option<Missed>,
-}
-
-/// Something may have been told that was not heard.
-#[derive(Clone, Copy, Debug)]
-struct Missed {
-    /// By this time it counts as told.
-    told: Micros,
-    /// There was a silence in it: a call that is refused after that proves nothing of the time before.
+    /// When bytes last came that were no whole word yet.
+    received: Micros,
+    /// When the list was last known to be complete.
+    confirmed: Option<Micros>,
+    /// By this time what may have been missed counts as told; `None`: at any time before the process began.
+    told: Option<Micros>,
+    /// Since the list was confirmed discovery may have been reachable: a refused call proves nothing of that time.
     silent: bool,
 }
 
@@ -97,8 +108,18 @@
     /// as before.
     pub fn new(mode: Mode, grace: Micros, now: Micros) -> Self {
         // What an agent holds counts as told from the first moment of a process.
-        let missed = (mode == Mode::Pushed).then_some(Missed { told: now, silent: true });
-        ListClock { mode, grace, state: State::Broken(now), called: None, missed }
+        let told = (mode == Mode::Pushed).then_some(now);
+        ListClock {
+            mode,
+            grace,
+            started: now,
+            state: State::Broken(now),
+            called: None,
+            received: now,
+            confirmed: None,
+            told,
+            silent: true,
+        }
     }
 
     /// Another grace is in force; tells whether it differs.
@@ -116,77 +137,102 @@
         self.state
     }
 
+    /// When the process of this clock began.
+    pub fn started(&self) -> Micros {
+        self.started
+    }
+
+    /// When the list was last known to be complete; `None`: never in this process.
+    pub fn confirmed(&self) -> Option<Micros> {
+        self.confirmed
+    }
+
     /// A call for a watch goes out.
     pub fn opened(&mut self, now: Micros) {
         self.called = Some(now);
         self.state = State::Anew(now);
     }
 
-    /// The watch has brought a word: its answer's head, a change, or an empty line. Its first word brings all that was
-    /// missed, or tells that there was nothing.
+    /// The watch has brought a whole word, a change or an empty line, and nothing of a change is outstanding. Its first
+    /// word brings all that was missed, or tells that there was nothing.
     pub fn heard(&mut self, now: Micros) {
         self.state = State::Told(now);
-        self.missed = None;
+        self.received = now;
+        self.confirm(now);
+    }
+
+    /// The watch has brought bytes that are not whole yet: it is open, and the list is no fresher.
+    pub fn received(&mut self, now: Micros) {
+        self.received = now;
+    }
+
+    /// The list was complete at this time, as somebody knows who has the same list.
+    pub fn confirm(&mut self, at: Micros) {
+        if self.confirmed.is_none_or(|confirmed| at >= confirmed) {
+            self.confirmed = Some(at);
+            self.silent = false;
+        }
+        self.told = self.told.max(Some(at + MISSED));
+    }
+
+    /// Discovery could be reached by somebody after the list was last confirmed: calls that are refused prove nothing.
+    pub fn reachable(&mut self) {
+        self.silent = true;
     }
 
     /// The call or the watch has been refused or ended from outside.
     pub fn broke(&mut self, now: Micros) {
-        self.miss(now, false);
-        if let (State::Anew(called), Mode::Asked, Some(missed)) = (self.state, self.mode, &mut self.missed)
-            && !missed.silent
+        if let (State::Anew(called), Mode::Asked, Some(told), false) =
+            (self.state, self.mode, self.told, self.silent)
         {
-            missed.told = missed.told.max(called + MISSED);
+            self.told = Some(told.max(called + MISSED));
         }
         self.state = State::Broken(now);
     }
 
     /// The watch was ended here, is not wanted, or could not be asked for.
     pub fn closed(&mut self, now: Micros) {
-        self.miss(now, true);
+        self.silent = true;
         self.state = State::Broken(now);
     }
 
-    /// Discovery is to be had elsewhere from now on.
+    /// Discovery is to be had elsewhere from now on. What is there counts soon; what was missed before, no later for it.
     pub fn moved(&mut self, now: Micros) {
-        self.missed = Some(Missed { told: now + MOVED, silent: false });
+        self.told = self.told.map(|told| told.min(now + MOVED));
         self.state = State::Broken(now);
         self.called = None;
     }
 
-    /// From the last word on, or from a call that brought none, something may have been missed.
-    fn miss(&mut self, now: Micros, silent: bool) {
-        let since = match (self.state, self.mode) {
-            (State::Told(heard), _) => heard.min(now),
-            (State::Anew(called), Mode::Asked) => called.min(now),
-            _ => return,
-        };
-        let missed = self.missed.get_or_insert(Missed { told: since + MISSED, silent });
-        missed.silent |= silent;
-    }
-
     /// When [`ListClock::act`] is to be asked next, if nothing happens before.
     pub fn due(&self) -> Option<Micros> {
         match (self.state, self.mode) {
-            (State::Anew(since), Mode::Pushed) => Some(since + ANSWER),
-            (State::Anew(since), Mode::Asked) => Some(since + TURN),
-            (State::Told(heard), _) => Some(heard + SILENCE),
+            (_, Mode::Fixed) | (State::Broken(_), Mode::Asked) => None,
+            (State::Anew(since), Mode::Pushed) => Some(self.silence_after(since, ANSWER)),
+            (State::Anew(since), Mode::Asked) => Some(self.silence_after(since, TURN)),
+            (State::Told(heard), _) => Some(self.silence_after(heard, SILENCE)),
             (State::Broken(since), Mode::Pushed) => {
                 // One that ends at once, again and again, is called at a pace.
                 Some(self.called.map_or(since, |called| since.max(called + PACE)))
             }
-            (State::Broken(_), Mode::Asked) => None,
         }
     }
 
+    /// When a watch counts as silent whose last whole word, or whose call, was at this time: bytes that are no whole word
+    /// put it off, but not for ever.
+    fn silence_after(&self, word: Micros, patience: Micros) -> Micros {
+        let most = word + MISSED.max(patience);
+        (self.received.max(word) + patience).min(most)
+    }
+
     /// What is to be done now.
     pub fn act(&mut self, now: Micros) -> Option<Act> {
         if self.due().is_none_or(|due| due > now) {
             return None;
         }
-        self.miss(now, true);
+        self.silent = true;
         match self.mode {
             Mode::Pushed => Some(Act::Open),
-            Mode::Asked => {
+            Mode::Asked | Mode::Fixed => {
                 self.state = State::Broken(now);
                 Some(Act::Lose)
             }
@@ -194,8 +240,11 @@
     }
 
     /// Until when the list may be acted on: from then on, what was not heard counts as told for longer than the grace.
-    /// `None` while nothing can have been missed.
+    /// `None`: without a limit, as there is no discovery. A list that was never confirmed may not be acted on at all.
     pub fn until(&self) -> Option<Micros> {
-        self.missed.map(|missed| missed.told + self.grace)
+        let Some(told) = self.told else {
+            return (self.mode != Mode::Fixed).then_some(self.started);
+        };
+        Some((told + self.grace).saturating_sub(HELD_UP))
     }
 }
--- a/crates/freshness/tests/clock.rs
+++ b/crates/freshness/tests/clock.rs
@@ -1,7 +1,7 @@
 //! The clock's states, caused one by one, and what must be so in any order of events.
 
 use calicolb_freshness::{
-    ANSWER, Act, BEAT, ListClock, MISSED, MOVED, Micros, Mode, PACE, SILENCE, State, TURN,
+    ANSWER, Act, BEAT, HELD_UP, ListClock, MISSED, MOVED, Micros, Mode, PACE, SILENCE, State, TURN,
 };
 use proptest::prelude::*;
 
@@ -9,6 +9,11 @@
 const GRACE: Micros = 2 * SECOND;
 const START: Micros = 100 * SECOND;
 
+/// Until when a list may be acted on whose news count as told at this time: a scheduler may be held up before it writes.
+const fn lease(told: Micros) -> Micros {
+    told + GRACE - HELD_UP
+}
+
 fn pushed() -> ListClock {
     ListClock::new(Mode::Pushed, GRACE, START)
 }
@@ -24,11 +29,11 @@
 #[test]
 fn what_an_agent_holds_counts_from_the_first_moment_of_a_process() {
     let mut clock = pushed();
-    assert_eq!((clock.due(), clock.until()), (Some(START), Some(START + GRACE)));
+    assert_eq!((clock.due(), clock.until()), (Some(START), Some(lease(START))));
     assert_eq!(call(&mut clock), START);
-    assert_eq!(clock.until(), Some(START + GRACE), "a call alone tells nothing");
+    assert_eq!(clock.until(), Some(lease(START)), "a call alone tells nothing");
     clock.heard(START + 1_000);
-    assert_eq!(clock.until(), None);
+    assert_eq!(clock.until(), Some(lease(START + 1_000 + MISSED)));
 }
 
 #[test]
@@ -40,11 +45,12 @@
     let silent = START + BEAT + SILENCE;
     assert_eq!(clock.act(silent - 1), None);
     assert_eq!(call(&mut clock), silent);
-    assert_eq!(clock.until(), Some(START + BEAT + MISSED + GRACE));
+    assert_eq!(clock.until(), Some(lease(START + BEAT + MISSED)));
     // The new watch brings what was missed, long before it counts as told.
     assert!(silent + ANSWER < START + BEAT + MISSED);
     clock.heard(silent + 1);
-    assert_eq!((clock.until(), clock.state()), (None, State::Told(silent + 1)));
+    assert_eq!(clock.until(), Some(lease(silent + 1 + MISSED)));
+    assert_eq!(clock.state(), State::Told(silent + 1));
 }
 
 #[test]
@@ -58,10 +64,10 @@
         calls += 1;
     }
     assert!((5..=7).contains(&calls), "{calls}");
-    assert_eq!(clock.until(), Some(START + MISSED + GRACE), "calls without an answer move nothing");
+    assert_eq!(clock.until(), Some(lease(START + MISSED)), "calls without an answer move nothing");
     // What it got at its return counts at once: the call that is out by then is no older than its patience.
     clock.heard(at + ANSWER - 1);
-    assert_eq!(clock.until(), None);
+    assert_eq!(clock.until(), Some(lease(at + ANSWER - 1 + MISSED)));
 }
 
 #[test]
@@ -74,7 +80,7 @@
         clock.broke(at + 10);
     }
     assert!(times.windows(2).all(|pair| pair[1] - pair[0] == PACE), "{times:?}");
-    assert_eq!(clock.until(), Some(START + GRACE));
+    assert_eq!(clock.until(), Some(lease(START)));
 }
 
 #[test]
@@ -84,34 +90,43 @@
         let at = call(&mut clock);
         clock.heard(at + 1);
         clock.broke(at + 2);
-        assert_eq!(clock.until(), Some(at + 1 + MISSED + GRACE));
+        assert_eq!(clock.until(), Some(lease(at + 1 + MISSED)));
     }
 }
 
 #[test]
-fn after_a_move_the_new_agents_list_counts_4_s_later_in_an_outage_too() {
+fn a_move_gives_an_old_list_no_more_time() {
+    // After a move the new agent's list counts 4 s later, and what was missed before still 6 s after it was: the earlier
+    // of the two.
     let mut clock = pushed();
     call(&mut clock);
     clock.heard(START);
     // The agent of before falls silent; half a second later the configuration says where the new one is.
     let moved = call(&mut clock) + SECOND / 2;
+    assert!(moved + MOVED > START + MISSED);
     clock.moved(moved);
-    assert_eq!((clock.due(), clock.until()), (Some(moved), Some(moved + MOVED + GRACE)));
+    assert_eq!((clock.due(), clock.until()), (Some(moved), Some(lease(START + MISSED))));
     assert_eq!(call(&mut clock), moved, "it is called at once, whenever the last call was");
     clock.broke(moved + 5);
-    assert_eq!(clock.until(), Some(moved + MOVED + GRACE));
+    assert_eq!(clock.until(), Some(lease(START + MISSED)));
+    // Right after a word the move sets the earlier time.
+    let mut clock = pushed();
+    call(&mut clock);
+    clock.heard(START);
+    clock.moved(START + SECOND);
+    assert_eq!(clock.until(), Some(lease(START + SECOND + MOVED)));
 }
 
 #[test]
 fn a_service_that_all_share_is_never_called_by_the_clock() {
     let mut clock = ListClock::new(Mode::Asked, GRACE, START);
-    assert_eq!((clock.due(), clock.until()), (None, None));
+    assert_eq!((clock.due(), clock.until()), (None, Some(START)), "nobody has confirmed the list yet");
     clock.opened(START);
     assert_eq!(clock.due(), Some(START + TURN));
     assert_eq!(clock.act(START + TURN), Some(Act::Lose));
     clock.broke(START + TURN);
     assert_eq!((clock.due(), clock.act(START + 100 * SECOND)), (None, None));
-    assert_eq!(clock.until(), Some(START + MISSED + GRACE), "a call that was given up tells nothing");
+    assert_eq!(clock.until(), Some(START), "a call that was given up tells nothing");
     clock.opened(START + 100 * SECOND);
     clock.heard(START + 101 * SECOND);
     // Noticed in time to ask again: the call may wait its turn before what was missed has counted for too long.
@@ -131,26 +146,26 @@
     // Down from 1 s on: what it has at its return counts 6 s after that, and the last refused call was made before it.
     let mut clock = asked();
     clock.broke(START + SECOND);
-    assert_eq!(clock.until(), Some(START + MISSED + GRACE));
+    assert_eq!(clock.until(), Some(lease(START + MISSED)));
     let mut at = START + SECOND;
     for _ in 0..10 {
         at += SECOND;
         clock.opened(at);
         clock.broke(at + 2 * SECOND);
-        assert_eq!(clock.until(), Some(at + MISSED + GRACE));
+        assert_eq!(clock.until(), Some(lease(at + MISSED)));
         at += 2 * SECOND;
     }
     clock.opened(at);
-    assert_eq!(clock.until(), Some(at - 2 * SECOND + MISSED + GRACE), "a call alone tells nothing");
+    assert_eq!(clock.until(), Some(lease(at - 2 * SECOND + MISSED)), "a call alone tells nothing");
     clock.heard(at + 1);
-    assert_eq!(clock.until(), None);
+    assert_eq!(clock.until(), Some(lease(at + 1 + MISSED)));
 }
 
 #[test]
 fn after_a_silence_no_refused_call_gives_more_time() {
     let mut clock = asked();
     assert_eq!(clock.act(START + SILENCE), Some(Act::Lose));
-    let strict = Some(START + MISSED + GRACE);
+    let strict = Some(lease(START + MISSED));
     for at in [START + 3 * SECOND, START + 6 * SECOND] {
         clock.opened(at);
         clock.broke(at + SECOND);
@@ -173,14 +188,76 @@
 }
 
 #[test]
-fn a_move_begins_a_new_time_and_refusals_there_count_again() {
+fn a_move_hides_no_silence_and_refusals_there_count_only_without_one() {
+    // The old discovery had fallen silent, reachable perhaps: what it told then counts in its time, whatever is moved.
     let mut clock = asked();
     assert_eq!(clock.act(START + SILENCE), Some(Act::Lose));
     clock.moved(START + 5 * SECOND);
-    assert_eq!(clock.until(), Some(START + 5 * SECOND + MOVED + GRACE));
     clock.opened(START + 5 * SECOND);
     clock.broke(START + 7 * SECOND);
-    assert_eq!(clock.until(), Some(START + 5 * SECOND + MISSED + GRACE));
+    assert_eq!(clock.until(), Some(lease(START + MISSED)));
+    // One that had ended the watch was down; the new one is, too.
+    let mut clock = asked();
+    clock.broke(START + SECOND);
+    clock.moved(START + 5 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + MISSED)));
+    clock.opened(START + 5 * SECOND);
+    clock.broke(START + 7 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 5 * SECOND + MISSED)));
+}
+
+#[test]
+fn a_list_that_was_never_confirmed_is_never_acted_on_where_it_is_asked_for() {
+    let mut clock = ListClock::new(Mode::Asked, GRACE, START);
+    for step in 0..10 {
+        let at = START + step * 3 * SECOND;
+        clock.opened(at);
+        clock.broke(at + 2 * SECOND);
+        assert_eq!(clock.until(), Some(START), "a refusal says nothing of the time before the process");
+    }
+    clock.moved(START + 40 * SECOND);
+    assert_eq!(clock.until(), Some(START));
+    clock.heard(START + 50 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 50 * SECOND + MISSED)));
+}
+
+#[test]
+fn without_discovery_a_list_holds_without_a_limit() {
+    let clock = ListClock::new(Mode::Fixed, GRACE, START);
+    assert_eq!((clock.due(), clock.until()), (None, None));
+}
+
+#[test]
+fn bytes_that_are_no_whole_word_keep_a_watch_open_for_a_while_and_renew_nothing() {
+    let mut clock = asked();
+    let mut at = START;
+    while clock.act(at).is_none() {
+        assert_eq!(clock.until(), Some(lease(START + MISSED)));
+        clock.received(at);
+        at += SECOND;
+        assert!(at < START + 20 * SECOND, "the watch is never given up");
+    }
+    assert_eq!(at, START + MISSED);
+    // The rest of a long first answer may take longer than one that waits its turn.
+    let mut clock = ListClock::new(Mode::Asked, GRACE, START);
+    clock.opened(START);
+    clock.received(START + 2 * SECOND);
+    assert_eq!(clock.act(START + TURN), None);
+    assert_eq!(clock.due(), Some(START + 2 * SECOND + TURN));
+}
+
+#[test]
+fn whoever_has_the_same_list_confirms_it_and_who_got_through_ends_the_excuse_of_refusals() {
+    let mut clock = asked();
+    clock.broke(START + SECOND);
+    clock.confirm(START + 3 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 3 * SECOND + MISSED)));
+    clock.confirm(START + 2 * SECOND);
+    assert_eq!(clock.confirmed(), Some(START + 3 * SECOND), "an older word changes nothing");
+    clock.reachable();
+    clock.opened(START + 5 * SECOND);
+    clock.broke(START + 7 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 3 * SECOND + MISSED)));
 }
 
 proptest! {
@@ -189,17 +266,17 @@
     #[test]
     fn an_asked_list_is_held_no_longer_than_is_known(steps in prop::collection::vec((0_u8..6, 0_u64..3 * SECOND), 1..200)) {
         let mut clock = asked();
-        let (mut now, mut allowed, mut silent) = (START, START + MISSED + GRACE, false);
+        let (mut now, mut allowed, mut silent) = (START, lease(START + MISSED), false);
         for (what, later) in steps {
             now += later;
             match (what, clock.state()) {
                 (0, State::Anew(_) | State::Told(_)) => {
                     clock.heard(now);
-                    (allowed, silent) = (now + MISSED + GRACE, false);
+                    (allowed, silent) = (lease(now + MISSED), false);
                 }
                 (1, state) => {
                     if let State::Anew(called) = state && !silent {
-                        allowed = allowed.max(called + MISSED + GRACE);
+                        allowed = allowed.max(lease(called + MISSED));
                     }
                     clock.broke(now);
                 }
@@ -210,7 +287,7 @@
                 }
                 (4, _) => {
                     clock.moved(now);
-                    (allowed, silent) = (now + MOVED + GRACE, false);
+                    allowed = allowed.min(lease(now + MOVED));
                 }
                 _ => {
                     if let Some(due) = clock.due() {
@@ -220,9 +297,7 @@
                     }
                 }
             }
-            prop_assert!(clock.until().is_none_or(|until| until <= allowed));
-            let told = matches!(clock.state(), State::Told(_));
-            prop_assert!(clock.until().is_some() || told || matches!(clock.state(), State::Anew(_)));
+            prop_assert!(clock.until().is_some_and(|until| until <= allowed));
         }
     }
 }
@@ -233,19 +308,19 @@
     #[test]
     fn an_agent_is_always_asked_again_at_a_pace(steps in prop::collection::vec((0_u8..5, 0_u64..3 * SECOND), 1..200)) {
         let mut clock = pushed();
-        let (mut now, mut last_call, mut allowed) = (START, None::<Micros>, START + GRACE);
+        let (mut now, mut last_call, mut allowed) = (START, None::<Micros>, lease(START));
         for (what, later) in steps {
             now += later;
             match what {
                 0 => {
                     clock.heard(now);
-                    allowed = now + MISSED + GRACE;
+                    allowed = lease(now + MISSED);
                 }
                 1 => clock.broke(now),
                 2 => clock.closed(now),
                 3 => {
                     clock.moved(now);
-                    (last_call, allowed) = (None, now + MOVED + GRACE);
+                    (last_call, allowed) = (None, allowed.min(lease(now + MOVED)));
                 }
                 _ => {
                     let due = clock.due().expect("an agent is always asked again");
@@ -257,7 +332,7 @@
                     prop_assert!(clock.due().is_some_and(|due| due > now), "no call without a rest after it");
                 }
             }
-            prop_assert!(clock.until().is_none_or(|until| until <= allowed));
+            prop_assert!(clock.until().is_some_and(|until| until <= allowed));
         }
     }
 }
--- a/crates/hollow/src/schedulers.rs
+++ b/crates/hollow/src/schedulers.rs
@@ -353,8 +353,11 @@
 
     // ---- The list --------------------------------------------------------------------------------
 
-    /// Begins with this copy of the list.
-    pub(crate) fn warm(&mut self, list: &Update) {
+    /// Begins with this copy of the list. `confirmed`: when discovery confirmed it last, if that is known.
+    pub(crate) fn warm(&mut self, list: &Update, confirmed: Option<Micros>) {
+        if let Some(at) = confirmed {
+            self.clock.confirm(at);
+        }
         self.seq = list.seq;
         self.events.push_back(Event::Members(ListKind::Saved, list.members.clone()));
         self.keep_time();
@@ -412,6 +415,11 @@
         self.dispatcher.knowledge()
     }
 
+    /// When discovery last confirmed its list.
+    pub(crate) fn confirmed(&self) -> Option<Micros> {
+        self.clock.confirmed()
+    }
+
     /// Takes what the process before this one had learned.
     pub(crate) fn inherit(&mut self, knowledge: serde_json::Value, next: u32) {
         self.next = next;
--- a/crates/hollow/src/troubles.rs
+++ b/crates/hollow/src/troubles.rs
@@ -163,7 +163,7 @@
             Step::SchedulerReturns(rank) => {
                 let list = self.discovery.list();
                 let process = self.new_process(rank);
-                self.with(process, |process, _| process.warm(&list));
+                self.with(process, |process, _| process.warm(&list, None));
                 self.begin_learning(process);
             }
             Step::SchedulerRestarts(rank) => self.restart(rank),
@@ -201,12 +201,12 @@
     fn restart(&mut self, rank: u32) {
         let Some(elder) = self.alive(rank) else { return };
         let told = &mut self.processes[elder as usize];
-        let (knowledge, next) = (told.hand_over(), told.next());
+        let (knowledge, next, confirmed) = (told.hand_over(), told.next(), told.confirmed());
         let list = self.discovery.list();
         let heir = self.new_process(rank);
         self.with(heir, |heir, _| {
             heir.inherit(knowledge, next);
-            heir.warm(&list);
+            heir.warm(&list, confirmed);
         });
         self.begin_learning(heir);
         self.settle(elder);
--- a/crates/hollow/src/world.rs
+++ b/crates/hollow/src/world.rs
@@ -267,7 +267,7 @@
             Happening::Start { rank } => {
                 let process = self.new_process(rank);
                 let list = self.discovery.list();
-                self.processes[process as usize].warm(&list);
+                self.processes[process as usize].warm(&list, None);
                 self.settle(process);
                 self.begin_learning(process);
             }
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -23,6 +23,12 @@
     Fetch,
     /// Nothing has come on the watch for too long.
     Watch,
+    /// The list grows too old to be acted on.
+    Stale,
+    /// Other schedulers are asked how fresh their lists are.
+    Witness,
+    /// The program counts as ready by now, whether the list is confirmed or not.
+    Ready,
     /// An operator's call has been open for too long.
     Call(usize),
     /// The operators' door is tried again after descriptors ran out.
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -56,6 +56,7 @@
             desk: &mut self.desk,
             tokens: &mut self.tokens,
             strays: &mut Vec::new(),
+            outbox: &mut Vec::new(),
             wishes: &mut Vec::new(),
             now: self.now,
         })
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,10 +31,26 @@
     strays: &'a mut Vec<String>,
     /// What a protocol wants of the whole program.
     wishes: &'a mut Vec<protocol::Wish>,
+    /// Datagrams to other schedulers, sent at the end of the turn.
+    outbox: &'a mut Vec<(Audience, Vec<u8>)>,
     now: Micros,
 }
 
+/// Which other schedulers a datagram is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The one of this rank.
+    One(u32),
+    /// So many, drawn by chance.
+    Some(usize),
+}
+
 impl Ctx<'_> {
+    /// Sends a datagram to other schedulers, where there are any.
+    fn tell(&mut self, audience: Audience, body: Vec<u8>) {
+        self.outbox.push((audience, body));
+    }
+
     /// A number for a new connection. None is given twice, so a late event of one that is gone meets nothing.
     fn next_token(&mut self) -> usize {
         *self.tokens += 1;
--- a/src/net/platform/call.rs
+++ b/src/net/platform/call.rs
@@ -59,13 +59,42 @@
     }
 }
 
-/// Reads what the watch has brought; tells whether there was anything.
-pub(super) fn watched<T: DeserializeOwned>(
+/// How much of a word a watch has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Word {
+    /// Nothing, or the head of its answer.
+    None,
+    /// Bytes of a change that is not whole yet.
+    Partial,
+    /// Whole changes or an empty line, and no part of a further change.
+    Whole,
+}
+
+/// What a watch has brought, and why it ended if it did.
+pub(super) struct Heard {
+    pub(super) word: Word,
+    pub(super) end: Option<&'static str>,
+}
+
+/// Reads what the watch has brought. Whole changes that came before its end count.
+pub(super) fn watched<T: DeserializeOwned>(call: &mut Call, updates: &mut Vec<T>) -> Heard {
+    let mut chunks = 0_u32;
+    let end = read_watch(call, updates, &mut chunks).err();
+    let word = match chunks {
+        0 => Word::None,
+        _ if call.text.is_empty() => Word::Whole,
+        _ => Word::Partial,
+    };
+    Heard { word, end }
+}
+
+/// Reads until nothing is left, and counts the chunks that could be read.
+fn read_watch<T: DeserializeOwned>(
     call: &mut Call,
     updates: &mut Vec<T>,
-) -> Result<bool, &'static str> {
-    let Some(mut filled) = pump(call)? else { return Ok(false) };
-    let mut heard = false;
+    chunks: &mut u32,
+) -> Result<(), &'static str> {
+    let Some(mut filled) = pump(call)? else { return Ok(()) };
     loop {
         if !call.open {
             match framing::response_head(call.buffer.input()) {
@@ -82,17 +111,17 @@
             let found = framing::chunk_within(call.buffer.input(), LIST_LIMIT);
             let Ok(found) = found else { return Err("the watch is malformed") };
             let Some((part, length)) = found else { break };
-            heard = true;
-            let last = part.is_empty();
+            // The last chunk of an answer is empty, and says only that nothing more comes.
+            if part.is_empty() {
+                return Err("the watch ended");
+            }
             call.text.extend_from_slice(part);
             call.buffer.consume(length);
             read_changes(&mut call.text, updates)?;
-            if last {
-                return Err("the watch ended");
-            }
+            *chunks = chunks.saturating_add(1);
         }
         match filled {
-            Filled::Dry => return Ok(heard),
+            Filled::Dry => return Ok(()),
             Filled::Ended => return Err("the watch broke"),
             Filled::Brimful if call.buffer.input().len() >= LIST_LIMIT => {
                 return Err("the watch is malformed");
--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -11,7 +11,7 @@
 use crate::net::core::buffer::Buffer;
 use crate::net::core::deadlines::Due;
 use crate::net::http::framing;
-use crate::net::platform::call::{Call, done, watched};
+use crate::net::platform::call::{Call, Heard, Word, done, watched};
 use calicolb::api::Micros;
 use calicolb_agreed::{Change, Delta, InForce, Learner, Message, Taken, Version};
 use mio::net::TcpStream;
@@ -192,17 +192,18 @@
             }
         } else if let Some(mut call) = self.watch.take_if(|call| call.token == token) {
             let mut lines: Vec<Line> = Vec::new();
-            let heard = watched(&mut call, &mut lines);
+            let Heard { word, end } = watched(&mut call, &mut lines);
             self.watch = Some(call);
-            if heard == Ok(true) {
+            if word != Word::None {
                 self.heard = Some(ctx.now);
-                if lines.is_empty() {
-                    // That there is nothing new is said only with a majority.
+                // An empty line says that there is nothing new, and is sent only with a majority. A part of a line that
+                // is not whole yet says nothing.
+                if word == Word::Whole && lines.is_empty() {
                     lines.push(Line { seq: self.seq, majority: true, ..Line::default() });
                 }
             }
             let sound = lines.into_iter().try_for_each(|line| self.hear(ctx, line));
-            match heard.and(sound) {
+            match sound.and(end.map_or(Ok(()), Err)) {
                 Ok(()) => self.say(ctx),
                 Err(why) => self.lose(ctx, why),
             }
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/kin.rs
@@ -59,6 +59,9 @@
 pub struct Handover {
     /// The list of next hops, and its version.
     pub routes: Update,
+    /// How long ago discovery confirmed that list; `None`: never, or the process is one that does not tell.
+    #[serde(default)]
+    pub confirmed_us_ago: Option<u64>,
     /// What the module has learned, in its own words.
     pub knowledge: Value,
     /// The names that its places stand for; an elder of before does not tell them.
--- a/src/net/platform/peers.rs
+++ b/src/net/platform/peers.rs
@@ -1,8 +1,9 @@
 //! Messages between schedulers: datagrams to and from the addresses that the configuration names, no others.
 
 use crate::log::note;
-use crate::net::Ctx;
 use crate::net::core::deadlines::Due;
+use crate::net::{Audience, Ctx};
+use calicolb_freshness::witness::{self, Message};
 use mio::net::UdpSocket;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,11 +21,18 @@
     all: Option<SocketAddr>,
     /// The rank of this scheduler.
     own: u32,
+    rng: fastrand::Rng,
 }
 
 impl Peers {
-    pub fn new(socket: UdpSocket, peers: Vec<SocketAddr>, all: Option<SocketAddr>, own: u32) -> Self {
-        Peers { socket, peers, all, own }
+    pub fn new(
+        socket: UdpSocket,
+        peers: Vec<SocketAddr>,
+        all: Option<SocketAddr>,
+        own: u32,
+        seed: u64,
+    ) -> Self {
+        Peers { socket, peers, all, own, rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// The schedulers are at these addresses from now on.
@@ -32,9 +40,11 @@
         (self.peers, self.all) = (peers, all);
     }
 
-    /// Takes what has come, as much as is one turn's share: a flood must not stop the loop.
-    pub fn ready(&mut self, ctx: &mut Ctx<'_>) {
+    /// Takes what has come, as much as is one turn's share: a flood must not stop the loop. Gives what concerns the list,
+    /// with the rank of its sender.
+    pub fn ready(&mut self, ctx: &mut Ctx<'_>) -> Vec<(u32, Message)> {
         let mut bytes = [0; LIMIT + 1];
+        let mut of_the_list = Vec::new();
         for _ in 0..BATCH {
             match self.socket.recv_from(&mut bytes) {
                 Ok((length, from)) => {
@@ -42,17 +52,35 @@
                     match rank {
                         // What was sent to all; by its own rank the module knows its other process.
                         Some(rank) if rank as u32 == self.own => {}
+                        Some(rank) if length <= LIMIT && bytes[0] == witness::VERSION => {
+                            of_the_list
+                                .extend(Message::decode(&bytes[..length]).map(|told| (rank as u32, told)));
+                        }
                         Some(rank) if length <= LIMIT => ctx.desk.peer(rank as u32, bytes[..length].to_vec()),
                         Some(_) => note!("a datagram from {from} is too long"),
                         None => note!("a datagram from {from}, which is no peer"),
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return of_the_list,
                 // An earlier datagram met a closed port; the next may be fine.
                 Err(_) => {}
             }
         }
         ctx.deadlines.set(Due::Peers, ctx.now + 1);
+        of_the_list
+    }
+
+    /// Sends a datagram to this audience.
+    pub fn address(&mut self, audience: Audience, body: &[u8]) {
+        match audience {
+            Audience::One(rank) => self.tell(Some(rank), body),
+            Audience::Some(count) => {
+                let others = (0..self.peers.len() as u32).filter(|&rank| rank != self.own);
+                for rank in self.rng.choose_multiple(others, count) {
+                    self.tell(Some(rank), body);
+                }
+            }
+        }
     }
 
     /// Sends a message to one scheduler, or to all.
--- a/src/net/platform/route_set/mod.rs
+++ b/src/net/platform/route_set/mod.rs
@@ -2,7 +2,9 @@
 //! decision; an agent of the own machine is asked whenever the list's clock ([`calicolb_freshness`]) wants it. What comes
 //! back, and that nothing did, is told to the module.
 
+mod digest;
 mod entry;
+mod witnesses;
 
 use self::entry::{Line, read_member};
 use crate::config::list::Update;
@@ -13,10 +15,11 @@
 use crate::net::core::roster::Source;
 use crate::net::http::framing;
 use crate::net::http::next_hop::NextHops;
-use crate::net::platform::call::{Call, fetched, watched};
+use crate::net::platform::call::{Call, Heard, Word, fetched, watched};
 use crate::net::protocol::Spare;
 use calicolb::api::{ListKind, Member, Micros, Standing, WorkerId};
 use calicolb::wire::WireError;
+use calicolb_freshness::witness::Inquiry;
 use calicolb_freshness::{Act, ListClock, MISSED, Mode, State, TURN};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
@@ -27,6 +30,10 @@
 /// Hops that are remembered at most: a list that names ever new ones must not fill the memory.
 const HOPS_LIMIT: usize = 4096;
 
+/// A process counts as ready so long after its start even if discovery has not spoken: one that is down for long must not
+/// keep a fleet from starting.
+const READY_PATIENCE: Micros = 3_000_000;
+
 /// See the head of this file.
 pub struct RouteSet {
     /// Where discovery is, if there is any.
@@ -34,8 +41,6 @@
     /// How fresh the list is.
     clock: ListClock,
     seq: u64,
-    /// When that version was had.
-    seq_at: Micros,
     listed: HashMap<WorkerId, Line>,
     fetch: Option<Call>,
     watch: Option<Call>,
@@ -43,7 +48,13 @@
     before: Option<Call>,
     /// What the module was last told of until when the list may be acted on.
     until: Option<Micros>,
+    /// The list could be acted on when that was last looked at.
+    in_force: bool,
     counters: Counters,
+    /// What is asked of other schedulers while discovery does not speak.
+    inquiry: Inquiry,
+    /// The digest of the list, once it was needed.
+    digest: Option<u64>,
 }
 
 /// What has happened to the list since the start of the process.
@@ -57,31 +68,51 @@
     versions: u64,
     /// Versions older than the known one, which were not taken in.
     outdated: u64,
+    /// Answers of other schedulers that confirmed the list, and those that showed a newer one.
+    vouched: u64,
+    behind: u64,
 }
 
 impl RouteSet {
     /// The list of this discovery. `grace`: how long after it was told of a change a scheduler may go on as before.
     pub fn new(discovery: Option<SocketAddr>, asked: bool, grace: Micros, now: Micros) -> Self {
-        // Where there is no discovery nobody has anything to tell.
-        let mode = if asked || discovery.is_none() { Mode::Asked } else { Mode::Pushed };
+        let mode = match discovery {
+            None => Mode::Fixed,
+            Some(_) if asked => Mode::Asked,
+            Some(_) => Mode::Pushed,
+        };
         RouteSet {
             discovery,
             clock: ListClock::new(mode, grace, now),
             seq: 0,
-            seq_at: now,
             listed: HashMap::new(),
             fetch: None,
             watch: None,
             before: None,
             until: None,
+            in_force: false,
             counters: Counters::default(),
+            inquiry: Inquiry::default(),
+            digest: None,
         }
     }
 
-    /// Takes in the copy of the list that came with the configuration.
-    pub fn warm(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, known: Option<Update>) {
+    /// Takes in the copy of the list that came with the configuration, or from the process before this one.
+    /// `confirmed_ago`: how long before the start of this process discovery had confirmed it, if that is known.
+    pub fn warm(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        hops: &mut NextHops,
+        known: Option<Update>,
+        confirmed_ago: Option<Micros>,
+    ) {
+        // What an agent holds counts from the first moment of a process, whatever the one before it was told.
+        if let Some(ago) = confirmed_ago.filter(|_| self.clock.mode() == Mode::Asked) {
+            self.clock.confirm(self.clock.started().saturating_sub(ago));
+        }
         let update = known.unwrap_or(Update { seq: 0, whole: true, hosts: Vec::new() });
         self.take(ctx, hops, update, ListKind::Saved);
+        ctx.deadlines.set(Due::Ready, self.clock.started() + READY_PATIENCE);
         self.keep_time(ctx);
     }
 
@@ -92,16 +123,29 @@
         }
     }
 
+    /// How long ago the list was last confirmed, for another process to begin with.
+    pub fn confirmed_ago(&self, now: Micros) -> Option<Micros> {
+        self.clock.confirmed().map(|confirmed| now.saturating_sub(confirmed))
+    }
+
+    /// Clients may come: the list can be acted on, or has not been confirmed for so long that they are refused rather than
+    /// kept waiting.
+    pub fn serviceable(&self, now: Micros) -> bool {
+        !self.stale(now) || now >= self.clock.started() + READY_PATIENCE
+    }
+
     /// The state of the list for operators: by name and value.
-    pub fn figures(&self, now: Micros) -> [(&'static str, u64); 7] {
+    pub fn figures(&self, now: Micros) -> [(&'static str, u64); 9] {
         [
             ("list.version", self.seq),
             ("list.watch_open", u64::from(matches!(self.clock.state(), State::Told(_)))),
-            ("list.stale", u64::from(self.until.is_some_and(|until| now >= until))),
+            ("list.stale", u64::from(self.stale(now))),
             ("list.calls", self.counters.calls),
             ("list.lost", self.counters.lost),
             ("list.versions_taken", self.counters.versions),
             ("list.versions_outdated", self.counters.outdated),
+            ("list.vouched", self.counters.vouched),
+            ("list.behind", self.counters.behind),
         ]
     }
 
@@ -152,23 +196,36 @@
             Some(due) => ctx.deadlines.set(Due::Watch, due),
             None => ctx.deadlines.clear(Due::Watch),
         }
+        match self.inquiry.due(&self.clock) {
+            Some(due) => ctx.deadlines.set(Due::Witness, due),
+            None => ctx.deadlines.clear(Due::Witness),
+        }
         let until = self.clock.until();
         if until != self.until {
-            self.log_validity(ctx.now, until);
             self.until = until;
             ctx.desk.list_until(until);
+            match until {
+                Some(until) if until > ctx.now => ctx.deadlines.set(Due::Stale, until),
+                _ => ctx.deadlines.clear(Due::Stale),
+            }
         }
+        let in_force = !self.stale(ctx.now);
+        if in_force && !self.in_force && self.discovery.is_some() {
+            note!(seq = self.seq, "discovery: the list is confirmed");
+        }
+        self.in_force = in_force;
     }
 
-    /// Logs that the list is in force without a limit again, or until when it is.
-    fn log_validity(&self, now: Micros, until: Option<Micros>) {
-        let seq = self.seq;
-        match until {
-            None => note!(seq, "discovery: the list is confirmed"),
-            Some(until) => {
-                let left_ms = until.saturating_sub(now) / 1_000;
-                note!(seq, left_ms, "discovery: the list stays in force without a word for this long");
-            }
+    /// The list has not been confirmed for so long, or at all, that nothing new may be sent by it.
+    fn stale(&self, now: Micros) -> bool {
+        self.clock.until().is_some_and(|until| now >= until)
+    }
+
+    /// The list has grown too old to be acted on.
+    pub fn expire(&mut self, now: Micros) {
+        if self.stale(now) {
+            self.in_force = false;
+            note!(warn: seq = self.seq, "discovery: the list is too old: nothing new is sent until it is confirmed");
         }
     }
 
@@ -240,36 +297,50 @@
                 Err(why) => self.lose(ctx, call, Due::Fetch, why),
             }
         } else if self.watch.as_ref().is_some_and(|call| call.token == token) {
-            let Some(mut call) = self.watch.take() else { return };
-            let mut updates = Vec::new();
-            let told = watched(&mut call, &mut updates);
-            // A list that is not taken was heard as well.
-            if told == Ok(true) {
-                self.clock.heard(ctx.now);
-            }
-            let fresh = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
-            match told.and(fresh) {
-                Ok(()) => {
-                    if call.open {
-                        self.leave_before(ctx);
-                    }
-                    self.watch = Some(call);
-                    self.keep_time(ctx);
-                }
-                Err(why) => self.lose(ctx, call, Due::Watch, why),
-            }
+            self.watch_ready(ctx, hops);
         } else if let Some(mut call) = self.before.take_if(|call| call.token == token) {
             let mut updates = Vec::new();
-            let told = watched(&mut call, &mut updates);
-            let fresh = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
-            match told.and(fresh) {
-                Ok(()) => self.before = Some(call),
+            let Heard { end, .. } = watched(&mut call, &mut updates);
+            let taken = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
+            if taken.is_ok() && end.is_none() {
+                self.before = Some(call);
+            } else {
                 // Nothing to tell the module: the call that takes its place has an outcome of its own.
-                Err(_) => hang_up(ctx, call),
+                hang_up(ctx, call);
             }
         }
     }
 
+    /// The watch has brought something, or has ended.
+    fn watch_ready(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops) {
+        let Some(mut call) = self.watch.take() else { return };
+        // What lay unread while this process stood still may be of any time since, and confirms nothing now. The watch
+        // counts as silent later in this turn.
+        let overdue = self.clock.due().is_some_and(|due| due <= ctx.now);
+        let mut updates = Vec::new();
+        let Heard { word, end } = watched(&mut call, &mut updates);
+        let taken = updates.into_iter().try_for_each(|update| self.update(ctx, hops, update));
+        match word {
+            Word::None => {}
+            // An older list than the known one says nothing of that one.
+            _ if taken.is_err() => {}
+            _ if overdue => note!("discovery: what was not read for too long confirms nothing"),
+            Word::Partial => self.clock.received(ctx.now),
+            Word::Whole => {
+                self.clock.heard(ctx.now);
+                self.inquiry.rest();
+            }
+        }
+        if let Some(why) = taken.err().or(end) {
+            return self.lose(ctx, call, Due::Watch, why);
+        }
+        if call.open {
+            self.leave_before(ctx);
+        }
+        self.watch = Some(call);
+        self.keep_time(ctx);
+    }
+
     /// Nothing has come for too long, or it is time for another call.
     pub fn late(&mut self, ctx: &mut Ctx<'_>, spare: &mut dyn Spare, due: Due) {
         if due == Due::Fetch {
@@ -311,13 +382,14 @@
     }
 
     /// Takes in a version or changes. One older than what is known is not taken: it would bring back what has gone
-    /// since. Should nothing newer be had for as long as discovery may take to tell, it has begun anew, and is believed.
+    /// since. Should the known one not be confirmed for as long as discovery may take to tell, it has begun anew, and is
+    /// believed.
     fn update(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update) -> Result<(), &'static str> {
-        if update.seq < self.seq && ctx.now < self.seq_at + MISSED {
+        let confirmed = self.clock.confirmed().unwrap_or(self.clock.started());
+        if update.seq < self.seq && ctx.now < confirmed + MISSED {
             self.counters.outdated += 1;
             return Err("the list is older than the one that is known");
         }
-        self.seq_at = ctx.now;
         let kind = if update.whole { ListKind::Full } else { ListKind::Changes };
         self.take(ctx, hops, update, kind);
         Ok(())
@@ -326,6 +398,7 @@
     fn take(&mut self, ctx: &mut Ctx<'_>, hops: &mut NextHops, update: Update, kind: ListKind) {
         let (before, lines) = (self.seq, update.hosts.len());
         self.seq = update.seq;
+        self.digest = None;
         let mut members = Vec::with_capacity(update.hosts.len());
         for value in update.hosts {
             match self.read_line(ctx, hops, value) {
@@ -352,7 +425,9 @@
         let count = |standing| members.iter().filter(|member| member.standing == standing).count();
         let (draining, gone) = (count(Standing::Draining), count(Standing::Gone));
         self.counters.versions += 1;
-        note!(seq = self.seq, before, ?kind, lines, draining, gone, "discovery: a version is taken in");
+        if self.discovery.is_some() {
+            note!(seq = self.seq, before, ?kind, lines, draining, gone, "discovery: a version is taken in");
+        }
         ctx.desk.members(Source::Listed, kind, members);
     }
 
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -4,7 +4,6 @@
 use crate::config::list::Update;
 use crate::config::{Config, Fixed, PeerConfig};
 use crate::log::note;
-use crate::net::Ctx;
 use crate::net::core::clock::Clock;
 use crate::net::core::deadlines::{Deadlines, Due};
 use crate::net::core::desk::{AttemptId, Desk, Work};
@@ -24,6 +23,7 @@
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
+use crate::net::{Audience, Ctx};
 use calicolb::api::{Class, ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
 use mio::net::{TcpListener, UdpSocket};
@@ -80,6 +80,8 @@
     kin: Kin,
     /// What the other process is to be told at the end of the turn.
     strays: Vec<String>,
+    /// Datagrams for other schedulers, sent at the end of the turn.
+    outbox: Vec<(Audience, Vec<u8>)>,
     /// The list of next hops to begin with, while the elder is asked for a better one.
     waiting: Option<Option<Update>>,
     /// An heir has taken over; and it takes clients.
@@ -97,7 +99,7 @@
     conn_idle: Micros,
     /// How often other settings came into force.
     renewals: u64,
-    /// Clients were served already: a list of next hops was known.
+    /// Clients were served already: a list of next hops was known that could be acted on, or none was to be had soon.
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
     grace: Micros,
@@ -152,6 +154,7 @@
             drain: Drain::default(),
             kin: Kin::new(config.meeting.filter(|_| passed)),
             strays: Vec::new(),
+            outbox: Vec::new(),
             waiting: Some(config.known),
             retired: false,
             heir_open: false,
@@ -196,6 +199,7 @@
         let appliance = self.appliance;
         let (mut ctx, parts) = self.split(now);
         ctx.deadlines.clear(Due::Elder);
+        let confirmed_ago = handover.as_ref().and_then(|handover| handover.confirmed_us_ago);
         let (known, drained) = match handover {
             Some(handover) => {
                 ctx.desk.inherit(renewal::placed(handover.knowledge, &handover.names, ctx.names, now));
@@ -211,7 +215,7 @@
             let members = parts.fixed.iter().map(|hop| hop.member.clone()).collect();
             ctx.desk.members(Source::Fixed, ListKind::Changes, members);
         }
-        parts.routes.warm(&mut ctx, &mut parts.http.hops, known);
+        parts.routes.warm(&mut ctx, &mut parts.http.hops, known, confirmed_ago);
         parts.http.listen(&mut ctx)?;
         parts.others.iter_mut().try_for_each(|other| other.listen(&mut ctx))?;
         parts.kin.listen(ctx.registry, MEETING);
@@ -237,7 +241,8 @@
             Ok(mut socket) => {
                 self.registry.register(&mut socket, PEERS, Interest::READABLE)?;
                 note!("{} hears schedulers on {}", self.name, socket.local_addr()?);
-                self.peers = Some(Peers::new(socket, config.each.clone(), config.all, self.rank));
+                let seed = self.clock.now() ^ u64::from(self.rank);
+                self.peers = Some(Peers::new(socket, config.each.clone(), config.all, self.rank, seed));
             }
             // A silent elder still has it. Work does not hang on datagrams: they are let in when it has gone.
             Err(error) if self.passed && error.kind() == io::ErrorKind::AddrInUse => {
@@ -301,14 +306,24 @@
                 self.grant(now, wish);
             }
             self.learn(now);
-            self.begun |= self.desk.known() > 0;
-            self.http.clients.open = self.desk.known() > 0 && self.welcome();
+            self.begun |= self.desk.known() > 0 && self.routes.serviceable(now);
+            self.http.clients.open = self.begun && self.welcome();
             self.tell_kin();
+            self.tell_peers();
             done = if self.done(now) { done + 1 } else { 0 };
         }
         Ok(())
     }
 
+    /// Sends the datagrams of this turn to other schedulers.
+    fn tell_peers(&mut self) {
+        for (audience, body) in std::mem::take(&mut self.outbox) {
+            if let Some(peers) = &mut self.peers {
+                peers.address(audience, &body);
+            }
+        }
+    }
+
     /// Clients are welcome, here or at the process that took over: the two are one scheduler.
     fn welcome(&self) -> bool {
         if self.retired { self.heir_open } else { self.drain.open() }
@@ -331,6 +346,7 @@
             desk: &mut self.desk,
             tokens: &mut self.tokens,
             strays: &mut self.strays,
+            outbox: &mut self.outbox,
             wishes: &mut self.wishes,
             now,
         };
@@ -354,11 +370,7 @@
         }
         let (mut ctx, mut parts) = self.split(now);
         match token {
-            PEERS => {
-                if let Some(peers) = parts.peers {
-                    peers.ready(&mut ctx);
-                }
-            }
+            PEERS => parts.hear_peers(&mut ctx),
             DOOR => self.door_opens(now),
             MEETING => parts.kin.accept(&mut ctx),
             Token(token) if parts.kin.has(token) => self.kin_ready(now, token),
@@ -452,17 +464,17 @@
                     protocol.due(&mut ctx, token, alarm);
                 }
             }
-            Due::Peers => {
-                if let Some(peers) = parts.peers {
-                    peers.ready(&mut ctx);
-                }
-            }
+            Due::Peers => parts.hear_peers(&mut ctx),
+            Due::Witness => parts.routes.ask_witnesses(&mut ctx),
             Due::Fetch | Due::Watch => parts.routes.late(&mut ctx, parts.http, due),
             Due::Control => {
                 if let Some(control) = parts.control {
                     control.late(&mut ctx);
                 }
             }
+            Due::Stale => parts.routes.expire(now),
+            // A look at the end of the turn is all that it takes.
+            Due::Ready => {}
             // Of another role.
             Due::Tick | Due::Heartbeat | Due::Link(_) => {}
             Due::Farewell => {
@@ -568,7 +580,7 @@
             note!("clients are sent away: {} requests are open", self.desk.owed());
             self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
         }
-        self.http.clients.open = self.desk.known() > 0 && self.welcome();
+        self.http.clients.open = self.begun && self.welcome();
     }
 
     /// Ends a drain; tells whether the scheduler is open.
@@ -580,7 +592,7 @@
             self.deadlines.clear(Due::Farewell);
             self.http.stay();
             self.others.iter_mut().for_each(|other| other.stay());
-            self.http.clients.open = self.desk.known() > 0;
+            self.http.clients.open = self.begun;
         }
         open
     }
@@ -617,6 +629,14 @@
 }
 
 impl Parts<'_> {
+    /// Takes the datagrams that have come: those about the list are for the route set, the others for the module.
+    fn hear_peers(&mut self, ctx: &mut Ctx<'_>) {
+        let Some(peers) = self.peers else { return };
+        for (from, message) in peers.ready(ctx) {
+            self.routes.witness(ctx, from, message);
+        }
+    }
+
     fn protocols(&mut self) -> impl Iterator<Item = &mut dyn Protocol> {
         let http: &mut dyn Protocol = self.http;
         std::iter::once(http).chain(self.others.iter_mut().map(|other| &mut **other as &mut dyn Protocol))
--- a/src/net/turn/upgrade.rs
+++ b/src/net/turn/upgrade.rs
@@ -17,6 +17,7 @@
         parts.kin.stop_listening();
         let handover = Handover {
             routes: parts.routes.list(),
+            confirmed_us_ago: parts.routes.confirmed_ago(now),
             knowledge: ctx.desk.hand_over(),
             names: Some(Listed::new(ctx.names)),
             open: ctx.desk.share(),
--- a/tests/cold_processes.rs
+++ b/tests/cold_processes.rs
@@ -1,5 +1,7 @@
 //! Twenty and thirty processes of the program send to one worker that has just started: what reaches it, counted there.
 
+mod discovery;
+
 use serde_json::json;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -48,8 +50,9 @@
     worker: SocketAddr,
     /// Where datagrams to each are sent.
     peers: Vec<SocketAddr>,
-    /// Where nobody answers: discovery, and datagrams that are lost.
+    /// Where datagrams are lost.
     nowhere: SocketAddr,
+    discovery: SocketAddr,
     born_ms: u128,
     at: Mutex<HashMap<usize, SocketAddr>>,
 }
@@ -61,7 +64,7 @@
             _ => vec![self.nowhere.to_string(); self.count],
         };
         let config = json!({
-            "name": format!("n{rank}"), "listen": "127.0.0.1:0", "discovery": self.nowhere.to_string(),
+            "name": format!("n{rank}"), "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": format!("{:x}", rank * 7919 + life), "limits": {"sockets": 256},
             "peer_listen": self.peers[rank].to_string(), "peers": peers, "peers_all": self.nowhere.to_string(),
             "known": {"seq": 41, "whole": true, "hosts": [{"host": "w1", "dial": self.worker.to_string(),
@@ -163,6 +166,9 @@
 fn ramp(count: usize, talk: Talk, restarts: bool) {
     let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let worker = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let discovery = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let discovery_at = discovery.local_addr().expect("it is bound");
+    discovery::confirm_for_ever(discovery);
     let silent = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
     // Each at an address of its own, or another test might take the port before its process does.
     let host = |rank: usize| [127, 1 + (std::process::id() % 250) as u8, talk as u8, 1 + rank as u8];
@@ -179,6 +185,7 @@
         worker: worker.local_addr().expect("it is bound"),
         peers,
         nowhere: silent.local_addr().expect("it is bound"),
+        discovery: discovery_at,
         born_ms: born,
         at: Mutex::default(),
     });
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -227,6 +227,16 @@
     Setup { settings: &settings, ..Setup::default() }.play(script);
 }
 
+/// The same, where workers are not probed: whoever connects to one has a request for it.
+fn play_asked_without_probes(script: &str) {
+    let settings = [
+        ("/settings/request_classes/0/aim_us", "15000000"),
+        ("/settings/rules/drain_grace_us", "500000"),
+        ("/settings/ceilings/probes", "false"),
+    ];
+    Setup { settings: &settings, ..Setup::default() }.play(script);
+}
+
 #[test]
 fn calls_that_are_refused_again_and_again_follow_each_other_soon_and_the_list_stays_in_force() {
     // Nothing counts as told while discovery cannot be reached; and at its return it is called at once.
@@ -366,6 +376,8 @@
         ("/settings/request_classes/0/aim_us", "15000000"),
         ("/settings/rules/drain_grace_us", "500000"),
         ("/settings/rules/ask_every_us", "8000000"),
+        // Whoever connects to a worker then has a request for it.
+        ("/settings/ceilings/probes", "false"),
     ];
     Setup { hops: 2, settings: &settings, ..Setup::default() }.play(
         r#"
@@ -390,7 +402,7 @@
 
 #[test]
 fn a_change_that_breaks_off_confirms_nothing_however_many_empty_lines_follow() {
-    play_asked(
+    play_asked_without_probes(
         r#"
         expect d GET /discovery/hosts?watch=1&from=41
         send d watch
@@ -416,7 +428,7 @@
 #[test]
 fn new_configurations_in_a_row_do_not_keep_an_old_list_in_force() {
     // Each names another discovery, and none of them says a word.
-    play_asked(
+    play_asked_without_probes(
         r#"
         expect d GET /discovery/hosts?watch=1&from=41
         send d watch
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -110,9 +110,11 @@
     let script = format!(
         r#"
         expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        expect program discovery: the list is confirmed
         send program STOP
         {come}
-        send d watch
         send d chunk \n
         send program CONT
         {served}
--- a/tests/regions/mod.rs
+++ b/tests/regions/mod.rs
@@ -1,6 +1,8 @@
 //! Two regions on loopback: control machines and schedulers as processes of the program, a stand-in worker, clients, and
 //! relays on every way between them.
 
+#[path = "../discovery/mod.rs"]
+mod discovery;
 mod figures;
 pub mod http;
 pub mod machines;
--- a/tests/regions/schedulers.rs
+++ b/tests/regions/schedulers.rs
@@ -1,5 +1,6 @@
 //! A scheduler as a process of the program, with a stand-in worker and a client of its own.
 
+use super::discovery::confirm_for_ever;
 use super::http::call;
 use super::machines::{Log, run, text};
 use serde_json::{Value, json};
@@ -22,11 +23,14 @@
         "report": {"fields": ["x0"], "how": "answers"}, "registry_mode": "subscribe",
         "orgs": [{"name": "acme", "quota_rps": 1.0, "share": 1.0}, {"name": "bolt", "quota_rps": 1.0, "share": 1.0}],
         "request_classes": [{"name": "look", "aim_us": 900_000, "deadline_us": 20_000_000, "effect": "read_like"}],
-        "rules": {"answer_slack_us": 8000, "ask_every_us": 60_000_000, "cold_us": 0, "drain_grace_us": 60_000_000,
+        "rules": {"answer_slack_us": 8000, "ask_every_us": 1000, "cold_us": 0, "drain_grace_us": 60_000_000,
             "fall_multiple": 4.0, "fall_us": 1_500_000, "start_capacity": 0.3},
         "tick_us": 1000})
 }
 
+/// A scheduler is ready within this time: its discovery answers at once.
+const READY: Duration = Duration::from_secs(10);
+
 /// See the head of this file.
 pub struct Scheduler {
     rank: usize,
@@ -50,10 +54,13 @@
         worker: SocketAddr,
     ) -> Scheduler {
         let control: Vec<String> = control.iter().map(SocketAddr::to_string).collect();
-        // Discovery is the worker's: it ends each call, and the list that is known goes on.
+        // Its discovery has nothing new.
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let discovery_at = discovery.local_addr().expect("it is bound");
+        confirm_for_ever(discovery);
         let config = json!({
             "name": format!("n{rank}"), "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0",
-            "discovery": worker.to_string(), "seed": format!("{:x}", rank * 7919), "limits": {"sockets": 256},
+            "discovery": discovery_at.to_string(), "seed": format!("{:x}", rank * 7919), "limits": {"sockets": 256},
             "known": {"seq": 41, "whole": true, "hosts": [{"host": "w1", "dial": worker.to_string(),
                 "site": "north", "class": "big", "block": 0, "health": "in_service", "share": 1.0, "born_ms": 0}]},
             "control": control, "control_silence_ms": silence.as_millis() as u64,
@@ -65,6 +72,12 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_calicolb"));
         command.env("RELAY_CONFIG", &file);
         let (child, found) = run(&mut command, &log, &["hears operators on ", "serves on "]);
+        let ready = || call(found[1], "GET", "/up", "", b"").is_ok_and(|answer| answer.0 == 200);
+        let since = Instant::now();
+        while !ready() {
+            assert!(since.elapsed() < READY, "scheduler {rank} is not ready:\n{}", text(&log));
+            thread::sleep(Duration::from_millis(10));
+        }
         Scheduler { rank, child, log, file, at: found[1], door: found[0] }
     }
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -7,8 +7,11 @@
 //!   From the door, `expect o… LINE` reads one line, and passes over others before it.
 //! * `close WHO` closes a connection, or the listener of a next hop that has none of this name.
 //! * `restart program` kills it with SIGKILL and starts it again with the configuration as it is: nothing survives but that.
+//! * Where a scenario speaks for discovery neither at `d` nor at `d2`, both confirm the list by themselves, and the scenario
+//!   begins once the program has the list in force.
 //! * `start heir` starts the program again beside itself, where the clients' socket was passed to it: then `program`
 //!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`).
+//! * `up c1` asks for `/up` again and again until the answer is 200.
 //! * `mark` begins to count; `after MS` says that so much has passed since at least, `within MS` at most.
 //!   `until MS` lets so much pass.
 //! * `crowd h1` lets nobody connect to a worker until there is `room h1`; who tries meanwhile is let in some time later.
@@ -31,6 +34,9 @@
 //! `never TEXT` says that no log line had this in it so far. `weigh program` remembers its memory; `gained KIB` says that it has no more than so much more now.
 //! Every wait is for a condition, with one generous limit.
 
+#[path = "../discovery/mod.rs"]
+mod discovery;
+
 use calicolb_gearman::packet::{From, Kind, Read as Found, read, write};
 use rustix::net::{AddressFamily, SocketType};
 use std::collections::HashMap;
@@ -69,6 +75,8 @@
     appliance: bool,
     /// Lists are pushed: `d` is the agent on its own machine.
     pushed: bool,
+    /// Discovery at `d` confirms the list by itself.
+    confirmed: bool,
     listeners: HashMap<String, TcpListener>,
     conns: HashMap<String, Conn>,
     peer: UdpSocket,
@@ -198,7 +206,7 @@
 impl Setup<'_> {
     /// Starts the program, and plays the scenario.
     pub fn play(self, script: &str) {
-        World::start(self).play(script);
+        World::start(self, script).play(script);
     }
 }
 
@@ -237,7 +245,7 @@
         }
     }
 
-    fn start(setup: Setup<'_>) -> World {
+    fn start(setup: Setup<'_>, script: &str) -> World {
         let Setup { hops, descriptors, pass, pushed, operator, settings } = setup;
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -249,6 +257,12 @@
         listed.sort();
         listeners.insert("d".to_owned(), bind());
         listeners.insert("d2".to_owned(), bind());
+        let spoken_for = speaks_for(script, "d") || speaks_for(script, "d2");
+        let confirmed = operator.is_none() && !pushed && !spoken_for;
+        for name in ["d", "d2"].into_iter().filter(|_| confirmed) {
+            let listener = listeners[name].try_clone().expect("a listener can be shared");
+            discovery::confirm_for_ever(listener);
+        }
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         peer.set_read_timeout(Some(LIMIT)).expect("a limit can be set");
         let (text, form) = match operator {
@@ -285,6 +299,7 @@
             kept: HashMap::new(),
             appliance: operator.is_some(),
             pushed,
+            confirmed,
             listeners,
             conns,
             peer,
@@ -305,6 +320,7 @@
     /// Learns from its log where the program is to be reached.
     fn find(&mut self) -> Result<(), String> {
         let address = |text: String| text.parse().map_err(|_| format!("'{text}' is no address"));
+        let before = self.heard.len();
         self.door_at = address(self.hear("hears operators on ")?)?;
         if self.appliance {
             self.gearman_at = address(self.hear("speaks Gearman on ")?)?;
@@ -316,6 +332,11 @@
             self.peers_at = address(self.hear("hears schedulers on ")?)?;
         }
         self.at = address(self.hear("serves on ")?)?;
+        // It may have said so before it served.
+        let in_force = "discovery: the list is confirmed";
+        if self.confirmed && !self.heard[before..].iter().any(|line| line.contains(in_force)) {
+            self.hear(in_force)?;
+        }
         Ok(())
     }
 
@@ -526,6 +547,16 @@
                 }
                 Err("operators were never told so".to_owned())
             }
+            ("up", _) => {
+                let since = Instant::now();
+                loop {
+                    self.step("send", who, "GET /up")?;
+                    match self.step("expect", who, "200") {
+                        Err(_) if since.elapsed() < LIMIT => thread::sleep(Duration::from_millis(50)),
+                        other => return other,
+                    }
+                }
+            }
             ("take", _) => self.conn(who).map(drop),
             ("ends", _) => match self.conn(who)?.read(&mut [0; 64]) {
                 Ok(0) => Ok(()),
@@ -688,6 +719,12 @@
     (program, log)
 }
 
+/// The scenario speaks for the discovery of this name itself.
+fn speaks_for(script: &str, name: &str) -> bool {
+    let whom = script.lines().filter_map(|line| line.split_whitespace().nth(1));
+    whom.filter_map(|who| who.split('.').next()).any(|who| who == name)
+}
+
 /// Takes the next connection, waiting for it no longer than the limit.
 fn accept(listener: &TcpListener) -> Result<TcpStream, String> {
     listener.set_nonblocking(true).map_err(|error| error.to_string())?;
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -14,7 +14,7 @@
         let since = Instant::now();
         thread::scope(|scope| {
             for pushed in (0..30).map(|nr| nr % 2 == 0) {
-                let script = format!("{discovery}\nsend c1 GET /up\nexpect c1 200");
+                let script = format!("{discovery}\nup c1");
                 scope.spawn(move || Setup { pushed, ..Setup::default() }.play(&script));
             }
         });
