Test the stall, the vouching and the crowd on the real program; bound what a crowd extends

Cause: an answer that discovery was reached by another scheduler ended later extensions by refused calls, but not one given before by a call that was refused in a crowd.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -175,9 +175,11 @@
         self.told = self.told.max(Some(at + MISSED));
     }
 
-    /// Discovery could be reached by somebody after the list was last confirmed: calls that are refused prove nothing.
-    pub fn reachable(&mut self) {
+    /// Discovery could be reached by somebody at this time, after the list was last confirmed: what it had by then counts
+    /// in its time, and calls that are refused prove nothing any more.
+    pub fn reachable(&mut self, at: Micros) {
         self.silent = true;
+        self.told = self.told.map(|told| told.min(at + MISSED));
     }
 
     /// The call or the watch has been refused or ended from outside.
--- a/crates/freshness/src/witness.rs
+++ b/crates/freshness/src/witness.rs
@@ -154,7 +154,7 @@
             clock.confirm(at);
             return Verdict::Confirmed;
         }
-        clock.reachable();
+        clock.reachable(at);
         Verdict::Behind
     }
 }
--- a/crates/freshness/tests/clock.rs
+++ b/crates/freshness/tests/clock.rs
@@ -254,10 +254,15 @@
     assert_eq!(clock.until(), Some(lease(START + 3 * SECOND + MISSED)));
     clock.confirm(START + 2 * SECOND);
     assert_eq!(clock.confirmed(), Some(START + 3 * SECOND), "an older word changes nothing");
-    clock.reachable();
     clock.opened(START + 5 * SECOND);
     clock.broke(START + 7 * SECOND);
-    assert_eq!(clock.until(), Some(lease(START + 3 * SECOND + MISSED)));
+    assert_eq!(clock.until(), Some(lease(START + 5 * SECOND + MISSED)));
+    // Somebody got through before that call was refused: it was crowded, not down.
+    clock.reachable(START + 4 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 4 * SECOND + MISSED)));
+    clock.opened(START + 8 * SECOND);
+    clock.broke(START + 9 * SECOND);
+    assert_eq!(clock.until(), Some(lease(START + 4 * SECOND + MISSED)));
 }
 
 proptest! {
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -452,3 +452,87 @@
         "#,
     );
 }
+
+#[test]
+fn what_lay_unread_while_the_process_stood_still_confirms_nothing() {
+    // It stands still for longer than a silence. An empty line that came at the beginning of that is read at its end.
+    play_asked_without_probes(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        expect program discovery: the list is confirmed
+        mark
+        send program STOP
+        send d chunk \n
+        until 4000
+        send program CONT
+        expect program what was not read for too long confirms nothing
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        until 7000
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#,
+    );
+}
+
+/// What another scheduler says of its list, as the answer to each of the first questions: the digest, and an age of 10 ms.
+fn answers(digest: u64) -> String {
+    let digest = digest.to_le_bytes().map(|byte| byte.to_string()).join(",");
+    (1..=8).map(|number| format!("send p 241,2,{number},0,{digest},10,0,0,0\n")).collect()
+}
+
+/// The digest of the list that these scenarios begin with: the first eight bytes of the SHA-256 of its one line.
+const SAME_LIST: u64 = 0xab15_4778_0329_aace;
+
+#[test]
+fn a_process_whose_call_is_not_answered_goes_by_a_scheduler_that_has_the_same_list() {
+    let answers = answers(SAME_LIST);
+    play_asked_without_probes(&format!(
+        r#"
+        take d
+        expect p 241,1,1,0
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        {answers}
+        expect program verdict=Confirmed
+        send c1 POST /look Request-Id:a2 Request-Timeout:20
+        expect h1 POST /look Request-Id:a2
+        "#
+    ));
+}
+
+#[test]
+fn refused_calls_give_no_more_time_once_another_scheduler_got_through() {
+    let answers = answers(!SAME_LIST);
+    play_asked_without_probes(&format!(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close d
+        mark
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        send d.3 503
+        until 4600
+        {answers}
+        expect program verdict=Behind
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        send d.4 503
+        expect d.5 GET /discovery/hosts?watch=1&from=41
+        send d.5 503
+        expect d.6 GET /discovery/hosts?watch=1&from=41
+        send d.6 503
+        expect d.7 GET /discovery/hosts?watch=1&from=41
+        send d.7 503
+        until 12500
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#
+    ));
+}
