--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -397,54 +397,6 @@
         }
     }
 
-    /// Operators call.
-    fn door_opens(&mut self, now: Micros) {
-        let (mut ctx, parts) = self.split(now);
-        let Some(door) = parts.door else { return };
-        for (token, order) in door.accept(&mut ctx, parts.http) {
-            self.order(now, token, order);
-        }
-    }
-
-    /// Carries out what an operator wants, and answers.
-    fn order(&mut self, now: Micros, token: usize, order: Option<Order>) {
-        let answer = match order {
-            Some(Order::Ping) if self.begun => "done\n".to_owned(),
-            Some(Order::Ping) => "error no list of stock workers is known yet\n".to_owned(),
-            Some(Order::Info) => {
-                let list = self.routes.figures(now);
-                let present = Present {
-                    in_flight: self.desk.owed(),
-                    known: self.desk.known(),
-                    avoided: self.desk.avoided(now),
-                };
-                let shared = self.desk.spent().into_iter().chain(self.http.hops.figures());
-                let shared = shared.chain(self.desk.rejections()).chain(list);
-                let others = shared.chain(self.others.iter().flat_map(|other| other.figures()));
-                let others = others.chain([("settings.taken_up", self.renewals)]);
-                let others = others.map(|(name, value)| (name, value.to_string()));
-                let others = others.chain(self.control.iter().flat_map(|control| control.figures(now)));
-                self.desk.figures().write(self.names.classes(), present, others)
-            }
-            // What this process no longer takes is the heir's to send away.
-            Some(Order::Lameduck | Order::Rejoin) if self.retired => {
-                self.kin.say(Side::Heir, &Word::Drain(order == Some(Order::Lameduck)));
-                "done\n".to_owned()
-            }
-            Some(Order::Lameduck) => {
-                self.begin_drain(now, Why::Asked);
-                "done\n".to_owned()
-            }
-            Some(Order::Rejoin) if self.rejoin() => "done\n".to_owned(),
-            Some(Order::Rejoin) => "error the program is ending\n".to_owned(),
-            None => "error unknown call\n".to_owned(),
-        };
-        let (mut ctx, parts) = self.split(now);
-        if let Some(door) = parts.door {
-            door.answer(&mut ctx, token, &answer);
-        }
-    }
-
     fn due(&mut self, now: Micros, due: Due) {
         let (mut ctx, mut parts) = self.split(now);
         match due {
@@ -552,50 +504,6 @@
             Wish::End { patient: true } => self.begin_patient_end(now),
         }
     }
-
-    /// The program ends once all that was taken is answered, however long that takes.
-    fn begin_patient_end(&mut self, now: Micros) {
-        note!("the program ends when {} requests are answered", self.desk.owed());
-        self.patient = !self.drain.ending();
-        if self.drain.begin(Why::Ending) {
-            self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
-        }
-    }
-
-    /// Begins to send clients away. The work goes on, new work too; when clients have had the time to hear of
-    /// it, their connections are parted with. After SIGTERM only what can be done before the end is taken.
-    fn begin_drain(&mut self, now: Micros, why: Why) {
-        if why == Why::Ending && (self.patient || !self.drain.ending()) {
-            self.patient = false;
-            note!("SIGTERM: {} requests are open", self.desk.owed());
-            self.desk.stop(now + self.grace.saturating_sub(LAST_ANSWER));
-        }
-        if why == Why::Ending && self.retired && !self.drain.ending() {
-            // Clients were parted with when the heir took over.
-            self.drain.part();
-            self.deadlines.set(Due::Bequeath, now + self.grace.saturating_sub(BEQUEATH));
-        }
-        self.kin.say(Side::Elder, &Word::Drain(true));
-        if self.drain.begin(why) {
-            note!("clients are sent away: {} requests are open", self.desk.owed());
-            self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace * 3 / 5));
-        }
-        self.http.clients.open = self.begun && self.welcome();
-    }
-
-    /// Ends a drain; tells whether the scheduler is open.
-    fn rejoin(&mut self) -> bool {
-        let open = self.drain.rejoin();
-        if open {
-            self.kin.say(Side::Elder, &Word::Drain(false));
-            note!("clients are welcome");
-            self.deadlines.clear(Due::Farewell);
-            self.http.stay();
-            self.others.iter_mut().for_each(|other| other.stay());
-            self.http.clients.open = self.begun;
-        }
-        open
-    }
 }
 
 /// From SIGTERM to the earliest SIGKILL, where clients of these classes may be waiting.
@@ -651,7 +559,9 @@
     }
 }
 
+mod orders;
 mod renewal;
+mod shutdown;
 #[cfg(test)]
 mod tests;
 mod upgrade;
