--- a/crates/rig/src/calibrate/counts.rs
+++ b/crates/rig/src/calibrate/counts.rs
@@ -49,6 +49,10 @@
     TroublesSent,
     /// See above.
     TroublesPassed,
+    /// The same of questions how fresh a list is, and of the answers. The hollow fleet has none of these.
+    FreshnessSent,
+    /// See above.
+    FreshnessPassed,
     /// Datagrams of no known shape.
     UnknownSent,
     /// See above.
--- a/crates/rig/src/calibrate/relay.rs
+++ b/crates/rig/src/calibrate/relay.rs
@@ -2,6 +2,7 @@
 //! on from the address that stands for the sender, so that the receiver knows it by its place in `peers`.
 
 use super::counts::{Counts, Flow, Traffic};
+use calicolb_freshness::witness::Message;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
 use std::io::{self, ErrorKind};
@@ -18,6 +19,7 @@
         3 => (Flow::GreetingsSent, Flow::GreetingsPassed),
         6 => (Flow::TroublesSent, Flow::TroublesPassed),
         8..=11 => (Flow::TalkSent, Flow::TalkPassed),
+        _ if Message::decode(body).is_some() => (Flow::FreshnessSent, Flow::FreshnessPassed),
         _ => (Flow::UnknownSent, Flow::UnknownPassed),
     }
 }
--- a/crates/rig/tests/calibrate.rs
+++ b/crates/rig/tests/calibrate.rs
@@ -41,8 +41,8 @@
 
     // Every datagram has one of the known shapes, is short, and is counted once on its way in and once a receiver.
     let sum = |flows: &[Flow]| real.counts.sum(flows);
-    let sent = sum(&[Flow::TalkSent, Flow::GreetingsSent, Flow::TroublesSent]);
-    let passed = sum(&[Flow::TalkPassed, Flow::GreetingsPassed, Flow::TroublesPassed]);
+    let sent = sum(&[Flow::TalkSent, Flow::GreetingsSent, Flow::TroublesSent, Flow::FreshnessSent]);
+    let passed = sum(&[Flow::TalkPassed, Flow::GreetingsPassed, Flow::TroublesPassed, Flow::FreshnessPassed]);
     assert_eq!((real.counts.relay_in, real.counts.relay_out), (sent, passed), "{real:?}");
     assert!(sent.messages > 0, "nobody spoke: {real:?}");
     assert_eq!((real.datagrams_unknown, real.datagrams_dropped), (0, 0), "{real:?}");
