Test that a planned job that has missed its aim does not keep all others from the lanes

Cause, by those lines: Dispatcher::demand turns a job down when a job planned behind it would miss its aim, also when that one misses it anyhow. Such a job is turned to its later deadline only when it is looked at, and only the first eight of the queue are. Ruled out: trust (no worker is avoided), the kind's map (7 workers of the own share, 35 others), lanes in use by others (3.7 of 12).

The test forces it with one worker and ten jobs: red.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -753,3 +753,41 @@
     bench.at(SECOND);
     assert_eq!(sends(&bench.outcome(1, 0, WorkerId(12), Ending::Ok)), [(3, WorkerId(12))]);
 }
+
+/// What happens: a scheduler with free lanes refuses what it gets, for minutes, and holds the rest until their clients leave.
+/// Why: a held job was planned for a worker while it could meet its aim; it lost the aim while more than eight others stood
+/// before it in the queue, of which only eight are looked at in one go. From then on the demand test of every earlier job found
+/// that this one would miss its aim, and turned that one down: nothing was sent any more, so nothing moved in the queue.
+/// The figures: `calicolb-rig scale --schedulers 30 --workers 60 --event restarts --seed 7` with held jobs kept to their kind:
+/// rank 1 held 508 jobs, eight of twelve lanes of its first worker were free, the demand test said no for each worker, and the
+/// first jobs planned there had missed their aims 237 s before; 421 requests were refused, with `NoCapacity`.
+#[test]
+fn a_planned_job_that_has_missed_its_aim_does_not_keep_all_others_from_the_lanes() {
+    let mut settings = settings();
+    (settings.classes[0].late_worth, settings.classes[0].aim) = (0.5, 5 * SECOND);
+    settings.tenants = vec![Tenant { quota_per_s: 0.001, share: 1.0 }];
+    let mut bench = Bench::with_workers(settings, &[11]);
+    let job = |bench: &mut Bench, id, work, patience| {
+        let expires = bench.now + patience;
+        let tenant = Some(TenantIx(0));
+        sends(&bench.tell(Event::Arrival(Arrival { tenant, expires, ..arrival(id, 0, bench.now, work) })))
+    };
+    // The tenant's share is used up: what comes from now on is held in the order in which clients leave.
+    for id in 101..=103 {
+        assert_eq!(job(&mut bench, id, 10 * MS, 10 * SECOND).len(), 1);
+        bench.now += 10 * MS;
+        bench.outcome(id, 0, WorkerId(11), Ending::Ok);
+    }
+    assert_eq!(job(&mut bench, 1, 300 * MS, 50 * SECOND).len(), 1, "it takes the only lane");
+    assert_eq!(job(&mut bench, 20, 10 * MS, 40 * SECOND), [], "it can meet its aim behind that one");
+    for id in 2..=9 {
+        assert_eq!(job(&mut bench, id, 3 * SECOND, 30 * SECOND), [], "job {id} would cost it the aim");
+    }
+    // The lane comes free later than was thought.
+    let waited = bench.wait(8 * SECOND);
+
+    assert_eq!((sends(&waited), answers(&waited)), (vec![], vec![]));
+    let mut actions = bench.outcome(1, 0, WorkerId(11), Ending::Ok);
+    actions.extend(bench.wait(SECOND));
+    assert_eq!(sends(&actions), [(2, WorkerId(11))]);
+}
