Let a planned job that can no longer meet its aim keep no other from a lane

Change: the demand test weighs a planned job's aim only while the job would still meet it if it began at once (Dispatcher::can_meet_aim).

--- a/crates/decisions/src/rules/admission.rs
+++ b/crates/decisions/src/rules/admission.rs
@@ -33,7 +33,11 @@
                 continue;
             }
             let (start, end) = place(job);
-            if mine.is_some() && !job.late && !self.in_time(job, start, end) {
+            if mine.is_some()
+                && !job.late
+                && !self.in_time(job, start, end)
+                && self.can_meet_aim(at, now, job)
+            {
                 return None;
             }
         }
@@ -41,6 +45,11 @@
         (self.in_time(request, start, end)).then_some((start, end))
     }
 
+    /// The job would meet its aim if it began at once. One that would not loses nothing to others.
+    fn can_meet_aim(&self, at: usize, now: Micros, job: &Request) -> bool {
+        self.in_time(job, now, now + self.run_time(at, job.size, now))
+    }
+
     pub(super) fn in_time(&self, job: &Request, start: Micros, end: Micros) -> bool {
         let run = (end - start) as f64 * if job.late { 1.0 } else { job.doubt };
         start + run as Micros <= job.deadline
