--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -6,6 +6,7 @@
 //! with the host: the module sees indices into the lists of [`Settings`](crate::api::Settings).
 
 pub use crate::rejections::Rejection;
+pub use calicolb_shutdown::AttemptState;
 use serde::{Deserialize, Serialize};
 
 /// A time or a span on the host's clock, in microseconds.
@@ -43,7 +44,8 @@
 pub struct TimerId(pub u64);
 
 /// Which workers drop a repeat of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Group {
     /// All workers together.
     All,
@@ -54,7 +56,8 @@
 }
 
 /// What running a request twice would do.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Effect {
     /// Nothing: repeats are harmless.
     Safe,
@@ -70,6 +73,13 @@
     Unsafe,
 }
 
+impl Effect {
+    /// A repeat does no harm, wherever it runs.
+    pub fn repeatable(self) -> bool {
+        matches!(self, Effect::Safe | Effect::Keyed { group: Group::All, .. })
+    }
+}
+
 /// One class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -295,8 +305,30 @@
     pub retry: bool,
     /// What a worker must be able to do for it, below [`SKILLS`].
     pub skill: u32,
-    /// Another process of this dispatcher sent it to this worker, at this time, and hands it on: attempt 0.
-    pub out: Option<(WorkerId, Micros)>,
+    /// Another process of this dispatcher hands it on.
+    pub handed_on: Option<HandedOn>,
+}
+
+/// What another process of this dispatcher has done for a request that it hands on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HandedOn {
+    /// When the request came in.
+    pub arrived: Micros,
+    /// What a repeat would do, by the tightest word on that so far. The tighter of this and the class's binds.
+    pub effect: Effect,
+    /// Its attempts, in the order in which they were sent.
+    pub attempts: Vec<PastAttempt>,
+}
+
+/// An attempt that another process sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PastAttempt {
+    /// The worker.
+    pub worker: WorkerId,
+    /// When it was sent.
+    pub sent: Micros,
+    /// What is known of it.
+    pub state: AttemptState,
 }
 
 /// A worker's load report; aged and noisy.
@@ -321,7 +353,8 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Ending {
     /// Served.
     Ok,
@@ -438,6 +471,12 @@
     Settings(Box<Settings>),
     /// The client has left, or the answer is overdue; the request is over.
     Lapsed(RequestId),
+    /// The process ends: nobody is answered after this time, so that whoever waits longer counts as leaving then.
+    Ends(Micros),
+    /// The request goes on at another process of this same dispatcher.
+    MovedAway(RequestId),
+    /// The process ends now: the request gets its final answer, and what is out for it is called off.
+    Conclude(RequestId),
     /// A message from another dispatcher.
     Peer {
         /// Its number.
--- a/crates/decisions/src/handover.rs
+++ b/crates/decisions/src/handover.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Action, Micros};
 use crate::rules::Dispatcher;
-use crate::state::{Bucket, Knowledge, SizeMap, Worker};
+use crate::state::{Bucket, Knowledge, PeerLoad, SizeMap, Worker};
 use calicolb_knowledge::classes::ClassModel;
 use serde::Deserialize;
 
@@ -32,6 +32,19 @@
         knowledge
     }
 
+    /// What was learned by a process whose clock is so far behind this one's (microseconds; negative: ahead). When workers
+    /// started is told by their own clocks, and stays. What cannot be read stays as it is, and will not fit.
+    pub fn on_clock(mut knowledge: serde_json::Value, behind: i64) -> serde_json::Value {
+        let read = (Vec::deserialize(&knowledge[0]), Knowledge::deserialize(&knowledge[2]));
+        let (Ok(mut workers), Ok(mut know)): (Result<Vec<Worker>, _>, Result<Knowledge, _>) = read else {
+            return knowledge;
+        };
+        workers.iter_mut().for_each(|worker| worker.shift(behind));
+        know.shift(behind);
+        (knowledge[0], knowledge[2]) = (serde_json::json!(workers), serde_json::json!(know));
+        knowledge
+    }
+
     pub(crate) fn on_handed(&mut self, handed: serde_json::Value) {
         let fits = |(workers, maps, know): &(Vec<Worker>, Vec<SizeMap>, Knowledge)| {
             let covered = workers.iter().all(|worker| know.covers(worker));
@@ -49,3 +62,33 @@
         self.ask_list(); // at once: whatever the list has to tell will soon count as told
     }
 }
+
+/// Moves a time to a clock that is so far ahead.
+fn shift(at: &mut Micros, by: i64) {
+    *at = at.saturating_add_signed(by);
+}
+
+impl Worker {
+    fn shift(&mut self, by: i64) {
+        self.cold_sent.iter_mut().for_each(|(at, _)| shift(at, by));
+        self.peers.iter_mut().for_each(|peer| peer.shift(by));
+        self.foreign.iter_mut().for_each(|(at, _)| shift(at, by));
+        self.trust.shift(by);
+        shift(&mut self.probed, by);
+        shift(&mut self.known, by);
+    }
+}
+
+impl PeerLoad {
+    fn shift(&mut self, by: i64) {
+        [&mut self.soonest, &mut self.latest, &mut self.told].into_iter().for_each(|at| shift(at, by));
+    }
+}
+
+impl Knowledge {
+    fn shift(&mut self, by: i64) {
+        self.buckets.iter_mut().for_each(|bucket| shift(&mut bucket.at, by));
+        self.cuts.iter_mut().for_each(|(_, until)| shift(until, by));
+        self.work.shift(by);
+    }
+}
--- a/crates/decisions/src/rejections.rs
+++ b/crates/decisions/src/rejections.rs
@@ -19,10 +19,12 @@
     Unusable,
     /// Settings came into force by which no worker may run it.
     SettingsChanged,
+    /// The process ends, and no other one goes on with it.
+    ShuttingDown,
 }
 
 /// The reasons and the names of their counters, in the order of [`Rejection`].
-const COUNTERS: [&str; 8] = [
+const COUNTERS: [&str; 9] = [
     "rejected.stale_list",
     "rejected.no_capacity",
     "rejected.expired",
@@ -31,6 +33,7 @@
     "rejected.moot",
     "rejected.unusable",
     "rejected.settings_changed",
+    "rejected.shutting_down",
 ];
 
 /// How often each reason was given since the start of the process.
--- a/crates/decisions/src/renewal.rs
+++ b/crates/decisions/src/renewal.rs
@@ -74,6 +74,12 @@
     }
 }
 
+/// What binds a request of this effect that goes on under settings with another one for its class. `ran_unnoted`: an attempt
+/// may have run while repeats were harmless, so that no worker wrote down that it did.
+pub(crate) fn binding(bound: Effect, now: Effect, ran_unnoted: bool) -> Effect {
+    if ran_unnoted && now != Effect::Safe { Effect::Unsafe } else { tighter(bound, now) }
+}
+
 impl Dispatcher {
     /// The settings in force.
     pub fn settings(&self) -> &Settings {
@@ -147,9 +153,8 @@
         for request in self.requests.values_mut() {
             let both = old.get(request.class).zip(new.classes.get(request.class));
             let Some((old, new)) = both.filter(|(old, new)| old.effect != new.effect) else { continue };
-            let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
-            let forgotten = risky && old.effect == Effect::Safe;
-            request.effect = if forgotten { Effect::Unsafe } else { tighter(request.effect, new.effect) };
+            let ran_unnoted = request.may_have_run() && old.effect == Effect::Safe;
+            request.effect = binding(request.effect, new.effect, ran_unnoted);
         }
     }
 
@@ -172,7 +177,7 @@
     fn renew_held(&mut self, now: Micros) {
         let tries = self.settings.limits.tries as usize;
         let over = |request: &Request| {
-            let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
+            let risky = request.may_have_run();
             request.attempts.len() >= tries || (risky && request.effect == Effect::Unsafe)
         };
         let held = self.queue.held.iter().map(|&(_, id)| id);
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -1,6 +1,7 @@
 //! Attempts and final answers: every rule on sends, and what follows an end.
 
 use super::*;
+use calicolb_shutdown::{FinalAnswer, final_answer};
 
 impl Dispatcher {
     /// What was decided of an attempt holds still. Asked right before its first byte: its connection may have come up
@@ -20,7 +21,7 @@
         // Rule 2, and nothing goes where an earlier attempt has not surely ended, copies allowed or not.
         let before = &request.attempts[..attempt];
         let twice = Request::may_run(before, at);
-        let mut risky = before.iter().filter(|attempt| attempt.state != State::NeverRan);
+        let mut risky = before.iter().filter(|attempt| attempt.state != AttemptState::NeverRan);
         let harmless = match request.effect {
             Effect::Safe => true,
             Effect::Unsafe => risky.next().is_none(),
@@ -89,7 +90,7 @@
         let end = start + self.run_time(at, size, now);
         let cold = self.warmth(at, now) < 1.0;
         let attempt = self.requests[&id].attempts.len() as u32;
-        let made = Attempt { worker: at, sent: now, state: State::Out };
+        let made = Attempt { worker: at, sent: now, state: AttemptState::Out };
         self.requests.entry(id).and_modify(|request| request.attempts.push(made));
         let worker = &mut self.workers[at];
         let (clean, awaits_start, progress) = (start <= now, self.settings.tells_start, None);
@@ -115,8 +116,8 @@
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.done) else { return };
         request.done = true;
         let why = self.rejections.count(why);
-        let clear = request.attempts.iter().all(|attempt| attempt.state == State::NeverRan);
-        if clear || matches!(request.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
+        let states = request.attempts.iter().map(|attempt| attempt.state);
+        if final_answer(request.effect.repeatable(), states) == FinalAnswer::Refused {
             let limits = &self.settings.limits;
             let left = request.expires.saturating_sub(now);
             let pause = (self.know.mean_time / 4.0) as Micros;
@@ -130,10 +131,24 @@
 
     /// The client has left: what still runs for it is called off, it would be work for nobody.
     pub(super) fn on_lapsed(&mut self, id: RequestId) {
+        self.call_off(id);
+        self.close(id);
+    }
+
+    /// Calls off what is out for a request, where that is allowed.
+    fn call_off(&mut self, id: RequestId) {
         let attempts = self.requests.get(&id).into_iter().flat_map(|request| (0..).zip(&request.attempts));
-        let running = attempts.filter(|(_, at)| at.state == State::Out && self.settings.limits.cancel);
+        let running = attempts.filter(|(_, at)| at.state == AttemptState::Out && self.settings.limits.cancel);
         self.out.extend(running.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
-        self.close(id);
+    }
+
+    /// The process ends before any attempt has brought the result.
+    pub(super) fn on_conclude(&mut self, now: Micros, id: RequestId) {
+        if !self.requests.contains_key(&id) {
+            return self.out.push(Action::Fail(id));
+        }
+        self.finish(now, id, Rejection::ShuttingDown);
+        self.call_off(id);
     }
 
     /// The request is over without an answer of ours.
@@ -205,8 +220,8 @@
         let own = self.workers[at].own.swap_remove(nr);
         let mut speed = None;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let ran = if running { State::MayRun } else { State::MayHaveRan };
-        let state = if ending.never_ran() { State::NeverRan } else { ran };
+        let ran = if running { AttemptState::MayRun } else { AttemptState::MayHaveRan };
+        let state = if ending.never_ran() { AttemptState::NeverRan } else { ran };
         request.attempts[attempt as usize].state = state;
         request.done |= concluded;
         let (class, hint) = (request.class, request.hint);
@@ -251,7 +266,7 @@
         if request.done || request.held || request.out() {
             return;
         }
-        let risky = request.attempts.iter().any(|attempt| attempt.state != State::NeverRan);
+        let risky = request.may_have_run();
         let once = request.effect == Effect::Unsafe && risky;
         let spent = request.attempts.len() >= self.settings.limits.tries as usize;
         let over = now + 2 * self.settings.tick >= request.expires;
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -2,6 +2,7 @@
 //! worker's lanes admits the job, and held jobs leave earliest deadline first as lanes free.
 
 mod admission;
+mod adoption;
 mod dealing;
 mod endings;
 mod estimates;
@@ -168,6 +169,9 @@
                 self.offer(now, at);
             }
             Event::Lapsed(request) => self.on_lapsed(request),
+            Event::Ends(at) => self.on_ends(now, at),
+            Event::MovedAway(request) => self.on_moved_away(now, request),
+            Event::Conclude(request) => self.on_conclude(now, request),
             Event::Peer { from, body } => self.on_peer(now, from, &body),
         }
     }
--- a/crates/decisions/src/rules/release.rs
+++ b/crates/decisions/src/rules/release.rs
@@ -14,7 +14,9 @@
         let slots = arrival.slots.clamp(1, 1024) as usize;
         self.know.most_slots = self.know.most_slots.max(slots);
         // A client's retry belongs to its first try, whose aim has been running since.
-        let origin = if arrival.retry { arrival.expires.saturating_sub(spec.deadline).min(now) } else { now };
+        let came = arrival.handed_on.as_ref().map_or(now, |handed| handed.arrived.min(now));
+        let origin =
+            if arrival.retry { arrival.expires.saturating_sub(spec.deadline).min(came) } else { came };
         let doubt = self.know.classes[class].doubt();
         let aim = origin + spec.aim + (spec.stretch.max(0.0) * size * doubt) as Micros;
         let deadline = aim.min(arrival.expires);
@@ -30,8 +32,8 @@
             Request { class, effect: spec.effect, skill, slots, hint, size, expires, ..Request::default() };
         let request = Request { deadline, order, yields: over, value, doubt, ..told };
         self.requests.insert(arrival.request, request);
-        if let Some((worker, sent)) = arrival.out {
-            return self.adopt(now, arrival.request, worker, sent);
+        if let Some(handed) = arrival.handed_on {
+            return self.adopt(now, arrival.request, handed);
         }
         self.spill_from = self.spill_from.wrapping_add(1);
         self.hold(arrival.request);
@@ -73,6 +75,26 @@
         self.queue.expiries.remove(&(request.expires, id));
     }
 
+    /// Nobody is answered after this time: held jobs are sent or turned away by it, and go on in its order.
+    pub(super) fn on_ends(&mut self, now: Micros, ends: Micros) {
+        let later = |of: &(&RequestId, &Request)| !of.1.done && of.1.expires > ends;
+        let mut later: Vec<RequestId> = self.requests.iter().filter(later).map(|(&id, _)| id).collect();
+        later.sort_unstable();
+        for id in later {
+            let held = self.requests.get(&id).is_some_and(|request| request.held);
+            self.unhold(id);
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.expires = ends;
+                request.deadline = request.deadline.min(ends);
+                request.order = request.order.min(ends);
+            }
+            if held {
+                self.hold(id);
+            }
+        }
+        self.pump(now);
+    }
+
     pub(super) fn plan(&mut self, id: RequestId, at: Option<usize>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.planned == at {
--- a/crates/decisions/src/rules/talk.rs
+++ b/crates/decisions/src/rules/talk.rs
@@ -127,19 +127,4 @@
         let others = others.filter(|&&other| other != rank);
         self.out.extend(others.map(|&other| Action::Tell { to: Some(other), body: body.clone() }));
     }
-
-    /// Takes on a request that the other process has out at this worker, for good or ill.
-    pub(super) fn adopt(&mut self, now: Micros, id: RequestId, worker: WorkerId, sent: Micros) {
-        let (Some(&at), Some(request)) = (self.index.get(&worker), self.requests.get_mut(&id)) else {
-            self.close(id);
-            return self.out.push(Action::Fail(id));
-        };
-        request.attempts.push(Attempt { worker: at, sent, state: State::Out });
-        let (size, slots) = (request.size, request.slots);
-        let end = sent + self.run_time(at, size, now);
-        // When it started is not known, so its time tells nothing of its size.
-        self.workers[at].own.push(Own { request: id, slots, sent, start: sent, end, ..Own::default() });
-        self.workers[at].peers.retain(|peer| peer.from != self.settings.rank);
-        self.tell_peers(now, at, None);
-    }
 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -219,19 +219,10 @@
     pub(crate) counted: LaneCount,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum State {
-    Out,
-    NeverRan,
-    MayHaveRan,
-    /// It is not waited for any more, and may still be running at its worker.
-    MayRun,
-}
-
 pub(crate) struct Attempt {
     pub(crate) worker: usize,
     pub(crate) sent: Micros,
-    pub(crate) state: State,
+    pub(crate) state: AttemptState,
 }
 
 #[derive(Default)]
@@ -269,19 +260,24 @@
 impl Request {
     /// An attempt of these may still be running at this worker.
     pub(crate) fn may_run(attempts: &[Attempt], at: usize) -> bool {
-        let there = |attempt: &Attempt| matches!(attempt.state, State::Out | State::MayRun);
+        let there = |attempt: &Attempt| matches!(attempt.state, AttemptState::Out | AttemptState::MayRun);
         attempts.iter().any(|attempt| attempt.worker == at && there(attempt))
     }
 
+    /// An attempt of it may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.state != AttemptState::NeverRan)
+    }
+
     /// An attempt that may still have been running is over.
     pub(crate) fn over(&mut self, attempt: u32) {
-        let ended = self.attempts.get_mut(attempt as usize).filter(|own| own.state == State::MayRun);
-        ended.into_iter().for_each(|own| own.state = State::MayHaveRan);
+        let ended = self.attempts.get_mut(attempt as usize).filter(|own| own.state == AttemptState::MayRun);
+        ended.into_iter().for_each(|own| own.state = AttemptState::MayHaveRan);
     }
 
     /// An attempt of it is out.
     pub(crate) fn out(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.state == State::Out)
+        self.attempts.iter().any(|attempt| attempt.state == AttemptState::Out)
     }
 }
 
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -51,6 +51,13 @@
 }
 
 impl Trust {
+    /// Its times are of a clock that is so far behind the one that counts from now on (microseconds).
+    pub fn shift(&mut self, by: i64) {
+        let word = self.word.as_mut().map(|(_, at)| at);
+        let times = [&mut self.until, &mut self.seen, &mut self.sick, &mut self.told];
+        times.into_iter().chain(word).for_each(|at| *at = at.saturating_add_signed(by));
+    }
+
     /// Nothing is sent there for now.
     pub fn avoided(&self, now: Micros) -> bool {
         self.until > now
--- a/crates/hollow/src/schedulers.rs
+++ b/crates/hollow/src/schedulers.rs
@@ -11,6 +11,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::mem;
 
+mod actions;
+mod end_of_process;
+mod list;
+
+pub(crate) use end_of_process::Moved;
+
 /// A next hop that is well has taken a job by this time after its last byte was written: the program's own figure for the
 /// plan's connections.
 pub(crate) const SILENCE: Micros = 500_000;
@@ -63,18 +69,27 @@
     taken: bool,
     unwanted: bool,
     told_off: bool,
-    over: bool,
+    /// How it ended, once it has.
+    ending: Option<Ending>,
     /// It is over for the module, and may still be running at its worker.
     loose: bool,
 }
 
 struct Entry {
     job: u32,
+    arrived: Micros,
     expires: Micros,
     concluded: bool,
     attempts: Vec<Attempt>,
 }
 
+impl Entry {
+    /// The time by which it has its answer, or has lost its client.
+    fn answer_by(&self, last_answer: Micros) -> Micros {
+        self.expires.min(last_answer)
+    }
+}
+
 /// See the head of this file.
 pub(crate) struct Process {
     pub(crate) rank: u32,
@@ -89,6 +104,10 @@
     closing: Vec<u32>,
     tries: u32,
     copies: bool,
+    /// From SIGTERM on: the process ends at this time, and nobody is answered later.
+    ends: Micros,
+    /// That binds what was open before, too.
+    limited: bool,
     clock: ListClock,
     /// When the list's clock is looked at next.
     armed: Option<Micros>,
@@ -100,7 +119,7 @@
     /// Idle connections: since when, and to which process of the worker.
     pub(crate) idle: BTreeMap<WorkerId, Vec<(Micros, u32)>>,
     /// Attempts that went on at the process that took over.
-    pub(crate) bequeathed: BTreeMap<AttemptId, (u32, AttemptId)>,
+    pub(crate) moved: BTreeMap<AttemptId, (u32, AttemptId)>,
     /// Requests that came to the module of late, and whether they counted as within their tenant's share.
     pub(crate) counted: Vec<(u32, bool)>,
     /// How it learns the agreed configuration, where there is one.
@@ -130,6 +149,8 @@
             alive: true,
             tries: settings.limits.tries,
             copies: settings.limits.copies,
+            ends: Micros::MAX,
+            limited: false,
             clock: ListClock::new(Mode::Asked, settings.rules.drain_grace, now),
             dispatcher: Dispatcher::new(settings, seed, now),
             entries: BTreeMap::new(),
@@ -143,7 +164,7 @@
             seq_at: now,
             watch: None,
             idle: BTreeMap::new(),
-            bequeathed: BTreeMap::new(),
+            moved: BTreeMap::new(),
             counted: Vec::new(),
             study: None,
         }
@@ -152,54 +173,19 @@
     // ---- Facts -----------------------------------------------------------------------------------
 
     /// A request has come in whole.
-    pub(crate) fn arrive(&mut self, job: u32, mut arrival: Arrival) {
-        arrival.request = RequestId(self.enter(job, arrival.expires));
+    pub(crate) fn arrive(&mut self, now: Micros, job: u32, mut arrival: Arrival) {
+        arrival.request = RequestId(self.enter(job, now, arrival.expires));
+        arrival.expires = arrival.expires.min(self.ends);
         self.events.push_back(Event::Arrival(arrival));
     }
 
-    fn enter(&mut self, job: u32, expires: Micros) -> u32 {
+    fn enter(&mut self, job: u32, arrived: Micros, expires: Micros) -> u32 {
         let number = self.next;
         self.next += 1;
-        self.entries.insert(number, Entry { job, expires, concluded: false, attempts: Vec::new() });
+        self.entries.insert(number, Entry { job, arrived, expires, concluded: false, attempts: Vec::new() });
         number
     }
 
-    /// A request that the process before this one has out goes on here.
-    pub(crate) fn adopt(
-        &mut self,
-        job: u32,
-        mut arrival: Arrival,
-        worker: WorkerId,
-        sent: Micros,
-    ) -> AttemptId {
-        let number = self.enter(job, arrival.expires);
-        let id = AttemptId { request: number, number: 0 };
-        arrival.request = RequestId(number);
-        arrival.out = Some((worker, sent));
-        self.work.push(Work::Due(arrival.expires, Due::Attempt(id)));
-        if let Some(entry) = self.entries.get_mut(&number) {
-            let taken = Attempt { written: Some(sent), taken: true, ..Attempt::new(worker, sent) };
-            entry.attempts.push(taken);
-        }
-        self.events.push_back(Event::Arrival(arrival));
-        id
-    }
-
-    /// The requests that the process that took over could answer in this one's place; they are forgotten here.
-    pub(crate) fn bequeath(&mut self) -> Vec<(u32, AttemptId, WorkerId, Micros)> {
-        let fit = |entry: &Entry| {
-            !entry.concluded && matches!(entry.attempts[..], [Attempt { taken: true, over: false, .. }])
-        };
-        let numbers: Vec<u32> =
-            self.entries.iter().filter(|(_, entry)| fit(entry)).map(|(&number, _)| number).collect();
-        let left = numbers.into_iter().filter_map(|request| {
-            let entry = self.entries.remove(&request)?;
-            let attempt = entry.attempts.first()?;
-            Some((entry.job, AttemptId { request, number: 0 }, attempt.worker, attempt.sent))
-        });
-        left.collect()
-    }
-
     /// What an attempt is for.
     pub(crate) fn job(&self, id: AttemptId) -> Option<u32> {
         self.entries.get(&id.request).map(|entry| entry.job)
@@ -225,7 +211,9 @@
         if self.attempt(id).is_none() {
             return false;
         }
-        let open = self.entries.get(&id.request).is_some_and(|entry| !entry.concluded && now < entry.expires);
+        let last_answer = self.last_answer();
+        let entry = self.entries.get(&id.request);
+        let open = entry.is_some_and(|entry| !entry.concluded && now < entry.answer_by(last_answer));
         if !open {
             self.end(now, id, Ending::Moot, false, None);
         } else if !self.dispatcher.may_begin(now, RequestId(id.request), id.number) {
@@ -351,85 +339,6 @@
         self.events.push_back(Event::Settings(Box::new(settings)));
     }
 
-    // ---- The list --------------------------------------------------------------------------------
-
-    /// Begins with this copy of the list. `confirmed`: when discovery confirmed it last, if that is known.
-    pub(crate) fn warm(&mut self, list: &Update, confirmed: Option<Micros>) {
-        if let Some(at) = confirmed {
-            self.clock.confirm(at);
-        }
-        self.seq = list.seq;
-        self.events.push_back(Event::Members(ListKind::Saved, list.members.clone()));
-        self.keep_time();
-    }
-
-    /// A call for a watch goes out, or the watch is ended.
-    pub(crate) fn watches(&mut self, now: Micros, call: Option<u64>) {
-        self.watch = call;
-        if call.is_some() {
-            self.clock.opened(now)
-        } else {
-            self.clock.closed(now)
-        }
-        self.keep_time();
-    }
-
-    /// The watch has brought something, an empty line perhaps.
-    pub(crate) fn heard(&mut self, now: Micros, update: Option<&Update>) {
-        self.clock.heard(now);
-        if let Some(update) = update.filter(|update| update.seq >= self.seq || now >= self.seq_at + MISSED) {
-            (self.seq, self.seq_at) = (update.seq, now);
-            self.events.push_back(Event::Members(update.kind, update.members.clone()));
-        }
-        self.keep_time();
-    }
-
-    /// The watch, or the call for it, was refused or ended.
-    pub(crate) fn unwatched(&mut self, now: Micros) {
-        self.watch = None;
-        self.clock.broke(now);
-        self.keep_time();
-        self.events.push_back(Event::Members(ListKind::Lost, Vec::new()));
-    }
-
-    fn keep_time(&mut self) {
-        // One that is set for earlier looks again when it comes.
-        if let Some(at) = self.clock.due()
-            && self.armed.is_none_or(|set| at < set)
-        {
-            self.armed = Some(at);
-            self.work.push(Work::Due(at, Due::Watch));
-        }
-        let until = self.clock.until();
-        if until != self.until {
-            self.until = until;
-            self.events.push_back(Event::ListUntil(until));
-        }
-    }
-
-    // ---- The process that takes over -------------------------------------------------------------
-
-    /// Another process takes over: gives what this one has learned.
-    pub(crate) fn hand_over(&mut self) -> serde_json::Value {
-        self.events.push_back(Event::Succeeded(true));
-        self.dispatcher.knowledge()
-    }
-
-    /// When discovery last confirmed its list.
-    pub(crate) fn confirmed(&self) -> Option<Micros> {
-        self.clock.confirmed()
-    }
-
-    /// Takes what the process before this one had learned.
-    pub(crate) fn inherit(&mut self, knowledge: serde_json::Value, next: u32) {
-        self.next = next;
-        self.events.push_back(Event::Handed(knowledge));
-    }
-
-    pub(crate) fn next(&self) -> u32 {
-        self.next
-    }
-
     // ---- The module ------------------------------------------------------------------------------
 
     /// Events wait for the module, or work to be done.
@@ -458,100 +367,15 @@
             self.carry_out(now, action);
         }
         for number in mem::take(&mut self.closing) {
-            let over = |entry: &Entry| entry.concluded && entry.attempts.iter().all(|attempt| attempt.over);
+            let over = |entry: &Entry| {
+                entry.concluded && entry.attempts.iter().all(|attempt| attempt.ending.is_some())
+            };
             if self.entries.get(&number).is_some_and(over) {
                 self.entries.remove(&number);
             }
         }
         mem::take(&mut self.work)
     }
-
-    fn carry_out(&mut self, now: Micros, action: Action) {
-        match action {
-            Action::Send { request, worker, timeout } => self.send(now, request.0, worker, timeout),
-            Action::Refuse { request, .. } => self.conclude(request.0, Answer::Refused),
-            Action::Fail(request) => self.conclude(request.0, Answer::Failed),
-            Action::Cancel { request, attempt } => {
-                let id = AttemptId { request: request.0, number: attempt };
-                let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
-                let copies = self.copies;
-                let Some(attempt) = self.attempt(id) else { return };
-                let Some(written) = attempt.written else { return self.give_up(now, id, Ending::Moot) };
-                if copies || concluded {
-                    return self.give_up(now, id, Ending::Cancelled);
-                }
-                attempt.unwanted = true;
-                if attempt.taken || now >= written + SILENCE {
-                    self.tell_off(id);
-                } else {
-                    self.work.push(Work::Due(written + SILENCE, Due::Unwanted(id)));
-                }
-            }
-            Action::SetTimer { timer, after } => self.work.push(Work::Due(now + after, Due::Timer(timer))),
-            Action::Probe(worker) => self.work.push(Work::Probe(worker)),
-            Action::Tell { to, body } => self.work.push(Work::Tell { to, body }),
-            Action::FetchList => self.work.push(Work::FetchList),
-            Action::Subscribe(want) => self.work.push(Work::Watch(want)),
-            Action::CloseIdle(worker) => drop(self.idle.remove(&worker)),
-            Action::Log(_) => {}
-        }
-    }
-
-    fn send(&mut self, now: Micros, request: u32, worker: WorkerId, timeout: Option<Micros>) {
-        let tries = self.tries;
-        let Some(entry) = self.entries.get_mut(&request) else { return };
-        let id = AttemptId { request, number: entry.attempts.len() as u32 };
-        let ends = entry.expires.min(timeout.map_or(Micros::MAX, |span| now.saturating_add(span)));
-        entry.attempts.push(Attempt::new(worker, now));
-        if entry.concluded || ends <= now || id.number >= tries {
-            return self.end(now, id, Ending::Moot, false, None);
-        }
-        self.work.push(Work::Due(ends, Due::Attempt(id)));
-        self.work.push(Work::Send { id, worker });
-    }
-
-    fn attempt(&mut self, id: AttemptId) -> Option<&mut Attempt> {
-        let attempt = self.entries.get_mut(&id.request)?.attempts.get_mut(id.number as usize)?;
-        (!attempt.over).then_some(attempt)
-    }
-
-    fn give_up(&mut self, now: Micros, id: AttemptId, ending: Ending) {
-        self.tell_off(id);
-        self.end(now, id, ending, !ending.never_ran(), None);
-    }
-
-    fn tell_off(&mut self, id: AttemptId) {
-        let Some(attempt) = self.attempt(id).filter(|attempt| !attempt.told_off) else { return };
-        attempt.told_off = true;
-        let (worker, taken) = (attempt.worker, attempt.taken);
-        self.work.push(Work::GiveUp { id, worker, taken });
-    }
-
-    /// Ends an attempt, once; it may still be `running` at its worker.
-    fn end(&mut self, now: Micros, id: AttemptId, ending: Ending, running: bool, report: Option<Report>) {
-        let Some(attempt) = self.attempt(id) else { return };
-        (attempt.over, attempt.loose) = (true, running);
-        let (worker, elapsed) = (attempt.worker, now.saturating_sub(attempt.sent));
-        let concluded = self.entries.get(&id.request).is_none_or(|entry| entry.concluded);
-        self.events.push_back(Event::Outcome(Outcome {
-            request: RequestId(id.request),
-            attempt: id.number,
-            worker,
-            ending,
-            elapsed,
-            running,
-            concluded,
-            report,
-        }));
-        self.closing.push(id.request);
-    }
-
-    fn conclude(&mut self, number: u32, answer: Answer) {
-        let Some(entry) = self.entries.get_mut(&number).filter(|entry| !entry.concluded) else { return };
-        entry.concluded = true;
-        self.work.push(Work::Answer { job: entry.job, answer });
-        self.closing.push(number);
-    }
 }
 
 impl Attempt {
@@ -563,7 +387,7 @@
             taken: false,
             unwanted: false,
             told_off: false,
-            over: false,
+            ending: None,
             loose: false,
         }
     }
--- a/crates/hollow/src/troubles.rs
+++ b/crates/hollow/src/troubles.rs
@@ -2,9 +2,11 @@
 
 use crate::Micros;
 use crate::plan::{MILLI, SECOND, Trouble};
+use crate::schedulers::{AttemptId, Moved};
 use crate::workers::Life;
 use crate::world::{Happening, News, World};
 use calicolb::api::Ending;
+use calicolb_shutdown::Grace;
 use rand::RngExt;
 
 /// Discovery sees that a machine has gone after this time, and up to so much more.
@@ -18,9 +20,8 @@
 const DRAINS: Micros = 60 * SECOND;
 /// Its replacement is up after this time.
 const JOINS: Micros = 2 * SECOND;
-/// From SIGTERM to SIGKILL, and to the moment when what is still out is left to the process that took over.
-const KILLED: Micros = 3_700 * MILLI;
-const BEQUEATHS: Micros = 3_100 * MILLI;
+/// A process that ends looks so often at what is owed to its open requests.
+const LOOK: Micros = 100 * MILLI;
 /// Restarts and replacements of an ordinary day.
 const RESTARTS: u32 = 38;
 
@@ -44,8 +45,8 @@
     SchedulerReturns(u32),
     /// Another process takes over from it as planned.
     SchedulerRestarts(u32),
-    /// The process before leaves to the next what is still out.
-    Bequeaths(u32),
+    /// The process before, told to end at this time, looks at what is owed to its open requests.
+    Settles { process: u32, term: Micros },
     /// The process before is killed.
     Killed(u32),
     /// Regions are cut off from each other, or no longer.
@@ -167,7 +168,7 @@
                 self.begin_learning(process);
             }
             Step::SchedulerRestarts(rank) => self.restart(rank),
-            Step::Bequeaths(process) => self.bequeath(process),
+            Step::Settles { process, term } => self.settle_open_requests(process, term),
             Step::Killed(process) => self.kill(process),
             Step::Regions(cut) => self.links.cut_regions(self.now, cut),
         }
@@ -210,18 +211,39 @@
         });
         self.begin_learning(heir);
         self.settle(elder);
-        self.lay(self.now + BEQUEATHS, Happening::Trouble(Step::Bequeaths(elder)));
-        self.lay(self.now + KILLED, Happening::Trouble(Step::Killed(elder)));
+        let (term, grace) = (self.now, self.grace());
+        let kill = grace.kill;
+        self.processes[elder as usize].stop(term + grace.last_answer());
+        for look in 0..kill / LOOK {
+            let settles = Step::Settles { process: elder, term };
+            self.lay(term + look * LOOK, Happening::Trouble(settles));
+        }
+        self.lay(term + kill, Happening::Trouble(Step::Killed(elder)));
+    }
+
+    /// From SIGTERM to SIGKILL, which comes as early as it may.
+    fn grace(&self) -> Grace {
+        Grace::new(self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
     }
 
-    fn bequeath(&mut self, elder: u32) {
-        let left = self.processes[elder as usize].bequeath();
-        let Some(heir) = self.alive(self.processes[elder as usize].rank) else { return };
-        for (job, id, worker, sent) in left {
+    fn settle_open_requests(&mut self, process: u32, term: Micros) {
+        if !self.processes[process as usize].alive {
+            return;
+        }
+        let phase = self.grace().phase(self.now - term);
+        let successor = self.alive(self.processes[process as usize].rank).filter(|&next| next != process);
+        let moved = self.processes[process as usize].settle_open_requests(phase, successor.is_some());
+        self.settle(process);
+        let Some(successor) = successor else { return };
+        for Moved { job, request, history } in moved {
+            let attempts = history.attempts.len() as u32;
             let arrival = self.jobs[job as usize].arrival();
-            let there = self.processes[heir as usize].adopt(job, arrival, worker, sent);
-            self.processes[elder as usize].bequeathed.insert(id, (heir, there));
+            let there = self.processes[successor as usize].adopt(job, arrival, history);
+            for number in 0..attempts {
+                let (here, there) = (AttemptId { request, number }, AttemptId { request: there, number });
+                self.processes[process as usize].moved.insert(here, (successor, there));
+            }
         }
-        self.settle(heir);
+        self.settle(successor);
     }
 }
--- a/crates/hollow/src/world.rs
+++ b/crates/hollow/src/world.rs
@@ -53,7 +53,7 @@
 /// See the head of this file.
 pub(crate) struct World {
     pub(crate) plan: Plan,
-    settings: Settings,
+    pub(crate) settings: Settings,
     pub(crate) now: Micros,
     order: u64,
     queue: BinaryHeap<Reverse<Next>>,
--- a/crates/hollow/src/world/requests.rs
+++ b/crates/hollow/src/world/requests.rs
@@ -35,7 +35,7 @@
             return self.answered(nr, Some(Answer::Refused));
         };
         let arrival = self.jobs[nr as usize].arrival();
-        self.with(process, |process, _| process.arrive(nr, arrival));
+        self.with(process, |process, now| process.arrive(now, nr, arrival));
     }
 
     pub(super) fn overdue(&mut self, nr: u32) {
--- a/crates/hollow/src/world/tasks.rs
+++ b/crates/hollow/src/world/tasks.rs
@@ -125,7 +125,7 @@
 
     pub(super) fn news(&mut self, mut process: u32, mut id: AttemptId, news: News) {
         // What a process left to the one that took over is told to that one.
-        while let Some(&(heir, there)) = self.processes[process as usize].bequeathed.get(&id) {
+        while let Some(&(heir, there)) = self.processes[process as usize].moved.get(&id) {
             (process, id) = (heir, there);
         }
         self.with(process, |process, now| match news {
--- a/crates/knowledge/src/rate.rs
+++ b/crates/knowledge/src/rate.rs
@@ -25,6 +25,11 @@
         self.at = now;
     }
 
+    /// Its times are of a clock that is so far behind the one that counts from now on (microseconds).
+    pub fn shift(&mut self, by: i64) {
+        self.at = self.at.saturating_add_signed(by);
+    }
+
     /// What came a second, when something last came.
     pub fn per_s(&self) -> f64 {
         self.per_s
--- a/src/net/core/buffer.rs
+++ b/src/net/core/buffer.rs
@@ -83,6 +83,11 @@
         filled
     }
 
+    /// A buffer in which these bytes have come in.
+    pub fn with_input(bytes: &[u8]) -> Self {
+        Buffer { data: bytes.to_vec(), start: 0, mid: bytes.len(), out: bytes.len() }
+    }
+
     /// Adds output.
     pub fn put(&mut self, bytes: &[u8]) {
         self.data.extend_from_slice(bytes);
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -37,8 +37,8 @@
     Elder,
     /// The address for datagrams was taken, and is tried again.
     PeersAgain,
-    /// What this process will not live to answer is left to the one that took over.
-    Bequeath,
+    /// After SIGTERM: what is owed to the requests that are open is looked at again.
+    OpenRequests,
     /// The agreed configuration: something on its way from a control machine is owed, or another call is to be made.
     Control,
     /// What a control machine keeps time by.
--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -9,3 +9,4 @@
 pub mod figures;
 pub mod journey;
 pub mod roster;
+pub mod transfer;
--- /dev/null
+++ b/src/net/core/transfer.rs
@@ -0,0 +1,60 @@
+//! A request on its way from one process of a scheduler to the next, as it is written between them.
+
+use crate::net::core::desk::{History, PastSend};
+use crate::net::core::envelope::Envelope;
+use calicolb::api::{AttemptState, Micros, WorkerId};
+use serde::{Deserialize, Serialize};
+
+/// A request that goes on at another process, with the connection of its client, which comes along.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Transfer {
+    pub envelope: Envelope,
+    /// Another request may follow on its connection.
+    pub keep_alive: bool,
+    /// What came in on its connection behind it, and is not dealt with.
+    pub unread: Vec<u8>,
+    pub history: History,
+    /// The sender's clock as it was sent. The times above are by that clock.
+    pub clock: Micros,
+}
+
+/// A transfer as older versions write it: one attempt that a worker has taken, by Unix time.
+#[derive(Serialize, Deserialize)]
+pub struct TakenAttempt {
+    pub envelope: Envelope,
+    pub keep_alive: bool,
+    pub hop: u32,
+    pub sent: Micros,
+    pub expires: Micros,
+}
+
+/// Either form.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum AnyTransfer {
+    Whole(Transfer),
+    Taken(TakenAttempt),
+}
+
+impl AnyTransfer {
+    /// The transfer by the clock of this process, and whether its sender waits for an answer. `ahead`: by how much the
+    /// sender's clock is ahead.
+    pub fn received(self, ahead: i64) -> (Transfer, bool) {
+        match self {
+            AnyTransfer::Whole(mut transfer) => {
+                transfer.history = transfer.history.on_clock(-ahead);
+                (transfer, true)
+            }
+            AnyTransfer::Taken(taken) => (taken.into(), false),
+        }
+    }
+}
+
+impl From<TakenAttempt> for Transfer {
+    fn from(taken: TakenAttempt) -> Self {
+        let TakenAttempt { envelope, keep_alive, hop, sent, expires } = taken;
+        let attempt = PastSend { worker: WorkerId(hop), sent, state: AttemptState::Out, ended_by: None };
+        let history = History { arrived: sent, expires, effect: None, attempts: vec![attempt] };
+        Transfer { envelope, keep_alive, unread: Vec::new(), history, clock: 0 }
+    }
+}
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -7,10 +7,11 @@
 use crate::net::core::deadlines::{Alarm, Due};
 use crate::net::core::desk::{Answer, Hears, Job, Unfit};
 use crate::net::core::envelope::{Envelope, Payload};
+use crate::net::core::transfer::Transfer;
 use crate::net::http::call_back::call_back;
 use crate::net::http::framing::{self, Reject, Request};
 use crate::net::protocol::Spare;
-use calicolb::api::{ClassIx, Micros, WorkerId};
+use calicolb::api::{ClassIx, Micros};
 use calicolb::wire;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
@@ -66,18 +67,6 @@
     begun: Option<Micros>,
 }
 
-/// A request that another process had sent out.
-pub struct Taken {
-    pub envelope: Envelope,
-    /// Another request may follow on its connection.
-    pub keep_alive: bool,
-    /// The next hop that took it, and when it was sent there.
-    pub hop: u32,
-    pub sent: Micros,
-    /// When its client leaves.
-    pub expires: Micros,
-}
-
 /// See the head of this file.
 pub struct Clients {
     listener: TcpListener,
@@ -316,36 +305,65 @@
         Ok(())
     }
 
-    /// Lets go of the connection of a request that another process will answer; tells whether another request may follow on it.
-    pub fn release(&mut self, ctx: &mut Ctx<'_>, token: usize) -> Option<(TcpStream, bool)> {
+    /// The connection of a request in work, as another process has to have it: the stream, whether another request may follow,
+    /// and what has come in behind this one.
+    pub fn for_transfer(&self, token: usize) -> Option<(&TcpStream, bool, &[u8])> {
+        let connection = self.connections.get(&token)?;
+        (connection.state == State::Waiting)
+            .then(|| (&connection.stream, !connection.last, connection.buffer.input()))
+    }
+
+    /// Another process may have this connection now: nothing is read or written here until it is known which of the two has it.
+    pub fn suspend(&mut self, ctx: &mut Ctx<'_>, token: usize) {
         ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
         ctx.deadlines.clear(Due::Conn(token, Alarm::More));
-        let mut connection = self.connections.remove(&token)?;
-        let _ = ctx.registry.deregister(&mut connection.stream);
-        Some((connection.stream, !connection.last))
+        if let Some(connection) = self.connections.get_mut(&token) {
+            let _ = ctx.registry.deregister(&mut connection.stream);
+        }
     }
 
-    /// Takes on a connection with a request that the other process had sent out.
-    pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, taken: Taken) {
-        let token = ctx.next_token();
-        self.open_as(ctx, stream, token);
+    /// Another process has the connection: it is let go of here, and not ended.
+    pub fn release(&mut self, token: usize) {
+        self.connections.remove(&token);
+    }
+
+    /// No other process has the connection: the request on it goes on here.
+    pub fn resume(&mut self, ctx: &mut Ctx<'_>, token: usize, transfer: Transfer) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        connection.fresh = false;
-        connection.last = !taken.keep_alive;
-        let Envelope { target, headers, body, .. } = taken.envelope;
-        let keep_alive = taken.keep_alive;
-        match job_of(ctx, Request { method: "POST".to_owned(), target, headers, body, keep_alive }) {
-            Ok(mut job) => {
-                job.patience = taken.expires.saturating_sub(ctx.now);
-                let out = (WorkerId(taken.hop), taken.sent);
-                connection.state = State::Waiting;
-                ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
-                ctx.desk.adopt(ctx.now, token, job, out, ctx.deadlines);
+        let both = Interest::READABLE | Interest::WRITABLE;
+        if let Err(error) = ctx.registry.register(&mut connection.stream, Token(token), both) {
+            note!("watching a client connection again: {error}");
+        }
+        match transferred(ctx, &transfer) {
+            Ok(job) => ctx.desk.adopt(ctx.now, token, job, &transfer.history, ctx.deadlines),
+            Err(Reject(status)) => {
+                connection.state = State::Reading;
+                self.reply(ctx, token, status, &[], b"");
             }
-            Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
         }
     }
 
+    /// Takes on a connection with a request that another process has worked on.
+    ///
+    /// # Errors
+    /// The request is none that this process can take; its connection is not touched.
+    pub fn adopt(&mut self, ctx: &mut Ctx<'_>, stream: TcpStream, transfer: Transfer) -> Result<(), Reject> {
+        let job = transferred(ctx, &transfer)?;
+        if ctx.desk.knows(&job.name) {
+            return Err(Reject(409));
+        }
+        let token = ctx.next_token();
+        self.open_as(ctx, stream, token);
+        let connection = self.connections.get_mut(&token).ok_or(Reject(503))?;
+        connection.fresh = false;
+        connection.last = !transfer.keep_alive;
+        connection.state = State::Waiting;
+        connection.buffer = Buffer::with_input(&transfer.unread);
+        ctx.deadlines.clear(Due::Conn(token, Alarm::Late));
+        ctx.desk.adopt(ctx.now, token, job, &transfer.history, ctx.deadlines);
+        Ok(())
+    }
+
     /// Gives the final answer to the request of a connection.
     pub fn answer(&mut self, ctx: &mut Ctx<'_>, token: usize, answer: Answer) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
@@ -521,6 +539,13 @@
     }
 }
 
+/// A request that another process has worked on, as the desk takes it, if its class is known here.
+fn transferred(ctx: &Ctx<'_>, transfer: &Transfer) -> Result<Job<Payload>, Reject> {
+    let Envelope { target, headers, body, .. } = transfer.envelope.clone();
+    let keep_alive = transfer.keep_alive;
+    job_of(ctx, Request { method: "POST".to_owned(), target, headers, body, keep_alive })
+}
+
 /// A client's request as the desk takes it, if it is one.
 fn job_of(ctx: &Ctx<'_>, request: Request) -> Result<Job<Payload>, Reject> {
     let path = request.path().to_owned();
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/kin.rs
@@ -8,14 +8,14 @@
 use crate::log::note;
 use crate::net::Ctx;
 use crate::net::core::buffer::{Buffer, Filled};
-use crate::net::core::envelope::Envelope;
+use crate::net::core::transfer::{AnyTransfer, Transfer};
 use calicolb::api::Micros;
 use calicolb::wire::Names;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -49,7 +49,11 @@
     /// What the module tells itself on the other side.
     Load(Vec<u8>),
     /// A request that goes on at the heir. Its client's connection comes along with this word.
-    Bequest(Box<Bequest>),
+    Bequest(Box<AnyTransfer>),
+    /// The heir goes on with the request of this name, and answers it.
+    Adopted(String),
+    /// The heir cannot go on with the request of this name: it stays where it was.
+    Declined(String),
     /// An operator wants clients sent away (`true`), or welcomed again.
     Drain(bool),
 }
@@ -59,6 +63,9 @@
 pub struct Handover {
     /// The list of next hops, and its version.
     pub routes: Update,
+    /// The elder's clock as this was written; an elder of before does not tell it.
+    #[serde(default)]
+    pub clock: Option<Micros>,
     /// How long ago discovery confirmed that list; `None`: never, or the process is one that does not tell.
     #[serde(default)]
     pub confirmed_us_ago: Option<u64>,
@@ -90,19 +97,6 @@
     }
 }
 
-/// A request that an elder sent out and will not live to answer.
-#[derive(Serialize, Deserialize)]
-pub struct Bequest {
-    pub envelope: Envelope,
-    /// Another request may follow on its connection.
-    pub keep_alive: bool,
-    /// The next hop that took it, and when it was sent there.
-    pub hop: u32,
-    pub sent: Micros,
-    /// When its client leaves.
-    pub expires: Micros,
-}
-
 /// Which of the two others is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -124,7 +118,7 @@
 }
 
 /// Reads what comes on a link, and the descriptors that come along: a plain read would drop them.
-struct Mail<'a>(&'a UnixStream, &'a mut VecDeque<OwnedFd>);
+struct Mail<'a>(&'a UnixStream, &'a mut VecDeque<Option<OwnedFd>>);
 
 impl Read for Mail<'_> {
     fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
@@ -134,9 +128,13 @@
         let got = recvmsg(self.0, &mut into, &mut along, RecvFlags::CMSG_CLOEXEC)?;
         for message in along.drain() {
             if let RecvAncillaryMessage::ScmRights(descriptors) = message {
-                self.1.extend(descriptors);
+                self.1.extend(descriptors.map(Some));
             }
         }
+        if got.flags.contains(ReturnFlags::CTRUNC) {
+            // One came for which this process had no room: its word comes with none, and not with the next one's.
+            self.1.push_back(None);
+        }
         Ok(got.bytes)
     }
 }
@@ -150,7 +148,10 @@
     heir: Option<Link>,
     /// Connections that have come along, in the order of their words. Kept apart from the link: its last words may
     /// come together with its end.
-    passed: VecDeque<OwnedFd>,
+    passed: VecDeque<Option<OwnedFd>>,
+    /// By how much the elder's clock is ahead of this one's: the most that its words have shown, since each of them was
+    /// under way for some time.
+    ahead: Option<i64>,
 }
 
 impl Kin {
@@ -259,19 +260,26 @@
 
     /// The next connection that came along with a word.
     pub fn passed(&mut self) -> Option<TcpStream> {
-        let descriptor = self.passed.pop_front()?;
+        let descriptor = self.passed.pop_front()??;
         Some(TcpStream::from_std(descriptor.into()))
     }
 
-    /// Leaves a request to the heir, with its client's connection; tells whether that could be done.
-    pub fn bequeath(&mut self, stream: &TcpStream, bequest: Bequest) -> bool {
+    /// The heir has taken all that was written to it, so that a request can be sent to it with its client's connection.
+    pub fn can_transfer(&mut self) -> bool {
         let Some(link) = &mut self.heir else { return false };
-        let Ok(mut line) = serde_json::to_vec(&Word::Bequest(Box::new(bequest))) else { return false };
-        line.push(b'\n');
         // What waits goes first, or the connection would come along with another word.
-        if !matches!(link.buffer.flush(&mut link.stream), Ok(true)) {
+        matches!(link.buffer.flush(&mut link.stream), Ok(true))
+    }
+
+    /// Sends a request to the heir, with its client's connection; tells whether that could be done.
+    pub fn transfer(&mut self, stream: &TcpStream, transfer: &Transfer) -> bool {
+        let transfer = AnyTransfer::Whole(transfer.clone());
+        let Ok(mut line) = serde_json::to_vec(&Word::Bequest(Box::new(transfer))) else { return false };
+        line.push(b'\n');
+        if !self.can_transfer() {
             return false;
         }
+        let Some(link) = &mut self.heir else { return false };
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut along = SendAncillaryBuffer::new(&mut space);
         let descriptors = [stream.as_fd()];
@@ -288,6 +296,12 @@
         }
     }
 
+    /// The elder's clock showed this as it spoke; gives by how much it is ahead of this one's.
+    pub fn hear_clock(&mut self, now: Micros, told: Micros) -> i64 {
+        let shown = told.cast_signed() - now.cast_signed();
+        *self.ahead.insert(self.ahead.map_or(shown, |ahead| ahead.max(shown)))
+    }
+
     fn link(&mut self, side: Side) -> Option<&mut Link> {
         match side {
             Side::Elder => self.elder.as_mut(),
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -13,19 +13,20 @@
 use crate::net::gearman::Gearman;
 use crate::net::http::Http;
 use crate::net::http::call_back::call_back;
-use crate::net::http::client::{Clients, Taken};
+use crate::net::http::client::Clients;
 use crate::net::http::next_hop::NextHops;
 use crate::net::operators::door::{CALLS, Door, Order};
 use crate::net::operators::drain::{Drain, PARTING, Why};
 use crate::net::platform::control::Control;
 use crate::net::platform::inherit;
-use crate::net::platform::kin::{Bequest, Handover, Kin, Listed, PATIENCE, Side, Word};
+use crate::net::platform::kin::{Handover, Kin, Listed, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
 use crate::net::protocol::{Protocol, Shares, Wish};
 use crate::net::{Audience, Ctx};
 use calicolb::api::{Class, ListKind, Micros, WorkerId};
 use calicolb::wire::Names;
+use calicolb_shutdown::Grace;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token};
 use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -42,14 +43,6 @@
 const MEETING: Token = Token(4);
 /// Numbers above this one are for connections.
 const FIRST: usize = 15;
-/// SIGKILL comes so long after SIGTERM at the soonest, beyond the longest patience of a client, ...
-const KILL_MARGIN: Micros = 700_000;
-/// ... of which no more than this counts.
-const KILL_PATIENCE: Micros = 3_000_000;
-/// What is taken after SIGTERM is answered this long before SIGKILL may come.
-const LAST_ANSWER: Micros = 200_000;
-/// What is still out this long before SIGKILL may come is left to the process that took over.
-const BEQUEATH: Micros = 600_000;
 /// The address for datagrams is tried again after this time, where another process may still have it.
 const PEERS_AGAIN: Micros = 100_000;
 /// Descriptors for the log, the poll, the listener, the signals, discovery and the like.
@@ -102,7 +95,11 @@
     /// Clients were served already: a list of next hops was known that could be acted on, or none was to be had soon.
     begun: bool,
     /// From SIGTERM to the earliest SIGKILL.
-    grace: Micros,
+    grace: Grace,
+    /// SIGTERM has come.
+    ending: Option<Ending>,
+    /// Requests on their way to the successor.
+    transfers: Transfers,
     /// The program ends however long the answers take.
     patient: bool,
     /// It runs under an operator file.
@@ -134,6 +131,8 @@
         let hops = NextHops::new(config.settings.limits.connect_timeout, config.conn_idle, 0);
         let mut turn = Turn {
             grace: grace(&config.settings.classes),
+            ending: None,
+            transfers: Transfers::default(),
             rank: config.settings.rank,
             desk: Desk::new(config.settings, config.seed, clock.now(), 0),
             poll,
@@ -202,7 +201,9 @@
         let confirmed_ago = handover.as_ref().and_then(|handover| handover.confirmed_us_ago);
         let (known, drained) = match handover {
             Some(handover) => {
-                ctx.desk.inherit(renewal::placed(handover.knowledge, &handover.names, ctx.names, now));
+                let ahead = handover.clock.map_or(0, |clock| parts.kin.hear_clock(now, clock));
+                let knowledge = renewal::placed(handover.knowledge, &handover.names, ctx.names, now);
+                ctx.desk.inherit(renewal::on_clock(knowledge, ahead));
                 (Some(handover.routes), handover.drained)
             }
             None => (known, false),
@@ -333,6 +334,7 @@
         // What the elder still has out needs its call-backs, and they come to whoever listens: here.
         self.drain.last()
             && self.desk.owed() == 0
+            && self.transfers.is_empty()
             && self.http.at_rest(now)
             && self.others.iter().all(|other| other.at_rest(now))
             && (self.retired || !self.desk.any_elsewhere())
@@ -443,7 +445,7 @@
                 note!("the elder says nothing");
                 self.begin(now, None);
             }
-            Due::Bequeath => self.bequeath(now),
+            Due::OpenRequests => self.settle_open_requests(now),
             Due::PeersAgain => {
                 if let Err(error) = self.open_peers(now) {
                     note!("hearing schedulers: {error}");
@@ -507,9 +509,8 @@
 }
 
 /// From SIGTERM to the earliest SIGKILL, where clients of these classes may be waiting.
-fn grace(classes: &[Class]) -> Micros {
-    let patience = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    patience.min(KILL_PATIENCE) + KILL_MARGIN
+fn grace(classes: &[Class]) -> Grace {
+    Grace::new(classes.iter().map(|class| class.deadline).max().unwrap_or(0))
 }
 
 /// How many descriptors of these may go to clients and to next hops, beside the program's own, and how many
@@ -564,4 +565,8 @@
 mod shutdown;
 #[cfg(test)]
 mod tests;
+mod transfers;
 mod upgrade;
+
+use shutdown::Ending;
+use transfers::Transfers;
--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -11,6 +11,9 @@
 use serde_json::Value;
 use std::time::Instant;
 
+/// Two clocks that differ by less show the same time: what a word between two processes takes is no difference.
+const SAME_CLOCK: u64 = 1_000_000;
+
 impl Turn {
     /// SIGHUP: the configuration is read again. The addresses of discovery and of the other schedulers are taken up, and
     /// of the settings all that may change, or, where something cannot, nothing. What the module knows, and all that is
@@ -104,6 +107,11 @@
     }
 }
 
+/// What the process before learned, by this process's clock. `ahead`: by how much the other clock is ahead.
+pub(super) fn on_clock(knowledge: Value, ahead: i64) -> Value {
+    if ahead.unsigned_abs() < SAME_CLOCK { knowledge } else { Dispatcher::on_clock(knowledge, -ahead) }
+}
+
 /// What another process learned, by the places that classes and tenants have here: there they may have come and gone in
 /// another order.
 pub(super) fn placed(knowledge: Value, told: &Option<Listed>, names: &Names, now: Micros) -> Value {
--- a/src/net/turn/upgrade.rs
+++ b/src/net/turn/upgrade.rs
@@ -1,7 +1,10 @@
 //! An upgrade: two processes are one scheduler for a while. What the other one says, and what follows from its coming and
 //! going.
 
+use super::transfers::Pending;
 use super::*;
+use crate::net::core::desk::ClientId;
+use crate::net::core::transfer::{AnyTransfer, Transfer};
 
 impl Turn {
     /// An heir has come: it takes what comes from now on, and what was taken here is answered here.
@@ -17,6 +20,7 @@
         parts.kin.stop_listening();
         let handover = Handover {
             routes: parts.routes.list(),
+            clock: Some(now),
             confirmed_us_ago: parts.routes.confirmed_ago(now),
             knowledge: ctx.desk.hand_over(),
             names: Some(Listed::new(ctx.names)),
@@ -28,6 +32,7 @@
             parts.drain.part();
         }
         self.share_out(now);
+        self.settle_open_requests(now);
     }
 
     /// The other process has gone. Where it had taken over, this one takes clients again.
@@ -41,6 +46,9 @@
             Side::Elder => self.begin(now, None),
             // Also near its own end: call-backs for what is still out would reach nobody.
             Side::Heir if self.retired => {
+                for pending in self.transfers.take_back() {
+                    self.take_back(now, pending);
+                }
                 self.retired = false;
                 let opened = self.open_peers(now);
                 let (mut ctx, parts) = self.split(now);
@@ -53,23 +61,68 @@
                 if let Err(error) = listening {
                     note!("taking clients again: {error}");
                 }
+                self.settle_open_requests(now);
             }
             Side::Heir => {}
         }
     }
 
-    /// Leaves to the heir what would still be out when SIGKILL comes: long jobs that a next hop has taken. Their
-    /// call-backs come to the address that both share, so all that answering takes is the client's connection.
-    pub(super) fn bequeath(&mut self, now: Micros) {
+    /// The successor takes requests now, this one too, and the connection of its client can be passed on.
+    pub(super) fn can_transfer(&mut self, number: u32, client: ClientId) -> bool {
+        let passable = self.http.clients.for_transfer(client).is_some();
+        let wanted = self.desk.name(number).is_some_and(|name| self.transfers.may_send(name));
+        passable && wanted && self.kin.can_transfer()
+    }
+
+    /// Sends a request to the successor, with all that is known of its attempts and with its client's connection. Call-backs
+    /// of its workers come to the address that both processes share.
+    pub(super) fn transfer(&mut self, now: Micros, number: u32, client: ClientId) {
+        let Some((name, envelope, history)) = self.desk.history(number) else { return };
+        let Some((stream, keep_alive, unread)) = self.http.clients.for_transfer(client) else { return };
+        let (envelope, unread) = ((*envelope).clone(), unread.to_vec());
+        let transfer = Transfer { envelope, keep_alive, unread, history, clock: now };
+        if !self.kin.transfer(stream, &transfer) {
+            return note!(request = number, "a request could not be sent to the next process yet");
+        }
+        note!(
+            request = number,
+            attempts = transfer.history.attempts.len(),
+            "a request moves to the next process"
+        );
+        self.desk.moved(number);
         let (mut ctx, parts) = self.split(now);
-        let left = ctx.desk.bequeath();
-        note!("{} requests are left to the next process", left.len());
-        for (client, hop, sent, expires, request) in left {
-            let Some((stream, keep_alive)) = parts.http.clients.release(&mut ctx, client) else { continue };
-            let envelope = (*request).clone();
-            if !parts.kin.bequeath(&stream, Bequest { envelope, keep_alive, hop: hop.0, sent, expires }) {
-                note!("a request could not be left to the next process");
-            }
+        parts.http.clients.suspend(&mut ctx, client);
+        self.transfers.sent(name, client, transfer);
+    }
+
+    /// A request that was sent to the successor goes on here.
+    fn take_back(&mut self, now: Micros, pending: Pending) {
+        note!("a request comes back from the next process");
+        let (mut ctx, parts) = self.split(now);
+        parts.http.clients.resume(&mut ctx, pending.client, pending.transfer);
+        for body in pending.call_backs {
+            // Answered already, where it came in.
+            let _ = call_back(&mut ctx, body.as_bytes());
+        }
+    }
+
+    /// The predecessor sends a request, with its client's connection.
+    fn take_over(&mut self, now: Micros, transfer: AnyTransfer) {
+        let stream = self.kin.passed();
+        let ahead = match &transfer {
+            AnyTransfer::Whole(whole) => self.kin.hear_clock(now, whole.clock),
+            AnyTransfer::Taken(_) => 0,
+        };
+        let (transfer, answers) = transfer.received(ahead);
+        let name = transfer.envelope.name.clone();
+        let (mut ctx, parts) = self.split(now);
+        let taken = stream.is_some_and(|stream| parts.http.clients.adopt(&mut ctx, stream, transfer).is_ok());
+        if !taken {
+            note!("a request of the process before this one cannot be taken over");
+        }
+        if answers {
+            let word = if taken { Word::Adopted(name) } else { Word::Declined(name) };
+            self.kin.say(Side::Elder, &word);
         }
     }
 
@@ -82,6 +135,9 @@
         }
         if ended {
             self.bereave(now, side);
+        } else if side == Side::Heir {
+            // It may have room for the next request by now.
+            self.settle_open_requests(now);
         }
     }
 
@@ -102,26 +158,36 @@
                 }
             }
             (Word::Load(body), Side::Elder) => self.desk.peer(self.rank, body),
-            (Word::Bequest(bequest), Side::Elder) => {
-                if let Some(stream) = self.kin.passed() {
-                    let (mut ctx, parts) = self.split(now);
-                    let Bequest { envelope, keep_alive, hop, sent, expires } = *bequest;
-                    let taken = Taken { envelope, keep_alive, hop, sent, expires };
-                    parts.http.clients.adopt(&mut ctx, stream, taken);
+            (Word::Bequest(transfer), Side::Elder) => self.take_over(now, *transfer),
+            (Word::Adopted(name), Side::Heir) => {
+                if let Some(pending) = self.transfers.adopted(&name) {
+                    self.http.clients.release(pending.client);
+                }
+            }
+            (Word::Declined(name), Side::Heir) => {
+                if let Some(pending) = self.transfers.declined(&name) {
+                    self.take_back(now, pending);
                 }
             }
             (Word::Drain(drained), Side::Heir) => self.heir_open = !drained,
             (Word::Drain(true), Side::Elder) => self.begin_drain(now, Why::Asked),
             (Word::Drain(false), Side::Elder) => drop(self.rejoin()),
-            (Word::Heir | Word::Handover(_) | Word::Load(_) | Word::Bequest(_), _) => {
-                note!("the {side:?} said what it may not")
-            }
+            (
+                Word::Heir
+                | Word::Handover(_)
+                | Word::Load(_)
+                | Word::Bequest(_)
+                | Word::Adopted(_)
+                | Word::Declined(_),
+                _,
+            ) => note!("the {side:?} said what it may not"),
         }
     }
 
     /// Tells the other process, if there is one, what concerns it.
     pub(super) fn tell_kin(&mut self) {
         let turnover = self.desk.turnover().into_iter();
+        self.strays.iter().for_each(|body| self.transfers.call_back(body));
         let names = turnover.map(|(name, open)| if open { Word::Opened(name) } else { Word::Closed(name) });
         let words: Vec<Word> =
             names.chain(std::mem::take(&mut self.strays).into_iter().map(Word::News)).collect();
--- a/tests/process_end.rs
+++ b/tests/process_end.rs
@@ -19,9 +19,9 @@
 /// So long an aim that a job may wait for a lane for the whole of a test.
 const PATIENT: (&str, &str) = ("/settings/request_classes/0/aim_us", "15000000");
 
-/// A job that runs at `h1`, and one that is held behind it.
+/// A job that runs at `h1`, by its hint for 10 s, and one that is held behind it.
 const RUNNING_AND_HELD: &str = r#"
-    send c1 POST /look Request-Id:a1 Request-Timeout:20 Work-Hint:1000
+    send c1 POST /look Request-Id:a1 Request-Timeout:20 Work-Hint:10000000
     expect h1 POST /look Request-Id:a1
     send h1 202 Connection:close
     send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
@@ -345,7 +345,7 @@
         true,
         &format!(
             r#"
-            send c1 POST /look Request-Id:a1 Request-Timeout:20 Work-Hint:1000
+            send c1 POST /look Request-Id:a1 Request-Timeout:20 Work-Hint:10000000
             expect h1 POST /look Request-Id:a1
             send h1 202 Connection:close
             send n1 POST /_jobs/news | {{"id":"a1","from":"h1","state":"started"}}
