Send held jobs to workers of their kind only

Symptom: a held job was offered to any worker whose lane came free, also of a kind that cannot run it, was turned away there and lost a try.

Change: usable asks for the kind.

--- a/crates/decisions/src/rules/admission.rs
+++ b/crates/decisions/src/rules/admission.rs
@@ -73,7 +73,9 @@
         let once = request.effect == Effect::Unsafe;
         let worker = &self.workers[at];
         let barred = worker.trust.on_trial(now) && (once || !worker.home || !worker.own.is_empty());
-        !barred && !self.avoids(now, at) && self.may_send(now, request, at)
+        let kind = self.settings.classes[request.class].kind;
+        let able = kind.is_none_or(|kind| kind.0 == worker.kind);
+        able && !barred && !self.avoids(now, at) && self.may_send(now, request, at)
     }
 
     /// Tries the workers of the job's range, its cohort's first, then the neighbouring ranges' and a few others: the first
