Let no witness confirm the list between a move of discovery and the next own word

Cause: ListClock::confirm raised told whatever ListClock::moved had cut it to.

Change: a moved clock takes no witness's word until discovery has spoken to this process itself; a witness that does not count is no confirmation (Verdict::Nothing). That discovery could be reached still cuts the time.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -101,6 +101,8 @@
     told: Option<Micros>,
     /// Since the list was confirmed discovery may have been reachable: a refused call proves nothing of that time.
     silent: bool,
+    /// Discovery is to be had elsewhere, and has not spoken from there yet: what others heard may be of the old place.
+    moved: bool,
 }
 
 impl ListClock {
@@ -119,6 +121,7 @@
             confirmed: None,
             told,
             silent: true,
+            moved: false,
         }
     }
 
@@ -158,6 +161,7 @@
     pub fn heard(&mut self, now: Micros) {
         self.state = State::Told(now);
         self.received = now;
+        self.moved = false;
         self.confirm(now);
     }
 
@@ -166,13 +170,18 @@
         self.received = now;
     }
 
-    /// The list was complete at this time, as somebody knows who has the same list.
-    pub fn confirm(&mut self, at: Micros) {
+    /// The list was complete at this time, as somebody knows who has the same list; tells whether that counts. After a move
+    /// of discovery it does not before the next own word.
+    pub fn confirm(&mut self, at: Micros) -> bool {
+        if self.moved {
+            return false;
+        }
         if self.confirmed.is_none_or(|confirmed| at >= confirmed) {
             self.confirmed = Some(at);
             self.silent = false;
         }
         self.told = self.told.max(Some(at + MISSED));
+        true
     }
 
     /// Discovery could be reached by somebody at this time, after the list was last confirmed: what it had by then counts
@@ -201,6 +210,7 @@
     /// Discovery is to be had elsewhere from now on. What is there counts soon; what was missed before, no later for it.
     pub fn moved(&mut self, now: Micros) {
         self.told = self.told.map(|told| told.min(now + MOVED));
+        self.moved = true;
         self.state = State::Broken(now);
         self.called = None;
     }
--- a/crates/freshness/src/witness.rs
+++ b/crates/freshness/src/witness.rs
@@ -151,8 +151,7 @@
             return Verdict::Nothing;
         }
         if digest == own {
-            clock.confirm(at);
-            return Verdict::Confirmed;
+            return if clock.confirm(at) { Verdict::Confirmed } else { Verdict::Nothing };
         }
         clock.reachable(at);
         Verdict::Behind
