Test that every scheduler has a share of the workers of its zone

Cause, from a trial that logs the choice at each refusal: cohort 37 (ranks 274 to 281, zone 5, 22 workers there) is dealt no worker, 'home 0 near 22 far 170'. Dispatcher::deal_workers draws a place among the cohorts of all zones and takes the next one of the worker's zone with room: nearly all draws meet the first of the zone, which fill up in their order. Ruled out by the same lines: trust, the demand test, lanes in use, a stale list.

The test is red: rank 275, with 6 workers in its zone.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -341,3 +341,38 @@
     let mut bench = Bench::with_workers(settings, &[11]);
     assert_eq!(sends(&bench.arrive(1, 0, 10 * MS)).len(), 1);
 }
+
+/// What happens: a few schedulers refuse nearly all that they get, from their first request on and with idle workers all
+/// around (zone+mass, head-office-stock, seed 4: n274, n275 and n280 refuse 64 of 77, 70 of 90 and 262 of 343, `NoCapacity`).
+/// Why: their cohort holds no worker. Workers of a zone were dealt to the first of its cohorts, in their order, behind a place
+/// that was drawn among the cohorts of all zones; those before were filled up, and none was left for the last one. The log line
+/// that showed it, at the first refusal of n280: `REF zone 5 … ["home 0 near 22 far 170"] HOMES [] … cohort Some(37)`; the
+/// workers of others are sent to only after a report, which is old by the next job.
+#[test]
+fn every_scheduler_has_a_share_of_the_workers_of_its_zone_however_few_these_are() {
+    const ZONES: u32 = 6;
+    const RANKS: u32 = 300;
+    let zone_of = |rank: u32| rank * ZONES / RANKS;
+    // 192 workers, with 6 to 50 of them in the last zone.
+    for few in [6, 13, 22, 50] {
+        let place = |nr: u32| if nr < few { ZONES - 1 } else { nr % (ZONES - 1) };
+        let listed = |nr: u32| Member {
+            zone: ZoneIx(place(nr) as usize),
+            ..member((nr + 1).wrapping_mul(2_654_435_761))
+        };
+        let workers: Vec<Member> = (0..192).map(listed).collect();
+        for rank in 0..RANKS {
+            let mut settings = settings();
+            (settings.instances, settings.rank, settings.limits.peers) = (RANKS, rank, true);
+            (settings.zones, settings.zone) = (ZONES as usize, ZoneIx(zone_of(rank) as usize));
+            settings.limits.probes = true;
+            let mut bench = Bench::new(settings);
+            for other in (0..RANKS).filter(|&other| other != rank) {
+                bench.tell(Event::Peer { from: other, body: vec![1, zone_of(other) as u8, 0] });
+            }
+            bench.members(ListKind::Saved, workers.clone());
+            let sent = sends(&bench.arrive(1, 0, 10 * MS));
+            assert_eq!(sent.len(), 1, "rank {rank} in zone {} of {few} workers", zone_of(rank));
+        }
+    }
+}
