Deal every cohort an even part of its zone's workers

Change: Dispatcher::deal_workers draws a place among the cohorts of the worker's own zone, fills each to the whole part of the even share first, then to that rounded up, then any cohort with room as before. A bound on the number of cohorts by workers was tried and taken out: with one cold worker for twenty schedulers nobody sent anything (tests/cold.rs).

--- a/crates/decisions/src/rules/dealing.rs
+++ b/crates/decisions/src/rules/dealing.rs
@@ -21,24 +21,34 @@
     }
 
     /// Deals the workers out to the cohorts, by the list alone: what each dispatcher has learned by itself must not
-    /// count, or they would not agree on whose a worker is. Every cohort gets an even part of every kind.
+    /// count, or they would not agree on whose a worker is. Every cohort gets an even part of every kind, and within a zone
+    /// an even part of the zone's.
     pub(super) fn deal_workers(&mut self) {
         let on = (0..).zip(&self.workers).filter(|(_, worker)| worker.standing == Standing::On);
         let mut order: Vec<_> = on.map(|(at, worker)| (worker.kind, worker.id, at)).collect();
         order.sort_unstable();
-        let (mut taken, mut dealt) = (vec![0_usize; self.cohorts.len()], 0);
+        let all: Vec<usize> = (0..self.cohorts.len()).collect();
+        let of_zone = |zone: usize| {
+            let near =
+                |&cohort: &usize| self.cohorts[cohort].0.is_none_or(|there| usize::from(there) == zone);
+            all.iter().copied().filter(near).collect::<Vec<usize>>()
+        };
+        let near: Vec<Vec<usize>> = (0..self.settings.zones.max(1)).map(of_zone).collect();
+        let (mut taken, mut dealt) = (vec![0_usize; all.len()], 0);
+        let mut dealt_near = vec![0_usize; near.len()];
         for kind in order.chunk_by(|a, b| a.0 == b.0) {
             dealt += kind.len();
-            let cap = dealt.div_ceil(self.cohorts.len());
+            let most = dealt.div_ceil(all.len());
+            kind.iter().for_each(|&(_, _, at)| dealt_near[self.workers[at].zone.0] += 1);
             for &(_, id, at) in kind {
-                // From a place drawn by the id, the next cohort with room, of the worker's zone if there is one:
-                // shares are even, few jobs cross zones, and little moves as workers come and go.
-                let zone = Some(self.workers[at].zone.0 as u8);
+                let zone = self.workers[at].zone.0;
+                let here = &near[zone];
+                let part = dealt_near[zone] as f64 / here.len().max(1) as f64;
+                let bounds = [(here, part.floor() as usize), (here, part.ceil() as usize), (&all, most)];
                 let draw = mix(u64::from(id.0), 0) as usize;
-                let all = (0..self.cohorts.len()).map(|by| (draw + by) % self.cohorts.len());
-                let same = |&cohort: &usize| self.cohorts[cohort].0.is_none_or(|there| Some(there) == zone);
-                let room = |&cohort: &usize| taken[cohort] < cap;
-                let to = all.clone().filter(same).find(room).or_else(|| all.clone().find(room)).unwrap_or(0);
+                let place =
+                    |(list, bound): (&Vec<usize>, usize)| next_with_room(list, draw, &taken, bound.min(most));
+                let to = bounds.into_iter().find_map(place).unwrap_or(0);
                 taken[to] += 1;
                 self.workers[at].cohort = to;
                 self.workers[at].home = self.cohorts[to].1.contains(&self.settings.rank);
@@ -120,3 +130,11 @@
         self.maps[need].ranges = ranges;
     }
 }
+
+/// From a place drawn by the id, the next of these cohorts that has taken less than `bound`: shares are even, and little moves
+/// as workers come and go.
+fn next_with_room(cohorts: &[usize], draw: usize, taken: &[usize], bound: usize) -> Option<usize> {
+    let first = draw % cohorts.len().max(1);
+    let ring = cohorts.iter().cycle().skip(first).take(cohorts.len());
+    ring.copied().find(|&cohort| taken[cohort] < bound)
+}
