Test that refused calls give a list no more time where schedulers may not talk

Symptom: found by reading (docs/freshness.md, docs/ROADMAP.md, open); on real processes after 16 calls that discovery refused, 8 s or more after the last word, a request still goes to h1, where 6 s and the grace of 0.5 s are allowed. Cause: ListClock::broke takes each refusal for an outage; on the wire a crowd and an outage look alike (a 503 after a wait, a reset), and without talk no other scheduler can say that discovery was reached.

--- a/tests/list.rs
+++ b/tests/list.rs
@@ -536,3 +536,63 @@
         "#
     ));
 }
+
+/// What happens: where schedulers may not talk, discovery is back and has a drain, and refuses this one scheduler again and
+/// again as one caller too many. It goes on sending to the worker that drains, where a change counts as told 6 s after
+/// discovery had it and could be reached. Why: a refusal of a crowd and one of an outage look alike on the wire (a 503 after a
+/// wait), `ListClock::broke` takes each for an outage and moves the end of the lease on, and nobody is there to say otherwise.
+/// The figure: after 16 refusals, 8 s or more after the last word with 6.5 s allowed, the request is still sent to `h1`.
+#[test]
+fn where_nobody_may_talk_calls_that_are_refused_give_the_list_no_more_time() {
+    let settings = [
+        ("/settings/request_classes/0/aim_us", "15000000"),
+        ("/settings/rules/drain_grace_us", "500000"),
+        ("/settings/ceilings/probes", "false"),
+        ("/settings/ceilings/peers", "false"),
+    ];
+    Setup { settings: &settings, ..Setup::default() }.play(
+        r#"
+        expect d GET /discovery/hosts?watch=1&from=41
+        send d watch
+        send d chunk \n
+        close d
+        mark
+        expect d.2 GET /discovery/hosts?watch=1&from=41
+        send d.2 503
+        expect d.3 GET /discovery/hosts?watch=1&from=41
+        send d.3 503
+        expect d.4 GET /discovery/hosts?watch=1&from=41
+        send d.4 503
+        expect d.5 GET /discovery/hosts?watch=1&from=41
+        send d.5 503
+        expect d.6 GET /discovery/hosts?watch=1&from=41
+        send d.6 503
+        expect d.7 GET /discovery/hosts?watch=1&from=41
+        send d.7 503
+        expect d.8 GET /discovery/hosts?watch=1&from=41
+        send d.8 503
+        expect d.9 GET /discovery/hosts?watch=1&from=41
+        send d.9 503
+        expect d.10 GET /discovery/hosts?watch=1&from=41
+        send d.10 503
+        expect d.11 GET /discovery/hosts?watch=1&from=41
+        send d.11 503
+        expect d.12 GET /discovery/hosts?watch=1&from=41
+        send d.12 503
+        expect d.13 GET /discovery/hosts?watch=1&from=41
+        send d.13 503
+        expect d.14 GET /discovery/hosts?watch=1&from=41
+        send d.14 503
+        expect d.15 GET /discovery/hosts?watch=1&from=41
+        send d.15 503
+        expect d.16 GET /discovery/hosts?watch=1&from=41
+        send d.16 503
+        expect d.17 GET /discovery/hosts?watch=1&from=41
+        send d.17 503
+        after 6700
+        send c1 POST /look Request-Id:a1 Request-Timeout:20
+        expect c1 503
+        none h1
+        "#,
+    );
+}
