--- a/crates/decisions/src/rules/talk.rs
+++ b/crates/decisions/src/rules/talk.rs
@@ -60,15 +60,15 @@
     }
 
     pub(super) fn on_peer(&mut self, now: Micros, from: u32, body: &[u8]) {
-        let kin = from == self.settings.rank;
+        let own_rank = from == self.settings.rank;
         let said = peer::read(body).filter(|_| from < MOST_RANKS);
         // There are as many dispatchers as that at least.
-        if said.is_some() && !kin && self.company.hear(now, from) {
+        if said.is_some() && !own_rank && self.company.hear(now, from) {
             self.know.zones.resize(self.company.size() as usize, None);
             self.maps_stale = true;
         }
         let load = match said {
-            Some(Said::Greeting { zone, asks }) if usize::from(zone) < self.settings.zones && !kin => {
+            Some(Said::Greeting { zone, asks }) if usize::from(zone) < self.settings.zones && !own_rank => {
                 self.maps_stale |= self.know.zones[from as usize].replace(zone) != Some(zone);
                 // One that has just started does not know where this one stands.
                 if asks {
@@ -81,14 +81,14 @@
                 // What is heard may keep a part of the workers idle, not most of them.
                 let on = self.workers.iter().filter(|worker| worker.standing == Standing::On).count();
                 let heard = strikes == 0 || self.avoided(now) * 4 <= on;
-                let Some(&at) = self.index.get(&worker).filter(|_| heard && !kin) else { return };
+                let Some(&at) = self.index.get(&worker).filter(|_| heard && !own_rank) else { return };
                 return self.workers[at].trust.hear(now, from, strikes, self.rng.f64());
             }
             Some(Said::Load(load)) => load,
             _ => return,
         };
         let Some(&at) = self.index.get(&load.worker) else { return };
-        if let Some(speed) = load.ln_speed.filter(|_| !kin) {
+        if let Some(speed) = load.ln_speed.filter(|_| !own_rank) {
             self.learn_speed(at, self.speed(at).ln() - speed);
         }
         let peers = &mut self.workers[at].peers;
@@ -100,7 +100,7 @@
         if load.lanes == 0 && before.is_some() {
             self.offer(now, at);
         }
-        if kin {
+        if own_rank {
             self.tell_peers(now, at, None);
         }
     }
@@ -112,13 +112,13 @@
             return;
         }
         let (worker, rank) = (&self.workers[at], self.settings.rank);
-        let kin = worker.told(now).find(|peer| peer.from == rank);
-        let lanes = worker.busy() + kin.map_or(0, |kin| kin.lanes);
+        let own_rank = worker.told(now).find(|peer| peer.from == rank);
+        let lanes = worker.busy() + own_rank.map_or(0, |own_rank| own_rank.lanes);
         let span = |end: Option<Micros>| end.unwrap_or(now).saturating_sub(now);
         let ends = worker.own.iter().map(|own| own.end);
-        let soonest = span(ends.clone().chain(kin.map(|kin| kin.soonest)).min());
-        let latest = span(ends.chain(kin.map(|kin| kin.latest)).max());
-        let cold = self.cold_sent(now, at) + kin.map_or(0.0, |kin| kin.cold);
+        let soonest = span(ends.clone().chain(own_rank.map(|own_rank| own_rank.soonest)).min());
+        let latest = span(ends.chain(own_rank.map(|own_rank| own_rank.latest)).max());
+        let cold = self.cold_sent(now, at) + own_rank.map_or(0.0, |own_rank| own_rank.cold);
         let body = peer::load(&Load { worker: worker.id, lanes, soonest, latest, cold, ln_speed });
         if self.succeeded {
             return self.out.push(Action::Tell { to: Some(rank), body });
--- a/crates/hollow/src/troubles.rs
+++ b/crates/hollow/src/troubles.rs
@@ -200,25 +200,25 @@
 
     /// The process of a scheduler hands over to the next.
     fn restart(&mut self, rank: u32) {
-        let Some(elder) = self.alive(rank) else { return };
-        let told = &mut self.processes[elder as usize];
+        let Some(predecessor) = self.alive(rank) else { return };
+        let told = &mut self.processes[predecessor as usize];
         let (knowledge, next, confirmed) = (told.hand_over(), told.next(), told.confirmed());
         let list = self.discovery.list();
-        let heir = self.new_process(rank);
-        self.with(heir, |heir, _| {
-            heir.inherit(knowledge, next);
-            heir.warm(&list, confirmed);
+        let successor = self.new_process(rank);
+        self.with(successor, |successor, _| {
+            successor.inherit(knowledge, next);
+            successor.warm(&list, confirmed);
         });
-        self.begin_learning(heir);
-        self.settle(elder);
+        self.begin_learning(successor);
+        self.settle(predecessor);
         let (term, grace) = (self.now, self.grace());
         let kill = grace.kill;
-        self.processes[elder as usize].stop(term + grace.last_answer());
+        self.processes[predecessor as usize].stop(term + grace.last_answer());
         for look in 0..kill / LOOK {
-            let settles = Step::Settles { process: elder, term };
+            let settles = Step::Settles { process: predecessor, term };
             self.lay(term + look * LOOK, Happening::Trouble(settles));
         }
-        self.lay(term + kill, Happening::Trouble(Step::Killed(elder)));
+        self.lay(term + kill, Happening::Trouble(Step::Killed(predecessor)));
     }
 
     /// From SIGTERM to SIGKILL, which comes as early as it may.
--- a/crates/hollow/src/world/tasks.rs
+++ b/crates/hollow/src/world/tasks.rs
@@ -125,8 +125,8 @@
 
     pub(super) fn news(&mut self, mut process: u32, mut id: AttemptId, news: News) {
         // What a process left to the one that took over is told to that one.
-        while let Some(&(heir, there)) = self.processes[process as usize].moved.get(&id) {
-            (process, id) = (heir, there);
+        while let Some(&(successor, there)) = self.processes[process as usize].moved.get(&id) {
+            (process, id) = (successor, there);
         }
         self.with(process, |process, now| match news {
             News::Started => process.note(id, Note::Started),
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -34,7 +34,7 @@
     /// The operators' door is tried again after descriptors ran out.
     Door,
     /// The process before this one has not handed over in time.
-    Elder,
+    Predecessor,
     /// The address for datagrams was taken, and is tried again.
     PeersAgain,
     /// After SIGTERM: what is owed to the requests that are open is looked at again.
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -3,6 +3,6 @@
 mod call;
 pub mod control;
 pub mod inherit;
-pub mod kin;
 pub mod peers;
 pub mod route_set;
+pub mod upgrade;
--- a/src/net/platform/kin.rs
+++ b/src/net/platform/upgrade.rs
@@ -1,6 +1,6 @@
-//! The kin: the other process of the same scheduler while one is upgraded to the next. They share the clients'
+//! The link between the two processes of a scheduler while one is upgraded to the next. They share the clients'
 //! socket and `$TMPDIR`, and talk over a Unix socket there, one line of JSON a message. The process that was
-//! there before is the elder, the one that takes its place the heir.
+//! there before is the predecessor, the one that takes its place the successor.
 //!
 //! Nothing here decides anything: what a message means is the turn's business.
 
@@ -27,7 +27,7 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 
-/// The elder has this long to hand over. One that is dead or silent must not keep the heir from serving.
+/// The predecessor has this long to hand over. One that is dead or silent must not keep the successor from serving.
 pub const PATIENCE: Micros = 1_000_000;
 /// Where a link that brings more than this in one message, or leaves so much unread, is cut.
 const LIMIT: usize = 4 << 20;
@@ -36,9 +36,10 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Word {
-    /// The first word of an heir.
-    Heir,
-    /// The elder's answer: from now on the heir takes what comes.
+    /// The first word of a successor.
+    #[serde(rename = "heir")]
+    Successor,
+    /// The predecessor's answer: from now on the successor takes what comes.
     Handover(Box<Handover>),
     /// A request of this name is open here.
     Opened(String),
@@ -48,22 +49,23 @@
     News(String),
     /// What the module tells itself on the other side.
     Load(Vec<u8>),
-    /// A request that goes on at the heir. Its client's connection comes along with this word.
-    Bequest(Box<AnyTransfer>),
-    /// The heir goes on with the request of this name, and answers it.
+    /// A request that goes on at the successor. Its client's connection comes along with this word.
+    #[serde(rename = "bequest")]
+    Transfer(Box<AnyTransfer>),
+    /// The successor goes on with the request of this name, and answers it.
     Adopted(String),
-    /// The heir cannot go on with the request of this name: it stays where it was.
+    /// The successor cannot go on with the request of this name: it stays where it was.
     Declined(String),
     /// An operator wants clients sent away (`true`), or welcomed again.
     Drain(bool),
 }
 
-/// What an heir gets.
+/// What a successor gets.
 #[derive(Serialize, Deserialize)]
 pub struct Handover {
     /// The list of next hops, and its version.
     pub routes: Update,
-    /// The elder's clock as this was written; an elder of before does not tell it.
+    /// The predecessor's clock as this was written; a predecessor of before does not tell it.
     #[serde(default)]
     pub clock: Option<Micros>,
     /// How long ago discovery confirmed that list; `None`: never, or the process is one that does not tell.
@@ -71,7 +73,7 @@
     pub confirmed_us_ago: Option<u64>,
     /// What the module has learned, in its own words.
     pub knowledge: Value,
-    /// The names that its places stand for; an elder of before does not tell them.
+    /// The names that its places stand for; a predecessor of before does not tell them.
     #[serde(default)]
     pub names: Option<Listed>,
     /// The names of the requests that are open.
@@ -100,14 +102,14 @@
 /// Which of the two others is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    Elder,
-    Heir,
+    Predecessor,
+    Successor,
 }
 
 impl Side {
     /// The other one.
     pub fn other(self) -> Self {
-        if self == Side::Elder { Side::Heir } else { Side::Elder }
+        if self == Side::Predecessor { Side::Successor } else { Side::Predecessor }
     }
 }
 
@@ -141,36 +143,36 @@
 
 /// See the head of this file.
 #[derive(Default)]
-pub struct Kin {
+pub struct UpgradeLink {
     path: Option<PathBuf>,
     listener: Option<UnixListener>,
-    elder: Option<Link>,
-    heir: Option<Link>,
+    predecessor: Option<Link>,
+    successor: Option<Link>,
     /// Connections that have come along, in the order of their words. Kept apart from the link: its last words may
     /// come together with its end.
     passed: VecDeque<Option<OwnedFd>>,
-    /// By how much the elder's clock is ahead of this one's: the most that its words have shown, since each of them was
+    /// By how much the predecessor's clock is ahead of this one's: the most that its words have shown, since each of them was
     /// under way for some time.
     ahead: Option<i64>,
 }
 
-impl Kin {
-    /// `path`: where the two meet; without one there is no kin.
+impl UpgradeLink {
+    /// `path`: where the two meet; without one there is no other process.
     pub fn new(path: Option<PathBuf>) -> Self {
-        Kin { path, ..Kin::default() }
+        UpgradeLink { path, ..UpgradeLink::default() }
     }
 
-    /// Asks the elder, if there is one, to hand over; tells whether there is.
+    /// Asks the predecessor, if there is one, to hand over; tells whether there is.
     pub fn call(&mut self, ctx: &mut Ctx<'_>) -> bool {
         let Some(path) = &self.path else { return false };
         // A socket that nobody listens at any more was left by a process that has gone.
         let Ok(stream) = UnixStream::connect(path) else { return false };
-        self.elder = link(ctx, stream);
-        self.say(Side::Elder, &Word::Heir);
-        self.elder.is_some()
+        self.predecessor = link(ctx, stream);
+        self.say(Side::Predecessor, &Word::Successor);
+        self.predecessor.is_some()
     }
 
-    /// Begins to wait for an heir, in the place of whoever waited there before.
+    /// Begins to wait for a successor, in the place of whoever waited there before.
     pub fn listen(&mut self, registry: &Registry, token: Token) {
         let Some(path) = &self.path else { return };
         let bound = || {
@@ -186,41 +188,41 @@
         match bound() {
             Ok(listener) => self.listener = Some(listener),
             // Serving comes first; the next upgrade will find nobody to hand over.
-            Err(error) => note!("no heir can find this process: {}: {error}", path.display()),
+            Err(error) => note!("no successor can find this process: {}: {error}", path.display()),
         }
     }
 
-    /// An heir has been found: the next one will turn to it.
+    /// A successor has been found: the next one will turn to it.
     pub fn stop_listening(&mut self) {
         self.listener = None;
     }
 
-    /// Somebody connects, an heir perhaps. One at a time: there is one place to hand over.
+    /// Somebody connects, a successor perhaps. One at a time: there is one place to hand over.
     pub fn accept(&mut self, ctx: &mut Ctx<'_>) {
         while let Some(Ok((stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
-            self.heir = link(ctx, stream);
+            self.successor = link(ctx, stream);
         }
     }
 
     /// The connection is one of these.
     pub fn has(&self, token: usize) -> bool {
-        [&self.elder, &self.heir].into_iter().flatten().any(|link| link.token == token)
+        [&self.predecessor, &self.successor].into_iter().flatten().any(|link| link.token == token)
     }
 
     /// There is another process.
     pub fn any(&self) -> bool {
-        self.elder.is_some() || self.heir.is_some()
+        self.predecessor.is_some() || self.successor.is_some()
     }
 
     /// Something can be read or written; gives what was said, and whether the link has ended.
     pub fn ready(&mut self, ctx: &mut Ctx<'_>, token: usize) -> (Side, Vec<Word>, bool) {
-        let side = if self.elder.as_ref().is_some_and(|link| link.token == token) {
-            Side::Elder
+        let side = if self.predecessor.as_ref().is_some_and(|link| link.token == token) {
+            Side::Predecessor
         } else {
-            Side::Heir
+            Side::Successor
         };
         let mut words = Vec::new();
-        let link = if side == Side::Elder { &mut self.elder } else { &mut self.heir };
+        let link = if side == Side::Predecessor { &mut self.predecessor } else { &mut self.successor };
         let Some(link) = link else { return (side, words, false) };
         let mut sound = link.buffer.flush(&mut link.stream).is_ok();
         let filled = link.buffer.fill(&mut Mail(&link.stream, &mut self.passed), LIMIT);
@@ -264,22 +266,22 @@
         Some(TcpStream::from_std(descriptor.into()))
     }
 
-    /// The heir has taken all that was written to it, so that a request can be sent to it with its client's connection.
+    /// The successor has taken all that was written to it, so that a request can be sent to it with its client's connection.
     pub fn can_transfer(&mut self) -> bool {
-        let Some(link) = &mut self.heir else { return false };
+        let Some(link) = &mut self.successor else { return false };
         // What waits goes first, or the connection would come along with another word.
         matches!(link.buffer.flush(&mut link.stream), Ok(true))
     }
 
-    /// Sends a request to the heir, with its client's connection; tells whether that could be done.
+    /// Sends a request to the successor, with its client's connection; tells whether that could be done.
     pub fn transfer(&mut self, stream: &TcpStream, transfer: &Transfer) -> bool {
         let transfer = AnyTransfer::Whole(transfer.clone());
-        let Ok(mut line) = serde_json::to_vec(&Word::Bequest(Box::new(transfer))) else { return false };
+        let Ok(mut line) = serde_json::to_vec(&Word::Transfer(Box::new(transfer))) else { return false };
         line.push(b'\n');
         if !self.can_transfer() {
             return false;
         }
-        let Some(link) = &mut self.heir else { return false };
+        let Some(link) = &mut self.successor else { return false };
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut along = SendAncillaryBuffer::new(&mut space);
         let descriptors = [stream.as_fd()];
@@ -296,7 +298,7 @@
         }
     }
 
-    /// The elder's clock showed this as it spoke; gives by how much it is ahead of this one's.
+    /// The predecessor's clock showed this as it spoke; gives by how much it is ahead of this one's.
     pub fn hear_clock(&mut self, now: Micros, told: Micros) -> i64 {
         let shown = told.cast_signed() - now.cast_signed();
         *self.ahead.insert(self.ahead.map_or(shown, |ahead| ahead.max(shown)))
@@ -304,15 +306,15 @@
 
     fn link(&mut self, side: Side) -> Option<&mut Link> {
         match side {
-            Side::Elder => self.elder.as_mut(),
-            Side::Heir => self.heir.as_mut(),
+            Side::Predecessor => self.predecessor.as_mut(),
+            Side::Successor => self.successor.as_mut(),
         }
     }
 
     fn cut(&mut self, ctx: &mut Ctx<'_>, side: Side) {
         let link = match side {
-            Side::Elder => self.elder.take(),
-            Side::Heir => self.heir.take(),
+            Side::Predecessor => self.predecessor.take(),
+            Side::Successor => self.successor.take(),
         };
         if let Some(mut link) = link {
             let _ = ctx.registry.deregister(&mut link.stream);
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -19,9 +19,9 @@
 use crate::net::operators::drain::{Drain, PARTING, Why};
 use crate::net::platform::control::Control;
 use crate::net::platform::inherit;
-use crate::net::platform::kin::{Handover, Kin, Listed, PATIENCE, Side, Word};
 use crate::net::platform::peers::Peers;
 use crate::net::platform::route_set::RouteSet;
+use crate::net::platform::upgrade::{Handover, Listed, PATIENCE, Side, UpgradeLink, Word};
 use crate::net::protocol::{Protocol, Shares, Wish};
 use crate::net::{Audience, Ctx};
 use calicolb::api::{Class, ListKind, Micros, WorkerId};
@@ -70,16 +70,16 @@
     control: Option<Control>,
     door: Option<Door>,
     drain: Drain,
-    kin: Kin,
+    upgrade: UpgradeLink,
     /// What the other process is to be told at the end of the turn.
     strays: Vec<String>,
     /// Datagrams for other schedulers, sent at the end of the turn.
     outbox: Vec<(Audience, Vec<u8>)>,
-    /// The list of next hops to begin with, while the elder is asked for a better one.
+    /// The list of next hops to begin with, while the predecessor is asked for a better one.
     waiting: Option<Option<Update>>,
-    /// An heir has taken over; and it takes clients.
+    /// A successor has taken over; and it takes clients.
     retired: bool,
-    heir_open: bool,
+    successor_open: bool,
     name: String,
     at: SocketAddr,
     rank: u32,
@@ -151,12 +151,12 @@
             control: config.control.map(|control| Control::new(control, &config.name, config.seed)),
             door,
             drain: Drain::default(),
-            kin: Kin::new(config.meeting.filter(|_| passed)),
+            upgrade: UpgradeLink::new(config.meeting.filter(|_| passed)),
             strays: Vec::new(),
             outbox: Vec::new(),
             waiting: Some(config.known),
             retired: false,
-            heir_open: false,
+            successor_open: false,
             name: config.name,
             at,
             passed,
@@ -175,8 +175,8 @@
             parts.others.push(Box::new(Gearman::new(&mut ctx, gearman)?));
         }
         let (mut ctx, parts) = turn.split(now);
-        if parts.kin.call(&mut ctx) {
-            ctx.deadlines.set(Due::Elder, now + PATIENCE);
+        if parts.upgrade.call(&mut ctx) {
+            ctx.deadlines.set(Due::Predecessor, now + PATIENCE);
             turn.share_out(now);
         } else {
             turn.start(now, None)?;
@@ -184,11 +184,11 @@
         Ok(turn)
     }
 
-    /// Begins to serve, with what the elder handed over, or else with the list of the configuration.
+    /// Begins to serve, with what the predecessor handed over, or else with the list of the configuration.
     fn start(&mut self, now: Micros, handover: Option<Handover>) -> io::Result<()> {
         if let Some(handover) = &handover {
-            // Also from an elder that was silent for too long: its open requests are still its own.
-            note!("{} requests are open at the elder", handover.open.len());
+            // Also from a predecessor that was silent for too long: its open requests are still its own.
+            note!("{} requests are open at the predecessor", handover.open.len());
             self.desk.share();
             handover.open.iter().for_each(|name| self.desk.elsewhere(name.clone(), true));
         }
@@ -197,11 +197,11 @@
         self.share_out(now);
         let appliance = self.appliance;
         let (mut ctx, parts) = self.split(now);
-        ctx.deadlines.clear(Due::Elder);
+        ctx.deadlines.clear(Due::Predecessor);
         let confirmed_ago = handover.as_ref().and_then(|handover| handover.confirmed_us_ago);
         let (known, drained) = match handover {
             Some(handover) => {
-                let ahead = handover.clock.map_or(0, |clock| parts.kin.hear_clock(now, clock));
+                let ahead = handover.clock.map_or(0, |clock| parts.upgrade.hear_clock(now, clock));
                 let knowledge = renewal::placed(handover.knowledge, &handover.names, ctx.names, now);
                 ctx.desk.inherit(renewal::on_clock(knowledge, ahead));
                 (Some(handover.routes), handover.drained)
@@ -219,7 +219,7 @@
         parts.routes.warm(&mut ctx, &mut parts.http.hops, known, confirmed_ago);
         parts.http.listen(&mut ctx)?;
         parts.others.iter_mut().try_for_each(|other| other.listen(&mut ctx))?;
-        parts.kin.listen(ctx.registry, MEETING);
+        parts.upgrade.listen(ctx.registry, MEETING);
         match parts.control {
             Some(control) => control.start(&mut ctx),
             // An operator file names no control machines.
@@ -245,7 +245,7 @@
                 let seed = self.clock.now() ^ u64::from(self.rank);
                 self.peers = Some(Peers::new(socket, config.each.clone(), config.all, self.rank, seed));
             }
-            // A silent elder still has it. Work does not hang on datagrams: they are let in when it has gone.
+            // A silent predecessor still has it. Work does not hang on datagrams: they are let in when it has gone.
             Err(error) if self.passed && error.kind() == io::ErrorKind::AddrInUse => {
                 self.deadlines.set(Due::PeersAgain, now + PEERS_AGAIN);
             }
@@ -256,7 +256,7 @@
 
     /// Deals the descriptors out. While two processes share the limit, each keeps to half of it.
     fn share_out(&mut self, now: Micros) {
-        let sockets = self.sockets / if self.kin.any() { 2 } else { 1 };
+        let sockets = self.sockets / if self.upgrade.any() { 2 } else { 1 };
         let own = OWN_SOCKETS + if self.door.is_some() { CALLS } else { 0 };
         let (shares, most_open) = shares(sockets, own);
         let most_open = most_open.min(self.most_open);
@@ -309,7 +309,7 @@
             self.learn(now);
             self.begun |= self.desk.known() > 0 && self.routes.serviceable(now);
             self.http.clients.open = self.begun && self.welcome();
-            self.tell_kin();
+            self.tell_other_process();
             self.tell_peers();
             done = if self.done(now) { done + 1 } else { 0 };
         }
@@ -327,11 +327,11 @@
 
     /// Clients are welcome, here or at the process that took over: the two are one scheduler.
     fn welcome(&self) -> bool {
-        if self.retired { self.heir_open } else { self.drain.open() }
+        if self.retired { self.successor_open } else { self.drain.open() }
     }
 
     fn done(&self, now: Micros) -> bool {
-        // What the elder still has out needs its call-backs, and they come to whoever listens: here.
+        // What the predecessor still has out needs its call-backs, and they come to whoever listens: here.
         self.drain.last()
             && self.desk.owed() == 0
             && self.transfers.is_empty()
@@ -361,7 +361,7 @@
             control: &mut self.control,
             door: &mut self.door,
             drain: &mut self.drain,
-            kin: &mut self.kin,
+            upgrade: &mut self.upgrade,
         };
         (ctx, parts)
     }
@@ -374,8 +374,8 @@
         match token {
             PEERS => parts.hear_peers(&mut ctx),
             DOOR => self.door_opens(now),
-            MEETING => parts.kin.accept(&mut ctx),
-            Token(token) if parts.kin.has(token) => self.kin_ready(now, token),
+            MEETING => parts.upgrade.accept(&mut ctx),
+            Token(token) if parts.upgrade.has(token) => self.link_ready(now, token),
             Token(token) if parts.routes.has(token) => {
                 parts.routes.ready(&mut ctx, &mut parts.http.hops, token);
             }
@@ -441,8 +441,8 @@
                 }
             }
             Due::Door => self.door_opens(now),
-            Due::Elder => {
-                note!("the elder says nothing");
+            Due::Predecessor => {
+                note!("the predecessor says nothing");
                 self.begin(now, None);
             }
             Due::OpenRequests => self.settle_open_requests(now),
@@ -475,7 +475,7 @@
             Work::Probe(hop) => parts.driver(hop).probe(&mut ctx, hop),
             // To the own rank: the process that took over counts it with its own.
             Work::Tell { to, body } if to == Some(rank) => {
-                self.kin.say(Side::Heir, &Word::Load(body));
+                self.upgrade.say(Side::Successor, &Word::Load(body));
             }
             Work::Tell { to, body } => {
                 if let Some(peers) = parts.peers {
@@ -534,7 +534,7 @@
     control: &'a mut Option<Control>,
     door: &'a mut Option<Door>,
     drain: &'a mut Drain,
-    kin: &'a mut Kin,
+    upgrade: &'a mut UpgradeLink,
 }
 
 impl Parts<'_> {
--- a/src/net/turn/orders.rs
+++ b/src/net/turn/orders.rs
@@ -32,9 +32,9 @@
                 let others = others.chain(self.control.iter().flat_map(|control| control.figures(now)));
                 self.desk.figures().write(self.names.classes(), present, others)
             }
-            // What this process no longer takes is the heir's to send away.
+            // What this process no longer takes is the successor's to send away.
             Some(Order::Lameduck | Order::Rejoin) if self.retired => {
-                self.kin.say(Side::Heir, &Word::Drain(order == Some(Order::Lameduck)));
+                self.upgrade.say(Side::Successor, &Word::Drain(order == Some(Order::Lameduck)));
                 "done\n".to_owned()
             }
             Some(Order::Lameduck) => {
--- a/src/net/turn/renewal.rs
+++ b/src/net/turn/renewal.rs
@@ -3,7 +3,7 @@
 use super::{Control, Turn};
 use crate::config::{Config, Fault, Renewal};
 use crate::log::note;
-use crate::net::platform::kin::Listed;
+use crate::net::platform::upgrade::Listed;
 use calicolb::api::Micros;
 use calicolb::renewal::merge;
 use calicolb::rules::Dispatcher;
--- a/src/net/turn/shutdown.rs
+++ b/src/net/turn/shutdown.rs
@@ -34,10 +34,10 @@
             self.desk.stop(now + self.grace.last_answer());
         }
         if why == Why::Ending && self.retired && !self.drain.ending() {
-            // Clients were parted with when the heir took over.
+            // Clients were parted with when the successor took over.
             self.drain.part();
         }
-        self.kin.say(Side::Elder, &Word::Drain(true));
+        self.upgrade.say(Side::Predecessor, &Word::Drain(true));
         if self.drain.begin(why) {
             note!("clients are sent away: {} requests are open", self.desk.owed());
             self.deadlines.set(Due::Farewell, now + PARTING.min(self.grace.kill * 3 / 5));
@@ -70,7 +70,7 @@
     pub(super) fn rejoin(&mut self) -> bool {
         let open = self.drain.rejoin();
         if open {
-            self.kin.say(Side::Elder, &Word::Drain(false));
+            self.upgrade.say(Side::Predecessor, &Word::Drain(false));
             note!("clients are welcome");
             self.deadlines.clear(Due::Farewell);
             self.http.stay();
--- a/src/net/turn/upgrade.rs
+++ b/src/net/turn/upgrade.rs
@@ -7,17 +7,17 @@
 use crate::net::core::transfer::{AnyTransfer, Transfer};
 
 impl Turn {
-    /// An heir has come: it takes what comes from now on, and what was taken here is answered here.
+    /// A successor has come: it takes what comes from now on, and what was taken here is answered here.
     pub(super) fn retire(&mut self, now: Micros) {
         note!("handing over to the next process: {} requests are open", self.desk.owed());
-        self.heir_open = !self.drain.asked();
+        self.successor_open = !self.drain.asked();
         self.retired = true;
-        // The heir needs the address.
+        // The successor needs the address.
         self.peers = None;
         let (mut ctx, parts) = self.split(now);
         parts.http.clients.stop_listening(&mut ctx);
         parts.http.farewell(&mut ctx);
-        parts.kin.stop_listening();
+        parts.upgrade.stop_listening();
         let handover = Handover {
             routes: parts.routes.list(),
             clock: Some(now),
@@ -27,7 +27,7 @@
             open: ctx.desk.share(),
             drained: parts.drain.asked(),
         };
-        parts.kin.say(Side::Heir, &Word::Handover(Box::new(handover)));
+        parts.upgrade.say(Side::Successor, &Word::Handover(Box::new(handover)));
         if parts.drain.ending() {
             parts.drain.part();
         }
@@ -38,14 +38,14 @@
     /// The other process has gone. Where it had taken over, this one takes clients again.
     pub(super) fn bereave(&mut self, now: Micros, side: Side) {
         note!("the {side:?} has gone");
-        if !self.kin.any() {
+        if !self.upgrade.any() {
             self.desk.alone();
         }
         self.share_out(now);
         match side {
-            Side::Elder => self.begin(now, None),
+            Side::Predecessor => self.begin(now, None),
             // Also near its own end: call-backs for what is still out would reach nobody.
-            Side::Heir if self.retired => {
+            Side::Successor if self.retired => {
                 for pending in self.transfers.take_back() {
                     self.take_back(now, pending);
                 }
@@ -57,13 +57,13 @@
                     parts.http.stay();
                 }
                 let listening = opened.and_then(|()| parts.http.listen(&mut ctx));
-                parts.kin.listen(ctx.registry, MEETING);
+                parts.upgrade.listen(ctx.registry, MEETING);
                 if let Err(error) = listening {
                     note!("taking clients again: {error}");
                 }
                 self.settle_open_requests(now);
             }
-            Side::Heir => {}
+            Side::Successor => {}
         }
     }
 
@@ -71,7 +71,7 @@
     pub(super) fn can_transfer(&mut self, number: u32, client: ClientId) -> bool {
         let passable = self.http.clients.for_transfer(client).is_some();
         let wanted = self.desk.name(number).is_some_and(|name| self.transfers.may_send(name));
-        passable && wanted && self.kin.can_transfer()
+        passable && wanted && self.upgrade.can_transfer()
     }
 
     /// Sends a request to the successor, with all that is known of its attempts and with its client's connection. Call-backs
@@ -81,7 +81,7 @@
         let Some((stream, keep_alive, unread)) = self.http.clients.for_transfer(client) else { return };
         let (envelope, unread) = ((*envelope).clone(), unread.to_vec());
         let transfer = Transfer { envelope, keep_alive, unread, history, clock: now };
-        if !self.kin.transfer(stream, &transfer) {
+        if !self.upgrade.transfer(stream, &transfer) {
             return note!(request = number, "a request could not be sent to the next process yet");
         }
         note!(
@@ -108,9 +108,9 @@
 
     /// The predecessor sends a request, with its client's connection.
     fn take_over(&mut self, now: Micros, transfer: AnyTransfer) {
-        let stream = self.kin.passed();
+        let stream = self.upgrade.passed();
         let ahead = match &transfer {
-            AnyTransfer::Whole(whole) => self.kin.hear_clock(now, whole.clock),
+            AnyTransfer::Whole(whole) => self.upgrade.hear_clock(now, whole.clock),
             AnyTransfer::Taken(_) => 0,
         };
         let (transfer, answers) = transfer.received(ahead);
@@ -122,20 +122,20 @@
         }
         if answers {
             let word = if taken { Word::Adopted(name) } else { Word::Declined(name) };
-            self.kin.say(Side::Elder, &word);
+            self.upgrade.say(Side::Predecessor, &word);
         }
     }
 
     /// The other process has spoken, or gone.
-    pub(super) fn kin_ready(&mut self, now: Micros, token: usize) {
+    pub(super) fn link_ready(&mut self, now: Micros, token: usize) {
         let (mut ctx, parts) = self.split(now);
-        let (side, words, ended) = parts.kin.ready(&mut ctx, token);
+        let (side, words, ended) = parts.upgrade.ready(&mut ctx, token);
         for word in words {
             self.said(now, side, word);
         }
         if ended {
             self.bereave(now, side);
-        } else if side == Side::Heir {
+        } else if side == Side::Successor {
             // It may have room for the next request by now.
             self.settle_open_requests(now);
         }
@@ -143,8 +143,8 @@
 
     pub(super) fn said(&mut self, now: Micros, side: Side, word: Word) {
         match (word, side) {
-            (Word::Heir, Side::Heir) => self.retire(now),
-            (Word::Handover(handover), Side::Elder) => self.begin(now, Some(*handover)),
+            (Word::Successor, Side::Successor) => self.retire(now),
+            (Word::Handover(handover), Side::Predecessor) => self.begin(now, Some(*handover)),
             (Word::Opened(name), _) => self.desk.elsewhere(name, true),
             (Word::Closed(name), _) => self.desk.elsewhere(name, false),
             (Word::News(body), _) => {
@@ -154,29 +154,29 @@
                 let _ = call_back(&mut ctx, body.as_bytes());
                 // Of three processes in a row the middle one passes on what is not its own, but never back.
                 for body in self.strays.split_off(before) {
-                    self.kin.say(side.other(), &Word::News(body));
+                    self.upgrade.say(side.other(), &Word::News(body));
                 }
             }
-            (Word::Load(body), Side::Elder) => self.desk.peer(self.rank, body),
-            (Word::Bequest(transfer), Side::Elder) => self.take_over(now, *transfer),
-            (Word::Adopted(name), Side::Heir) => {
+            (Word::Load(body), Side::Predecessor) => self.desk.peer(self.rank, body),
+            (Word::Transfer(transfer), Side::Predecessor) => self.take_over(now, *transfer),
+            (Word::Adopted(name), Side::Successor) => {
                 if let Some(pending) = self.transfers.adopted(&name) {
                     self.http.clients.release(pending.client);
                 }
             }
-            (Word::Declined(name), Side::Heir) => {
+            (Word::Declined(name), Side::Successor) => {
                 if let Some(pending) = self.transfers.declined(&name) {
                     self.take_back(now, pending);
                 }
             }
-            (Word::Drain(drained), Side::Heir) => self.heir_open = !drained,
-            (Word::Drain(true), Side::Elder) => self.begin_drain(now, Why::Asked),
-            (Word::Drain(false), Side::Elder) => drop(self.rejoin()),
+            (Word::Drain(drained), Side::Successor) => self.successor_open = !drained,
+            (Word::Drain(true), Side::Predecessor) => self.begin_drain(now, Why::Asked),
+            (Word::Drain(false), Side::Predecessor) => drop(self.rejoin()),
             (
-                Word::Heir
+                Word::Successor
                 | Word::Handover(_)
                 | Word::Load(_)
-                | Word::Bequest(_)
+                | Word::Transfer(_)
                 | Word::Adopted(_)
                 | Word::Declined(_),
                 _,
@@ -185,15 +185,15 @@
     }
 
     /// Tells the other process, if there is one, what concerns it.
-    pub(super) fn tell_kin(&mut self) {
+    pub(super) fn tell_other_process(&mut self) {
         let turnover = self.desk.turnover().into_iter();
         self.strays.iter().for_each(|body| self.transfers.call_back(body));
         let names = turnover.map(|(name, open)| if open { Word::Opened(name) } else { Word::Closed(name) });
         let words: Vec<Word> =
             names.chain(std::mem::take(&mut self.strays).into_iter().map(Word::News)).collect();
         for word in words {
-            self.kin.say(Side::Elder, &word);
-            self.kin.say(Side::Heir, &word);
+            self.upgrade.say(Side::Predecessor, &word);
+            self.upgrade.say(Side::Successor, &word);
         }
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -307,9 +307,9 @@
     send h1 202
     send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
     expect n1 200
-    start heir
-    send elder TERM
-    wait elder
+    start successor
+    send predecessor TERM
+    wait predecessor
     "#;
 
 #[test]
@@ -356,7 +356,7 @@
 fn a_predecessor_that_is_killed_between_its_messages_leaves_a_successor_that_serves() {
     // Held still before it can hand over, and killed: the successor begins with its own configuration.
     for held in [true, false] {
-        let (stop, after) = if held { ("send elder STOP", "") } else { ("", "send elder KILL") };
+        let (stop, after) = if held { ("send predecessor STOP", "") } else { ("", "send predecessor KILL") };
         play_passed(
             2,
             &format!(
@@ -365,7 +365,7 @@
                 expect h2 POST /book Request-Id:a1
                 send h2 202
                 {}
-                start heir
+                start successor
                 {after}
                 {}
                 send c2 POST /look Request-Id:a2 Request-Timeout:20
@@ -375,8 +375,8 @@
                 expect n2 200
                 expect c2 200 | r2
                 "#,
-                stop.replace("elder", "program"),
-                if held { "send elder KILL" } else { "" },
+                stop.replace("predecessor", "program"),
+                if held { "send predecessor KILL" } else { "" },
             ),
         );
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -568,41 +568,41 @@
 
 #[test]
 fn who_takes_over_knows_what_was_learned_and_what_is_still_out() {
-    let mut elder = Bench::with_workers(peer_settings(0), &[11]);
+    let mut predecessor = Bench::with_workers(peer_settings(0), &[11]);
     // Hints are three times too high there: that is learned.
     for nr in 0..40 {
-        elder.arrive(nr, 0, 300 * MS);
-        elder.now += 100 * MS;
-        elder.outcome(nr, 0, WorkerId(11), Ending::Ok);
+        predecessor.arrive(nr, 0, 300 * MS);
+        predecessor.now += 100 * MS;
+        predecessor.outcome(nr, 0, WorkerId(11), Ending::Ok);
     }
-    assert_eq!(sends(&elder.arrive(50, 1, 900 * MS)).len(), 1);
-    let knowledge = elder.dispatcher.knowledge();
-    let told = elder.tell(Event::Succeeded(true));
-    let to_kin = |actions: &[Action]| -> Vec<Vec<u8>> {
+    assert_eq!(sends(&predecessor.arrive(50, 1, 900 * MS)).len(), 1);
+    let knowledge = predecessor.dispatcher.knowledge();
+    let told = predecessor.tell(Event::Succeeded(true));
+    let to_own_rank = |actions: &[Action]| -> Vec<Vec<u8>> {
         let pick = |action: &Action| match action {
             Action::Tell { to: Some(0), body } => Some(body.clone()),
             _ => None,
         };
         actions.iter().filter_map(pick).collect()
     };
-    assert_eq!(to_kin(&told).len(), 1);
-    let now = elder.now;
+    assert_eq!(to_own_rank(&told).len(), 1);
+    let now = predecessor.now;
     let start = |knowledge: Option<serde_json::Value>| {
-        let mut heir = Bench::new(peer_settings(0));
-        heir.now = now;
-        knowledge.into_iter().for_each(|knowledge| drop(heir.tell(Event::Handed(knowledge))));
-        heir.members(ListKind::Saved, vec![member(11)]);
-        heir
+        let mut successor = Bench::new(peer_settings(0));
+        successor.now = now;
+        knowledge.into_iter().for_each(|knowledge| drop(successor.tell(Event::Handed(knowledge))));
+        successor.members(ListKind::Saved, vec![member(11)]);
+        successor
     };
-    // What the elder has there takes the only lane ...
-    let mut heir = start(Some(knowledge));
-    let shared = heir.tell(Event::Peer { from: 0, body: to_kin(&told)[0].clone() });
+    // What the predecessor has there takes the only lane ...
+    let mut successor = start(Some(knowledge));
+    let shared = successor.tell(Event::Peer { from: 0, body: to_own_rank(&told)[0].clone() });
     assert!(shared.iter().any(|action| matches!(action, Action::Tell { to: Some(1), .. })), "told on");
-    assert!(sends(&heir.arrive(1, 0, 300 * MS)).is_empty());
+    assert!(sends(&successor.arrive(1, 0, 300 * MS)).is_empty());
     // ... and when that is over, the job is sent at once, and taken to end when it will, not when its hint says.
-    let done = to_kin(&elder.outcome(50, 0, WorkerId(11), Ending::Ok));
-    heir.now += 10 * MS;
-    let actions = heir.tell(Event::Peer { from: 0, body: done[0].clone() });
+    let done = to_own_rank(&predecessor.outcome(50, 0, WorkerId(11), Ending::Ok));
+    successor.now += 10 * MS;
+    let actions = successor.tell(Event::Peer { from: 0, body: done[0].clone() });
     assert_eq!(sends(&actions), [(1, WorkerId(11))]);
     let end = |actions: &[Action]| {
         let told = actions.iter().rev().find_map(|action| match action {
@@ -619,10 +619,10 @@
 
 #[test]
 fn what_a_process_of_before_hands_on_is_taken() {
-    let mut elder = Bench::with_workers(settings(), &[11]);
-    elder.arrive(1, 0, 100 * MS);
+    let mut predecessor = Bench::with_workers(settings(), &[11]);
+    predecessor.arrive(1, 0, 100 * MS);
     // The version before counted no lanes by starts, and wrote the rate of work as two figures.
-    let mut handed = elder.dispatcher.knowledge();
+    let mut handed = predecessor.dispatcher.knowledge();
     assert!(handed[1][0]["sizes"].is_array() && handed[0][0].get("told").is_some(), "{handed}");
     let know = handed[2].as_object_mut().expect("it is an object");
     know.remove("work").expect("it is there");
@@ -631,10 +631,10 @@
     for kind in know["kinds"].as_array_mut().expect("it is a list") {
         kind.as_object_mut().and_then(|kind| kind.remove("counted")).expect("it is there");
     }
-    let mut heir = Bench::new(settings());
-    let actions = heir.tell(Event::Handed(handed));
+    let mut successor = Bench::new(settings());
+    let actions = successor.tell(Event::Handed(handed));
     assert!(actions.iter().all(|action| !matches!(action, Action::Log(_))), "{actions:?}");
-    assert_eq!(sends(&heir.arrive(2, 0, 100 * MS)), [(2, WorkerId(11))]);
+    assert_eq!(sends(&successor.arrive(2, 0, 100 * MS)), [(2, WorkerId(11))]);
 }
 
 #[test]
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -123,7 +123,7 @@
 
 #[test]
 fn of_two_processes_of_an_upgrade_each_keeps_the_time_of_its_own_watch() {
-    // The elder hears its agent; the heir, which takes what comes, does not: it sends nothing on an old list.
+    // The predecessor hears its agent; the successor, which takes what comes, does not: it sends nothing on an old list.
     play_pushed(
         1,
         true,
@@ -134,7 +134,7 @@
         send c1 POST /look Request-Id:a1 Request-Timeout:900
         expect h1 POST /look Request-Id:a1
         send h1 202
-        start heir
+        start successor
         send o2 raw PING\n
         expect o2 done
         expect d.2 GET /discovery/hosts?watch=1&from=42
--- a/tests/process_end.rs
+++ b/tests/process_end.rs
@@ -187,10 +187,10 @@
         &format!(
             r#"
             {RUNNING_AND_HELD}
-            start heir
+            start successor
             mark
-            send elder TERM
-            wait elder
+            send predecessor TERM
+            wait predecessor
             within 3700
             {RESULT}
             expect h1.2 POST /look Request-Id:a2
@@ -210,10 +210,10 @@
         &format!(
             r#"
             {SECOND_ATTEMPT}
-            start heir
+            start successor
             mark
-            send elder TERM
-            wait elder
+            send predecessor TERM
+            wait predecessor
             within 3700
             {RESULT}
             info scheduler.in_flight=0
@@ -231,8 +231,8 @@
             {TAKEN}
             mark
             send program TERM
-            start heir
-            wait elder
+            start successor
+            wait predecessor
             within 3700
             {RESULT}
             "#
@@ -247,9 +247,9 @@
         &format!(
             r#"
             {SECOND_ATTEMPT}
-            start heir
+            start successor
             mark
-            send elder TERM
+            send predecessor TERM
             send program TERM
             expect c1 500
             within 3700
@@ -266,15 +266,15 @@
         &format!(
             r#"
             {RUNNING_AND_HELD}
-            start heir
+            start successor
             mark
-            send elder TERM
-            wait elder
+            send predecessor TERM
+            wait predecessor
             within 3700
-            start heir
+            start successor
             mark
-            send elder TERM
-            wait elder
+            send predecessor TERM
+            wait predecessor
             within 3700
             {RESULT}
             expect h1.2 POST /look Request-Id:a2
@@ -298,10 +298,10 @@
         send n1 POST /_jobs/news | {"id":"a1","from":"h2","state":"started"}
         expect n1 200
         expect h1.2 DELETE /jobs/a1
-        start heir
+        start successor
         mark
-        send elder TERM
-        wait elder
+        send predecessor TERM
+        wait predecessor
         within 3700
         send n2 POST /_jobs/news | {"id":"a1","from":"h2","state":"lost"}
         expect n2 200
@@ -319,10 +319,10 @@
         &format!(
             r#"
             {TAKEN}
-            start heir
+            start successor
             send program STOP
             mark
-            send elder TERM
+            send predecessor TERM
             until 3300
             send program KILL
             {RESULT}
@@ -352,13 +352,13 @@
             expect n1 200
             {come}
             info scheduler.in_flight=41
-            start heir
+            start successor
             send program STOP
             mark
-            send elder TERM
+            send predecessor TERM
             until 2000
             send program CONT
-            wait elder
+            wait predecessor
             within 3700
             info scheduler.in_flight=41
             "#
@@ -375,13 +375,13 @@
             {TAKEN}
             set /settings/request_classes/1/name "buy"
             send file d
-            start heir
+            start successor
             mark
-            send elder TERM
+            send predecessor TERM
             expect c1 500
             after 3000
             within 3700
-            wait elder
+            wait predecessor
             "#
         ),
     );
@@ -402,10 +402,10 @@
                 expect n1 200
                 set /settings/request_classes/{place}/effect "{effect}"
                 send file d
-                start heir
+                start successor
                 mark
-                send elder TERM
-                wait elder
+                send predecessor TERM
+                wait predecessor
                 within 3700
                 send n2 POST /_jobs/news | {{"id":"a1","from":"h2","state":"lost"}}
                 expect n2 200
@@ -429,9 +429,9 @@
                     r#"
                     mark
                     {open}
-                    start heir {step}
-                    send elder TERM
-                    wait elder
+                    start successor {step}
+                    send predecessor TERM
+                    wait predecessor
                     {end}
                     after {least}
                     within {most}
@@ -454,8 +454,8 @@
                 expect h1 POST /look Request-Id:a1
                 send h1 500
                 expect c1 503
-                start heir {step}
-                send elder TERM
+                start successor {step}
+                send predecessor TERM
                 mark
                 until 4000
                 send c2 POST /look Request-Id:a2 Request-Timeout:9
@@ -478,10 +478,10 @@
             send h1 202 Connection:close
             send n1 POST /_jobs/news | {{"id":"a1","from":"h1","state":"started"}}
             expect n1 200
-            start heir
+            start successor
             mark
-            send elder TERM
-            wait elder
+            send predecessor TERM
+            wait predecessor
             within 3700
             {RESULT}
             expect h1.2 POST /look Request-Id:a2
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -296,7 +296,7 @@
         send c1 POST /fit Request-Id:a1 Request-Timeout:20 Work-Hint:100000
         expect h1 POST /fit Request-Id:a1
         send h1 202
-        start heir
+        start successor
         send n2 POST /_jobs/news | {{"id":"a1","from":"h1","state":"done","result":"r1"}}
         expect n2 200
         expect c1 200 | r1
--- a/tests/renewal.rs
+++ b/tests/renewal.rs
@@ -370,30 +370,31 @@
 
 #[test]
 fn what_was_learned_comes_to_the_places_that_classes_and_tenants_have_at_another_process() {
-    let mut elder = Bench::with_workers(two_tenants(10.0), &[1, 2]);
+    let mut predecessor = Bench::with_workers(two_tenants(10.0), &[1, 2]);
     for id in 0..20 {
-        elder.now += SECOND;
-        let sent = sends(&elder.arrive(id, 0, 200 * MS));
-        elder.now += 300 * MS;
-        elder.outcome(id, 0, sent[0].1, Ending::Ok);
+        predecessor.now += SECOND;
+        let sent = sends(&predecessor.arrive(id, 0, 200 * MS));
+        predecessor.now += 300 * MS;
+        predecessor.outcome(id, 0, sent[0].1, Ending::Ok);
     }
-    renew(&mut elder, |new| new.tenants[1].quota_per_s = 1.0);
-    let known = elder.dispatcher.knowledge();
+    renew(&mut predecessor, |new| new.tenants[1].quota_per_s = 1.0);
+    let known = predecessor.dispatcher.knowledge();
     // There the classes stand the other way round, with one between them, and one tenant has gone.
     let mut settings = two_tenants(10.0);
     settings.classes.push(class(Effect::Safe));
-    let mut heir = Bench::with_workers(settings, &[1, 2]);
-    let done = heir.tell(Event::Handed(known.clone()));
+    let mut successor = Bench::with_workers(settings, &[1, 2]);
+    let done = successor.tell(Event::Handed(known.clone()));
     assert!(matches!(&done[..], [Action::Log(line)] if line.contains("does not fit")), "{done:?}");
-    let placed = Dispatcher::placed(known.clone(), &[Some(1), None, Some(0)], &[Some(1), None], heir.now);
-    assert_eq!(heir.tell(Event::Handed(placed)), []);
-    let taken = heir.dispatcher.knowledge();
+    let placed =
+        Dispatcher::placed(known.clone(), &[Some(1), None, Some(0)], &[Some(1), None], successor.now);
+    assert_eq!(successor.tell(Event::Handed(placed)), []);
+    let taken = successor.dispatcher.knowledge();
     let class = |known: &Value, at: usize| known[2]["classes"][at].clone();
     assert_eq!((class(&taken, 0), class(&taken, 2)), (class(&known, 1), class(&known, 0)));
     assert_ne!(class(&taken, 2), class(&taken, 1), "nothing is known of the new one");
-    assert_eq!(tokens(&heir), [5.0, 3.0]);
+    assert_eq!(tokens(&successor), [5.0, 3.0]);
     // What is no knowledge stays what it is, and breaks nothing.
     for odd in [Value::Null, Value::from(7), serde_json::json!([[], [], {"classes": 7}])] {
-        assert_eq!(Dispatcher::placed(odd.clone(), &[Some(0)], &[], heir.now), odd);
+        assert_eq!(Dispatcher::placed(odd.clone(), &[Some(0)], &[], successor.now), odd);
     }
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,8 +9,8 @@
 //! * `restart program` kills it with SIGKILL and starts it again with the configuration as it is: nothing survives but that.
 //! * Where a scenario speaks for discovery neither at `d` nor at `d2`, both confirm the list by themselves, and the scenario
 //!   begins once the program has the list in force.
-//! * `start heir` starts the program again beside itself, where the clients' socket was passed to it: then `program`
-//!   and `o…` mean the new one, `elder` the old one (`wait elder`, `send elder TERM`). `start heir 3600`: its wall clock
+//! * `start successor` starts the program again beside itself, where the clients' socket was passed to it: then `program`
+//!   and `o…` mean the new one, `predecessor` the old one (`wait predecessor`, `send predecessor TERM`). `start successor 3600`: its wall clock
 //!   is so many seconds ahead of the other's, or behind it.
 //! * `up c1` asks for `/up` again and again until the answer is 200.
 //! * `mark` begins to count; `after MS` says that so much has passed since at least, `within MS` at most.
@@ -63,7 +63,7 @@
 pub struct World {
     program: Child,
     /// Those started before it, the last one last.
-    elders: Vec<Child>,
+    predecessors: Vec<Child>,
     log: Receiver<String>,
     heard: Vec<String>,
     at: SocketAddr,
@@ -290,7 +290,7 @@
         let conns = HashMap::new();
         let mut world = World {
             program,
-            elders: Vec::new(),
+            predecessors: Vec::new(),
             log,
             heard: Vec::new(),
             at: nowhere,
@@ -368,7 +368,7 @@
         if who == "program" {
             Ok(&mut self.program)
         } else {
-            self.elders.last_mut().ok_or("no elder".to_owned())
+            self.predecessors.last_mut().ok_or("no predecessor".to_owned())
         }
     }
 
@@ -451,7 +451,7 @@
 
     fn step(&mut self, verb: &str, who: &str, rest: &str) -> Result<(), String> {
         match (verb, who) {
-            ("send", "program" | "elder") => {
+            ("send", "program" | "predecessor") => {
                 if rest == "CONT" {
                     self.arrived()?;
                 }
@@ -511,9 +511,9 @@
                 (self.program, self.log) = run(&self.file, 1024, self.passed.as_ref(), "");
                 self.find()
             }
-            ("start", "heir") => {
+            ("start", "successor") => {
                 let (program, log) = run(&self.file, 1024, self.passed.as_ref(), rest);
-                self.elders.push(std::mem::replace(&mut self.program, program));
+                self.predecessors.push(std::mem::replace(&mut self.program, program));
                 // The old one goes on logging to nobody: it must not stop for that.
                 let old = std::mem::replace(&mut self.log, log);
                 thread::spawn(move || old.iter().for_each(drop));
@@ -577,7 +577,7 @@
                 accept(listener).map(drop)
             }
             ("expect", "program") => self.hear(rest).map(drop),
-            ("wait", "program" | "elder") => {
+            ("wait", "program" | "predecessor") => {
                 let since = Instant::now();
                 while since.elapsed() < LIMIT {
                     if let Some(status) = self.process(who)?.try_wait().map_err(|error| error.to_string())? {
@@ -682,7 +682,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        for process in self.elders.iter_mut().chain([&mut self.program]) {
+        for process in self.predecessors.iter_mut().chain([&mut self.program]) {
             let _ = process.kill();
             let _ = process.wait();
         }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -485,7 +485,7 @@
         expect c2 200
         send n0 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
         expect n0 200
-        start heir
+        start successor
         send o2 raw PING\n
         expect o2 done
         wait c2
@@ -502,9 +502,9 @@
         send n0 POST /_jobs/news | {"id":"a2","from":"h1","state":"done","result":"r2"}
         expect n0 200
         expect c4 200 | r2
-        send elder TERM
-        wait elder
-        expect program the Elder has gone
+        send predecessor TERM
+        wait predecessor
+        expect program the Predecessor has gone
         send c4 GET /up
         expect c4 200
         "#,
@@ -518,7 +518,7 @@
         r#"
         send o1 raw LAMEDUCK\n
         expect o1 done
-        start heir
+        start successor
         send o2 raw PING\n
         expect o2 done
         send c1 GET /up
@@ -539,14 +539,14 @@
         send c1 POST /book Request-Id:a1 Request-Timeout:20
         expect h1 POST /book Request-Id:a1
         send h1 202
-        start heir
+        start successor
         send program KILL
         send c2 GET /up
         expect c2 200
         send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
         expect n1 200
         expect c1 200 | r1
-        start heir
+        start successor
         send c3 POST /look Request-Id:a2 Request-Timeout:20
         expect h1.2 POST /look Request-Id:a2
         "#,
@@ -563,11 +563,11 @@
         expect h1 POST /book Request-Id:a1
         send h1 202
         send program STOP
-        start heir
+        start successor
         send c2 GET /up
         expect c2 200
-        send elder CONT
-        expect program requests are open at the elder
+        send predecessor CONT
+        expect program requests are open at the predecessor
         send c2 POST /look Request-Id:a1 Request-Timeout:20
         expect c2 409
         send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
@@ -579,17 +579,17 @@
 
 #[test]
 fn what_the_elder_will_not_live_to_answer_is_answered_by_the_heir() {
-    // A job that runs for longer than the elder has: its caller and its call-backs go on with the heir.
+    // A job that runs for longer than the predecessor has: its caller and its call-backs go on with the successor.
     play_passed(
         1,
         r#"
         send c1 POST /book Request-Id:a1 Request-Timeout:20
         expect h1 POST /book Request-Id:a1
         send h1 202
-        start heir
-        send elder TERM
-        wait elder
-        expect program the Elder has gone
+        start successor
+        send predecessor TERM
+        wait predecessor
+        expect program the Predecessor has gone
         send c2 POST /look Request-Id:a1 Request-Timeout:20
         expect c2 409
         send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
@@ -603,25 +603,25 @@
 
 #[test]
 fn an_heir_that_ends_too_waits_for_what_the_elder_still_has_out() {
-    // Both get SIGTERM: the elder's call-backs come to the heir, which has nothing left to do itself.
+    // Both get SIGTERM: the predecessor's call-backs come to the successor, which has nothing left to do itself.
     play_passed(
         1,
         r#"
         send c1 POST /book Request-Id:a1 Request-Timeout:20
         expect h1 POST /book Request-Id:a1
         send h1 202
-        start heir
+        start successor
         send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"started"}
         expect n1 200
         send c2 GET /up
         expect c2 200
-        send elder TERM
+        send predecessor TERM
         send program TERM
         wait c2
         send n1 POST /_jobs/news | {"id":"a1","from":"h1","state":"done","result":"r1"}
         expect n1 200
         expect c1 200 | r1
-        wait elder
+        wait predecessor
         wait program
         "#,
     );
