--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -381,6 +381,15 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Ending::Full | Ending::Unreachable | Ending::Moot)
     }
+
+    /// What is known of an attempt that ended so. `running`: it may still be running at its worker.
+    pub fn state(self, running: bool) -> AttemptState {
+        match running {
+            _ if self.never_ran() => AttemptState::NeverRan,
+            true => AttemptState::MayRun,
+            false => AttemptState::MayHaveRan,
+        }
+    }
 }
 
 /// News of an attempt that is still out.
--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -220,9 +220,7 @@
         let own = self.workers[at].own.swap_remove(nr);
         let mut speed = None;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let ran = if running { AttemptState::MayRun } else { AttemptState::MayHaveRan };
-        let state = if ending.never_ran() { AttemptState::NeverRan } else { ran };
-        request.attempts[attempt as usize].state = state;
+        request.attempts[attempt as usize].state = ending.state(running);
         request.done |= concluded;
         let (class, hint) = (request.class, request.hint);
         match ending {
--- a/src/net/core/desk/end_of_process.rs
+++ b/src/net/core/desk/end_of_process.rs
@@ -58,9 +58,7 @@
     /// How far it has come.
     fn progress(&self) -> shutdown::Attempt {
         match self.ending {
-            Some(ending) if ending.never_ran() => shutdown::Attempt::Over(AttemptState::NeverRan),
-            Some(_) if self.loose => shutdown::Attempt::Over(AttemptState::MayRun),
-            Some(_) => shutdown::Attempt::Over(AttemptState::MayHaveRan),
+            Some(ending) => shutdown::Attempt::Over(ending.state(self.loose)),
             None if self.unwanted => shutdown::Attempt::CallingOff { written: self.written_at.is_some() },
             None if self.taken => shutdown::Attempt::Taken,
             None if self.written_at.is_some() => shutdown::Attempt::Written,
