Review case 3: the job begins before its attempt is given up

The case showed a job that still waited at the worker whose 202 was lost. Now the job begins before the scheduler closes the connection, and the worker's call 'started' is answered with 200: the second attempt goes to the same worker, where the first one runs.

--- a/review/standins/src/bin/case3.rs
+++ b/review/standins/src/bin/case3.rs
@@ -12,7 +12,7 @@
 /// How long answers of workers are lost. The pages name 6 s.
 const LOSS: Duration = Duration::from_millis(200);
 /// For how long the slot of the worker that is chosen first is taken by a job of another scheduler.
-const OCCUPIED: Duration = Duration::from_millis(2_000);
+const OCCUPIED: Duration = Duration::from_millis(300);
 
 fn main() {
     run_case(case)
@@ -28,7 +28,7 @@
         let plan = WorkerPlan {
             name,
             room: 8,
-            run_time: Duration::from_millis(300),
+            run_time: Duration::from_millis(1_500),
             callback_wait: Duration::from_secs(2),
         };
         let worker = Worker::start(plan, listener, listen, &ledger, record).map_err(io)?;
@@ -56,7 +56,7 @@
         id: format!("c0ffee00000002{number:02}"),
         class: "durum-sorgu",
         timeout: 5.0,
-        hint: 400_000,
+        hint: 1_500_000,
         body: format!("query {number}"),
     };
     // The first job shows that the scheduler serves, and which of the two equal workers it takes first.
