--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -611,6 +611,8 @@
     child: Child,
     pub listen: SocketAddr,
     log: PathBuf,
+    /// Holds the process's id while it runs, for the script to end it if the case is ended from outside.
+    pid_file: PathBuf,
 }
 
 /// What the platform tells a scheduler.
@@ -661,8 +663,9 @@
             .stderr(err)
             .spawn()
             .map_err(|error| fail("the scheduler", error))?;
-        let _ = fs::write(tmp.join("scheduler.pid"), child.id().to_string());
-        Ok(Scheduler { child, listen: *listen, log })
+        let pid_file = tmp.join("scheduler.pid");
+        let _ = fs::write(&pid_file, child.id().to_string());
+        Ok(Scheduler { child, listen: *listen, log, pid_file })
     }
 
     /// Waits until `GET /up` returns 200, for 15 s at most.
@@ -694,6 +697,7 @@
 
 impl Drop for Scheduler {
     fn drop(&mut self) {
+        let _ = fs::remove_file(&self.pid_file);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
