--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -55,9 +55,13 @@
         record.line(&format!("network    answers to callbacks are lost for {LOSS:?}"));
         callbacks.lose_answers(true);
     }
+    let (network_record, trouble) = (Arc::clone(record), setting.trouble);
     let network = thread::spawn(move || {
         thread::sleep(LOSS);
         callbacks.lose_answers(false);
+        if trouble {
+            network_record.line("network    answers to callbacks get through again");
+        }
         callbacks
     });
     let job = Job {
--- a/review/standins/src/bin/case3.rs
+++ b/review/standins/src/bin/case3.rs
@@ -73,9 +73,13 @@
         record.line(&format!("network    answers of workers are lost for {LOSS:?}"));
         networks.iter().for_each(|network| network.lose_answers(true));
     }
+    let (network_record, trouble) = (Arc::clone(record), setting.trouble);
     let network = thread::spawn(move || {
         thread::sleep(LOSS);
         networks.iter().for_each(|network| network.lose_answers(false));
+        if trouble {
+            network_record.line("network    answers of workers get through again");
+        }
         networks
     });
     let _answer = submit(record, listen, &job(1));
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -400,11 +400,12 @@
 
     fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let mut unread = Vec::new();
+        let (mut unread, mut carried) = (Vec::new(), None);
         while let Some(message) = read_message(&mut stream, &mut unread) {
             let answer: &[u8] = match message.first.split(' ').next() {
                 Some("POST") => {
                     self.take(&message);
+                    carried = Some(message.header("request-id").to_owned());
                     b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
                 }
                 Some("DELETE") => {
@@ -415,9 +416,12 @@
                 _ => b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
             };
             if stream.write_all(answer).is_err() {
-                return;
+                break;
             }
         }
+        if let Some(id) = carried {
+            self.record.line(&format!("{:10} the connection that {id} came by has ended", self.name));
+        }
     }
 
     /// Takes a job: it waits for the slot, or, if the waiting room is full, is handed back unstarted.
