Measure the iterations of the event loop: a log line and two figures

INFO now has scheduler.event_loop.longest_iteration_us and .slow_iterations, and each iteration over 50 ms, the time that the operators allow each limit on sockets, is logged.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -8,6 +8,7 @@
 use crate::net::core::counters::Gauges;
 use crate::net::core::deadlines::{Deadline, Deadlines};
 use crate::net::core::envelope::Payload;
+use crate::net::core::iteration::IterationStatistics;
 use crate::net::core::request_table::{AttemptId, Command, RequestTable};
 use crate::net::core::worker_registry::WorkerSource;
 use crate::net::gearman::Gearman;
@@ -34,7 +35,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Token of the listening socket for clients.
 const CLIENT_LISTENER: usize = 0;
@@ -61,6 +62,7 @@
     clock: Clock,
     names: Names,
     deadlines: Deadlines,
+    iterations: IterationStatistics,
     request_table: RequestTable<Payload>,
     last_token: usize,
     signals: Signals,
@@ -160,6 +162,7 @@
             clock,
             names: config.names,
             deadlines: Deadlines::default(),
+            iterations: IterationStatistics::default(),
             last_token: LAST_RESERVED_TOKEN,
             signals,
             http: Http { clients: ClientConnections::new(listener, CLIENT_LISTENER), upstream },
@@ -330,7 +333,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
-            let now = self.clock.now();
+            let (now, started) = (self.clock.now(), Instant::now());
             for event in &events {
                 self.handle_ready(now, event.token());
             }
@@ -353,6 +356,9 @@
             self.notify_other_process();
             self.send_peer_datagrams();
             finished_iterations = if self.is_finished(now) { finished_iterations + 1 } else { 0 };
+            if let Some(duration) = self.iterations.record(started) {
+                log_line!(warn: ms = duration.as_millis() as u64, "an iteration of the event loop took too long");
+            }
         }
         Ok(())
     }
