Bound the work of an iteration: connections are read in turns

Cause: ClientConnections::read went on as long as a peer filled the buffer with requests that are answered at once, for one connection after the other. Nothing bounded an iteration of the event loop over all connections, and readiness is edge-triggered, so input that is left needs a wake-up of its own.

Change: an iteration is to take 50 ms at most (core/iteration.rs). Connections that peers opened, HTTP and Gearman, wait in a queue (core/input_queue.rs), each for one turn an iteration: 16 messages, read 16 KiB at a time. No turn begins after 10 ms of the iteration, but for four. A connection with more input goes to the backlog, which yields to connections that have just become ready and gets every fourth turn. It keeps the poll from waiting, counts as busy in a drain, and is not closed to make room. The same cause elsewhere: a watch of discovery or of control machines is read 2 MiB an iteration; control machines serve their connections in turns; the link between two processes has a wake-up for what a read leaves; accepting takes 5 ms at most.

Why it works: the time for input is measured on the monotonic clock between turns, and a turn has a bounded size, so what peers send no longer decides when deadlines, callbacks and signals are seen. A client with one request does not wait behind the backlog.

--- a/src/net/control/inbound.rs
+++ b/src/net/control/inbound.rs
@@ -140,6 +140,9 @@
                 let outcome = connection.buffer.fill(&mut connection.stream, max_request_bytes(body_limit));
                 if connection.phase != Phase::Responding {
                     connection.buffer.consume(usize::MAX / 2);
+                    if outcome == FillOutcome::LimitReached {
+                        io.input_queue.push_backlog(token);
+                    }
                 }
                 if outcome == FillOutcome::Closed {
                     self.close(io, token);
@@ -340,6 +343,7 @@
         let Some(mut connection) = self.connections.remove(&token) else { return };
         self.open_watches -= usize::from(connection.phase == Phase::Watching);
         let _ = io.registry.deregister(&mut connection.stream);
+        io.input_queue.remove(token);
         io.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
         io.deadlines.clear(Deadline::Connection(token, ConnectionTimer::OfferTimeout));
     }
--- a/src/net/control/machine.rs
+++ b/src/net/control/machine.rs
@@ -12,6 +12,8 @@
 use crate::log::log_line;
 use crate::net::core::clock::Clock;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline, Deadlines};
+use crate::net::core::input_queue::InputQueue;
+use crate::net::core::iteration::{INPUT_TIME, MAX_MESSAGES_PER_TURN};
 use calicolb::api::Micros;
 use calicolb_consensus::store::FileStore;
 use calicolb_consensus::{Change, Document, Outcome, ProposeError, Ticket, Voter};
@@ -20,6 +22,7 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook_mio::v1_0::Signals;
 use std::io;
+use std::time::{Duration, Instant};
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
@@ -52,6 +55,8 @@
     clock: Clock,
     signals: Signals,
     deadlines: Deadlines,
+    /// Connections whose input waits to be processed.
+    input_queue: InputQueue,
     last_token: usize,
     pub(super) inbound: InboundConnections,
     pub(super) learners: Learners,
@@ -104,6 +109,7 @@
             registry,
             signals,
             deadlines: Deadlines::default(),
+            input_queue: InputQueue::default(),
             last_token: LAST_RESERVED_TOKEN,
             inbound: InboundConnections::new(listener, config.max_learners),
             learners: Learners::new(2 * config.max_learners),
@@ -132,7 +138,11 @@
         self.deadlines.set(Deadline::Heartbeat, now + HEARTBEAT_INTERVAL);
         loop {
             let now = self.clock.now();
-            match self.poll.poll(&mut events, self.deadlines.poll_timeout(now)) {
+            let timeout = match self.input_queue.is_empty() {
+                true => self.deadlines.poll_timeout(now),
+                false => Some(Duration::ZERO),
+            };
+            match self.poll.poll(&mut events, timeout) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
@@ -140,6 +150,7 @@
             for event in &events {
                 self.handle_event(now, event.token());
             }
+            self.process_input(now);
             while let Some(deadline) = self.deadlines.next_due(now) {
                 // The end of SHUTDOWN_TIMEOUT.
                 if deadline == Deadline::DrainClients {
@@ -163,6 +174,7 @@
             registry: &self.registry,
             deadlines: &mut self.deadlines,
             last_token: &mut self.last_token,
+            input_queue: &mut self.input_queue,
             now,
         };
         (io, &mut self.inbound, &mut self.links)
@@ -184,7 +196,7 @@
                 }
             }
             LISTENER => self.accept(now),
-            Token(token) if self.inbound.owns(token) => self.serve_requests(now, token),
+            Token(token) if self.inbound.owns(token) => self.input_queue.push_ready(token),
             Token(token) => {
                 let (mut io, _, links) = self.split_borrows(now);
                 if let Some(link) = links.iter_mut().find(|link| link.owns(token)) {
@@ -256,13 +268,28 @@
         }
     }
 
-    /// Handles all complete requests on a connection.
+    /// Gives each connection whose input waits a turn, until [`INPUT_TIME`] has passed.
+    fn process_input(&mut self, now: Micros) {
+        let started = Instant::now();
+        for _ in 0..self.input_queue.len() {
+            let Some(token) = self.input_queue.pop() else { return };
+            self.serve_requests(now, token);
+            if started.elapsed() > INPUT_TIME {
+                return;
+            }
+        }
+    }
+
+    /// Handles the complete requests on a connection, for one turn.
     fn serve_requests(&mut self, now: Micros, token: usize) {
-        loop {
+        for _ in 0..MAX_MESSAGES_PER_TURN {
             let (mut io, inbound, _) = self.split_borrows(now);
-            let Some(request) = inbound.next_request(&mut io, token) else { break };
+            let Some(request) = inbound.next_request(&mut io, token) else {
+                return self.remove_watch_if_closed(now, token);
+            };
             self.handle_request(now, token, &request);
         }
+        self.input_queue.push_backlog(token);
         self.remove_watch_if_closed(now, token);
     }
 
--- a/src/net/control/mod.rs
+++ b/src/net/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod messages;
 
 use crate::net::core::deadlines::Deadlines;
+use crate::net::core::input_queue::InputQueue;
 use calicolb::api::Micros;
 use mio::Registry;
 
@@ -24,6 +25,8 @@
     registry: &'a Registry,
     deadlines: &'a mut Deadlines,
     last_token: &'a mut usize,
+    /// Connections whose input waits to be processed.
+    input_queue: &'a mut InputQueue,
     now: Micros,
 }
 
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -62,8 +62,6 @@
     Timeout,
     /// The connection has been idle for its time limit.
     Idle,
-    /// Input remains beyond the share of one iteration of the event loop.
-    ContinueRead,
     /// An offer made on the connection has not been accepted in time.
     OfferTimeout,
     /// Accepting connections continues, after the share of one iteration or after file descriptors ran out.
--- a/src/net/core/iteration.rs
+++ b/src/net/core/iteration.rs
@@ -6,6 +6,14 @@
 /// Longest duration that an iteration may have. The operators allow each time limit 50 ms more on sockets.
 pub const LONGEST_ITERATION: Duration = Duration::from_millis(50);
 
+/// Time of an iteration after which no further connection gets a turn: a fifth of [`LONGEST_ITERATION`]. The rest is for
+/// the deadlines, the decisions and their commands.
+pub const INPUT_TIME: Duration = Duration::from_millis(10);
+/// Time after which a listener accepts no further connection in an iteration: a tenth of [`LONGEST_ITERATION`].
+pub const ACCEPT_TIME: Duration = Duration::from_millis(5);
+/// Maximum number of messages that one connection may have processed in one turn. A turn then takes well under 1 ms.
+pub const MAX_MESSAGES_PER_TURN: usize = 16;
+
 /// Measures the iterations of an event loop.
 #[derive(Debug, Default)]
 pub struct IterationStatistics {
--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod counters;
 pub mod deadlines;
 pub mod envelope;
+pub mod input_queue;
 pub mod iteration;
 pub mod network_delay;
 pub mod request_table;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -8,7 +8,8 @@
 use crate::net::core::counters::Gauges;
 use crate::net::core::deadlines::{Deadline, Deadlines};
 use crate::net::core::envelope::Payload;
-use crate::net::core::iteration::IterationStatistics;
+use crate::net::core::input_queue::InputQueue;
+use crate::net::core::iteration::{INPUT_TIME, IterationStatistics};
 use crate::net::core::request_table::{AttemptId, Command, RequestTable};
 use crate::net::core::worker_registry::WorkerSource;
 use crate::net::gearman::Gearman;
@@ -52,6 +53,8 @@
 /// Interval (microseconds) at which binding the datagram socket is retried while another process may still use its
 /// address.
 const PEER_SOCKET_RETRY_DELAY: Micros = 100_000;
+/// Minimum number of turns for waiting input in an iteration, however long the other events have taken.
+const MIN_TURNS: usize = 4;
 /// File descriptors reserved for the log, the poll, the listening sockets, the signals, discovery and the like.
 const RESERVED_DESCRIPTORS: usize = 24;
 
@@ -62,6 +65,10 @@
     clock: Clock,
     names: Names,
     deadlines: Deadlines,
+    /// Connections whose input waits to be processed.
+    input_queue: InputQueue,
+    /// Start of the present iteration.
+    iteration_started: Instant,
     iterations: IterationStatistics,
     request_table: RequestTable<Payload>,
     last_token: usize,
@@ -162,6 +169,8 @@
             clock,
             names: config.names,
             deadlines: Deadlines::default(),
+            input_queue: InputQueue::default(),
+            iteration_started: Instant::now(),
             iterations: IterationStatistics::default(),
             last_token: LAST_RESERVED_TOKEN,
             signals,
@@ -327,16 +336,19 @@
         while finished_iterations < 2 {
             let now = self.clock.now();
             // The second check must not wait for the next deadline, which may be far away.
-            let at_once = self.request_table.has_pending() || finished_iterations > 0;
+            let at_once =
+                self.request_table.has_pending() || !self.input_queue.is_empty() || finished_iterations > 0;
             let timeout = if at_once { Some(Duration::ZERO) } else { self.deadlines.poll_timeout(now) };
             match self.poll.poll(&mut events, timeout) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
-            let (now, started) = (self.clock.now(), Instant::now());
+            let now = self.clock.now();
+            self.iteration_started = Instant::now();
             for event in &events {
                 self.handle_ready(now, event.token());
             }
+            self.process_input(now);
             while let Some(deadline) = self.deadlines.next_due(now) {
                 self.handle_deadline(now, deadline);
             }
@@ -356,13 +368,25 @@
             self.notify_other_process();
             self.send_peer_datagrams();
             finished_iterations = if self.is_finished(now) { finished_iterations + 1 } else { 0 };
-            if let Some(duration) = self.iterations.record(started) {
+            if let Some(duration) = self.iterations.record(self.iteration_started) {
                 log_line!(warn: ms = duration.as_millis() as u64, "an iteration of the event loop took too long");
             }
         }
         Ok(())
     }
 
+    /// Gives each connection whose input waits a turn, until [`INPUT_TIME`] of the iteration has passed. The others follow
+    /// in the next iterations; [`MIN_TURNS`] turns are taken in any case.
+    fn process_input(&mut self, now: Micros) {
+        for turn in 0..self.input_queue.len() {
+            if turn >= MIN_TURNS && self.iteration_started.elapsed() > INPUT_TIME {
+                return;
+            }
+            let Some(token) = self.input_queue.pop() else { return };
+            self.handle_input(now, token);
+        }
+    }
+
     /// Sends the datagrams that this iteration queued for other schedulers.
     fn send_peer_datagrams(&mut self) {
         for (target, body) in std::mem::take(&mut self.peer_outbox) {
@@ -401,6 +425,7 @@
             unmatched_callbacks: &mut self.unmatched_callbacks,
             peer_outbox: &mut self.peer_outbox,
             protocol_requests: &mut self.protocol_requests,
+            input_queue: &mut self.input_queue,
             now,
         };
         let components = Components {
@@ -417,11 +442,21 @@
         (ctx, components)
     }
 
-    /// Handles readiness of the socket with this token.
+    /// Handles readiness of the socket with this token. Connections that peers opened wait for a turn.
     fn handle_ready(&mut self, now: Micros, token: Token) {
         if token == SIGNALS {
             return self.handle_signals(now);
         }
+        let (_, mut components) = self.split(now);
+        if components.protocols().any(|protocol| protocol.reads_in_turns(token.0)) {
+            return self.input_queue.push_ready(token.0);
+        }
+        self.handle_input(now, token.0);
+    }
+
+    /// Handles the input of the connection, or the listener, with this token.
+    fn handle_input(&mut self, now: Micros, token: usize) {
+        let token = Token(token);
         let (mut ctx, mut components) = self.split(now);
         match token {
             PEERS => components.receive_peers(&mut ctx),
--- a/src/net/gearman/connections.rs
+++ b/src/net/gearman/connections.rs
@@ -7,6 +7,7 @@
 use crate::net::Context;
 use crate::net::core::buffer::{Buffer, FillOutcome};
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
+use crate::net::core::iteration::{ACCEPT_TIME, MAX_MESSAGES_PER_TURN};
 use crate::net::core::request_table::AttemptId;
 use crate::net::protocol::ReleaseIdle;
 use calicolb::api::{AttemptNote, Micros};
@@ -19,6 +20,7 @@
 use mio::{Interest, Token};
 use std::io::ErrorKind;
 use std::net::{IpAddr, Shutdown};
+use std::time::Instant;
 
 const SECOND: Micros = 1_000_000;
 /// The time from the first byte of a packet or line within which the rest must be received.
@@ -34,10 +36,8 @@
 const ACCEPT_RETRY_DELAY: Micros = SECOND / 50;
 /// The largest number of connections that one iteration accepts; the next iteration accepts the rest.
 const MAX_ACCEPTS: usize = 256;
-/// The largest number of packets and lines that one iteration takes from a connection.
-const MAX_MESSAGES: usize = 256;
-/// The largest number of times that one iteration fills the input buffer of a connection. The number is bounded because
-/// the contents are copied for processing.
+/// The largest number of times that one turn fills the input buffer of a connection. The number is bounded because the
+/// contents are copied for processing.
 const MAX_FILLS: usize = 8;
 /// The largest size of the arguments of a packet apart from its workload, in bytes: names, ids and handles.
 const MAX_NAMES_SIZE: usize = 2 * 1024;
@@ -73,7 +73,11 @@
     /// Accepts waiting connections, up to [`MAX_ACCEPTS`] of them, while the descriptor limit allows it.
     pub(super) fn accept_connections(&mut self, ctx: &mut Context<'_>) {
         let retry = Deadline::Connection(self.listener_token, ConnectionTimer::Accept);
+        let started = Instant::now();
         for _ in 0..MAX_ACCEPTS {
+            if started.elapsed() > ACCEPT_TIME {
+                break;
+            }
             if self.connections.len() >= self.max_connections && !self.release_idle(ctx) {
                 // New connections wait in the listener's backlog until a connection closes.
                 return ctx.deadlines.set(retry, ctx.now + ACCEPT_RETRY_DELAY);
@@ -127,14 +131,10 @@
     pub(super) fn remove_connection(&mut self, ctx: &mut Context<'_>, token: ConnectionId) {
         let Some(mut connection) = self.connections.remove(&token) else { return };
         let _ = ctx.registry.deregister(&mut connection.stream);
-        for timer in [
-            ConnectionTimer::Timeout,
-            ConnectionTimer::ContinueRead,
-            ConnectionTimer::OfferTimeout,
-            ConnectionTimer::Idle,
-        ] {
+        for timer in [ConnectionTimer::Timeout, ConnectionTimer::OfferTimeout, ConnectionTimer::Idle] {
             ctx.deadlines.clear(Deadline::Connection(token, timer));
         }
+        ctx.input_queue.remove(token);
         self.awaiting_confirmation.remove(&token);
         if let Some(LostAttempt::Offered(attempt) | LostAttempt::Assigned(attempt)) =
             self.worker_table.remove_connection(token)
@@ -224,10 +224,10 @@
         }
     }
 
-    /// Reads input from a connection and processes its messages, within the limits of one iteration.
+    /// Reads input from a connection and processes its messages, within the limits of one turn.
     pub(super) fn receive(&mut self, ctx: &mut Context<'_>, token: ConnectionId) {
         let max_input = HEADER_LENGTH + MAX_NAMES_SIZE + self.config.max_workload_bytes;
-        let mut messages_left = MAX_MESSAGES;
+        let mut messages_left = MAX_MESSAGES_PER_TURN;
         for _ in 0..MAX_FILLS {
             let Some(connection) = self.connections.get_mut(&token) else { return };
             let outcome = connection.buffer.fill(&mut connection.stream, max_input);
@@ -253,8 +253,7 @@
                 return;
             }
         }
-        // The next iteration reads on, so that a peer that sends without pause does not delay other connections.
-        ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::ContinueRead), ctx.now + 1);
+        ctx.input_queue.push_backlog(token);
     }
 
     /// Processes the next packet or line in the input buffer. Returns whether one was processed.
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -135,10 +135,13 @@
         }
     }
 
+    fn reads_in_turns(&self, token: usize) -> bool {
+        self.connections.contains_key(&token)
+    }
+
     fn on_deadline(&mut self, ctx: &mut Context<'_>, token: usize, timer: ConnectionTimer) {
         match timer {
             ConnectionTimer::Accept => self.accept_connections(ctx),
-            ConnectionTimer::ContinueRead => self.on_ready(ctx, token),
             ConnectionTimer::OfferTimeout => {
                 if let Some(attempt) = self.worker_table.expire_offer(token) {
                     log_line!(request = attempt.request, "a woken worker did not ask for its job in time");
@@ -311,7 +314,7 @@
         let packets = self.job_table.confirm_submissions();
         self.send_packets(ctx, packets);
         for token in std::mem::take(&mut self.awaiting_confirmation) {
-            ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::ContinueRead), ctx.now);
+            ctx.input_queue.push_ready(token);
         }
     }
 
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::config::PriorityClass;
 use crate::net::core::deadlines::Deadlines;
+use crate::net::core::input_queue::InputQueue;
 use crate::net::core::request_table::{Command, RequestTable};
 use calicolb::api::{Class, ClassIx, Effect};
 use calicolb::wire::{self, Names};
@@ -20,6 +21,7 @@
     names: Names,
     deadlines: Deadlines,
     request_table: RequestTable<Payload>,
+    input_queue: InputQueue,
     last_token: usize,
     now: Micros,
 }
@@ -32,8 +34,15 @@
         let now = 50 * SECOND;
         let request_table = RequestTable::new(settings, 1, now, 100);
         let poll = Poll::new().expect("failed to create a poll");
-        let mut test_loop =
-            TestLoop { poll, names, deadlines: Deadlines::default(), request_table, last_token: 100, now };
+        let mut test_loop = TestLoop {
+            poll,
+            names,
+            deadlines: Deadlines::default(),
+            request_table,
+            input_queue: InputQueue::default(),
+            last_token: 100,
+            now,
+        };
         let priority_classes = [PriorityClass { class: ClassIx(0), client_timeout: 9 * SECOND }; 3];
         let (name, background_timeout) = ("book".to_owned(), SECOND);
         let config = GearmanConfig {
@@ -69,6 +78,7 @@
             unmatched_callbacks: &mut Vec::new(),
             peer_outbox: &mut Vec::new(),
             protocol_requests: &mut Vec::new(),
+            input_queue: &mut self.input_queue,
             now: self.now,
         })
     }
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -5,6 +5,7 @@
 use crate::net::core::buffer::{Buffer, FillOutcome};
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::envelope::{Envelope, Payload};
+use crate::net::core::iteration::{ACCEPT_TIME, MAX_MESSAGES_PER_TURN};
 use crate::net::core::request_table::{Answer, ClientUpdates, IntakeError, Job};
 use crate::net::core::transfer::Transfer;
 use crate::net::http::callback::handle_callback;
@@ -18,6 +19,7 @@
 use std::io::{self, ErrorKind};
 use std::net::Shutdown;
 use std::rc::Rc;
+use std::time::Instant;
 
 const SECOND: Micros = 1_000_000;
 /// Time within which a new connection must send a complete first request, in microseconds. A slow or silent
@@ -43,6 +45,13 @@
 /// Maximum number of connections accepted in one iteration of the event loop; the rest is accepted in the
 /// next one.
 const MAX_ACCEPTS: usize = 256;
+/// Bytes that a connection may read beyond its unprocessed input at a time, so that many connections with much input do
+/// not hold much memory.
+const FILL_BYTES: usize = 16 * 1024;
+/// Maximum number of times that one turn fills the input buffer: enough for the largest message.
+const MAX_FILLS: usize = framing::MESSAGE_LIMIT / FILL_BYTES + 2;
+/// Maximum number of connections examined for one that can be closed in favour of another.
+const MAX_RELEASE_CANDIDATES: usize = 8;
 /// Upper bound of the `Request-Timeout` of a client, in seconds.
 const MAX_CLIENT_TIMEOUT_S: f64 = 3600.0;
 
@@ -57,6 +66,27 @@
     Closing,
 }
 
+/// Result of a turn of a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum TurnOutcome {
+    /// All input is processed, or the connection waits for an answer or for its output to be written.
+    Waiting,
+    /// The turn is used up, and there may be more input.
+    MoreInput,
+    /// The peer has closed the connection, and all that it sent before is processed.
+    Closed,
+}
+
+impl From<FillOutcome> for TurnOutcome {
+    fn from(filled: FillOutcome) -> Self {
+        match filled {
+            FillOutcome::WouldBlock => TurnOutcome::Waiting,
+            FillOutcome::LimitReached => TurnOutcome::MoreInput,
+            FillOutcome::Closed => TurnOutcome::Closed,
+        }
+    }
+}
+
 struct Connection {
     stream: TcpStream,
     buffer: Buffer,
@@ -67,6 +97,10 @@
     carries_callbacks: bool,
     /// No complete request has arrived yet.
     awaits_first_request: bool,
+    /// The last turn ended before all input was read and processed.
+    has_unread_input: bool,
+    /// The peer has closed the connection. Requests that it sent before are still in the buffer.
+    closed_by_peer: bool,
     last_activity: Micros,
     /// Time at which the first byte of the incomplete request arrived, in microseconds.
     request_started: Option<Micros>,
@@ -109,6 +143,11 @@
         token == self.listener_token || self.connections.contains_key(&token)
     }
 
+    /// Returns whether the token belongs to one of these connections.
+    pub fn owns_connection(&self, token: usize) -> bool {
+        self.connections.contains_key(&token)
+    }
+
     /// Starts accepting connections.
     pub fn listen(&mut self, ctx: &mut Context<'_>) -> io::Result<()> {
         if !self.listening {
@@ -133,12 +172,16 @@
         while self.connections.len() > max_connections && self.release_idle(ctx) {}
     }
 
-    /// Accepts pending connections, at most `MAX_ACCEPTS` per call.
+    /// Accepts pending connections, for at most `ACCEPT_TIME` and at most `MAX_ACCEPTS` per call.
     fn accept(&mut self, ctx: &mut Context<'_>) {
         if !self.listening {
             return;
         }
+        let started = Instant::now();
         for _ in 0..MAX_ACCEPTS {
+            if started.elapsed() > ACCEPT_TIME {
+                break;
+            }
             if self.connections.len() >= self.max_connections && !self.release_idle(ctx) {
                 // New connections wait in the listener's backlog until a connection ends.
                 return ctx.deadlines.set(
@@ -189,6 +232,8 @@
             close_after_response: false,
             carries_callbacks: false,
             awaits_first_request: true,
+            has_unread_input: false,
+            closed_by_peer: false,
             last_activity: ctx.now,
             request_started: None,
         };
@@ -216,53 +261,68 @@
     pub fn handle_deadline(&mut self, ctx: &mut Context<'_>, token: usize, timer: ConnectionTimer) {
         match timer {
             ConnectionTimer::Accept => self.accept(ctx),
-            ConnectionTimer::ContinueRead => self.handle_ready(ctx, token),
             ConnectionTimer::Timeout | ConnectionTimer::Idle => self.handle_timeout(ctx, token),
             // The event loop checks again whether all work is done.
             ConnectionTimer::OfferTimeout => {}
         }
     }
 
+    /// Reads and processes input of a connection, for one turn.
     fn read(&mut self, ctx: &mut Context<'_>, token: usize) {
-        loop {
-            let Some(connection) = self.connections.get_mut(&token) else { return };
-            let filled = connection.buffer.fill(&mut connection.stream, framing::MESSAGE_LIMIT);
-            if connection.state == State::Closing && !connection.buffer.has_output() {
-                connection.buffer.consume(usize::MAX / 2);
-                if filled == FillOutcome::LimitReached {
-                    // A client that sends without end must not occupy the event loop: the rest is read in the
-                    // next iteration.
-                    return ctx
-                        .deadlines
-                        .set(Deadline::Connection(token, ConnectionTimer::ContinueRead), ctx.now + 1);
-                }
-            }
-            while self.connections.get(&token).is_some_and(|connection| {
-                connection.state == State::Reading && !connection.buffer.has_output()
-            }) && self.process_request(ctx, token)
-            {}
-            if filled == FillOutcome::Closed {
-                // A client that closes its connection has gone, even in the middle of a response.
-                ctx.request_table.client_left(token);
-                return self.drop_connection(ctx, token);
+        let outcome = self.take_turn(ctx, token);
+        if outcome == TurnOutcome::Closed {
+            // A client that closes its connection has gone, even in the middle of a response.
+            ctx.request_table.client_left(token);
+            return self.drop_connection(ctx, token);
+        }
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        connection.has_unread_input = outcome == TurnOutcome::MoreInput;
+        if connection.has_unread_input {
+            ctx.input_queue.push_backlog(token);
+        }
+    }
+
+    fn take_turn(&mut self, ctx: &mut Context<'_>, token: usize) -> TurnOutcome {
+        let mut requests_left = MAX_MESSAGES_PER_TURN;
+        for fill in 0..MAX_FILLS {
+            let Some(connection) = self.connections.get_mut(&token) else { return TurnOutcome::Waiting };
+            if connection.buffer.has_output() {
+                return TurnOutcome::Waiting;
             }
-            let Some(connection) = self.connections.get_mut(&token) else { return };
-            let full = connection.buffer.input().len() >= framing::MESSAGE_LIMIT;
-            if connection.state == State::InProgress && full {
-                // The end of a client that sends `MESSAGE_LIMIT` bytes while its request is in progress shows only
-                // behind that input. The input is read and discarded in parts, one per iteration, and the
-                // response is the last on this connection.
-                connection.close_after_response = true;
-                connection.buffer.consume(usize::MAX / 2);
-                return ctx
-                    .deadlines
-                    .set(Deadline::Connection(token, ConnectionTimer::ContinueRead), ctx.now + 1);
+            let filled = connection.fill(fill == 0);
+            connection.closed_by_peer = filled == FillOutcome::Closed;
+            while requests_left > 0 && self.may_process(token) && self.process_request(ctx, token) {
+                requests_left -= 1;
             }
-            // Otherwise the buffer was full of requests and has room again.
-            if filled == FillOutcome::WouldBlock || connection.buffer.has_output() || full {
-                return;
+            let Some(connection) = self.connections.get_mut(&token) else { return TurnOutcome::Waiting };
+            match connection.state {
+                State::Reading if connection.buffer.has_output() => return TurnOutcome::Waiting,
+                State::Reading if requests_left == 0 => return TurnOutcome::MoreInput,
+                State::Reading | State::InProgress if filled == FillOutcome::Closed => {
+                    return TurnOutcome::Closed;
+                }
+                // Input behind the last response is discarded.
+                State::Closing => {
+                    connection.buffer.consume(usize::MAX / 2);
+                    return filled.into();
+                }
+                State::InProgress => return connection.discard_excess_input(filled),
+                State::Reading if filled == FillOutcome::WouldBlock => return TurnOutcome::Waiting,
+                // The timeout ends a request that does not fit into the buffer.
+                State::Reading if connection.buffer.input().len() >= framing::MESSAGE_LIMIT => {
+                    return TurnOutcome::Waiting;
+                }
+                State::Reading => {}
             }
         }
+        TurnOutcome::MoreInput
+    }
+
+    /// Returns whether the next request of a connection may be processed: the last one is answered.
+    fn may_process(&self, token: usize) -> bool {
+        let waits_for_request =
+            |connection: &Connection| connection.state == State::Reading && !connection.buffer.has_output();
+        self.connections.get(&token).is_some_and(waits_for_request)
     }
 
     /// Processes the next request in the buffer. Returns false if there is none, or it is malformed.
@@ -352,7 +412,7 @@
     /// of the two processes keeps it.
     pub fn suspend_connection(&mut self, ctx: &mut Context<'_>, token: usize) {
         ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
-        ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::ContinueRead));
+        ctx.input_queue.remove(token);
         if let Some(connection) = self.connections.get_mut(&token) {
             let _ = ctx.registry.deregister(&mut connection.stream);
         }
@@ -419,7 +479,9 @@
             Answer::Failed => self.reply(ctx, token, 500, &[], b""),
         }
         // The client may have pipelined its next request, and only part of it may have been read.
-        self.read(ctx, token);
+        if self.connections.get(&token).is_some_and(Connection::has_pending_input) {
+            ctx.input_queue.push_ready(token);
+        }
     }
 
     fn reply(
@@ -450,7 +512,7 @@
         let flushed = connection.buffer.flush(&mut connection.stream);
         // A response that was already being written when the drain began must close its connection as well.
         let close = connection.close_after_response
-            || (draining && !connection.carries_callbacks && connection.buffer.input().is_empty());
+            || (draining && !connection.carries_callbacks && !connection.has_pending_input());
         match flushed {
             Ok(false) => false,
             Ok(true) if close && connection.state == State::Reading => {
@@ -521,7 +583,8 @@
     fn drop_connection(&mut self, ctx: &mut Context<'_>, token: usize) {
         let Some(mut connection) = self.connections.remove(&token) else { return };
         let _ = ctx.registry.deregister(&mut connection.stream);
-        [ConnectionTimer::Timeout, ConnectionTimer::ContinueRead, ConnectionTimer::OfferTimeout]
+        ctx.input_queue.remove(token);
+        [ConnectionTimer::Timeout, ConnectionTimer::OfferTimeout]
             .into_iter()
             .for_each(|timer| ctx.deadlines.clear(Deadline::Connection(token, timer)));
     }
@@ -564,6 +627,8 @@
     fn release_idle(&mut self, ctx: &mut Context<'_>) -> bool {
         let now = ctx.now;
         let release_order = |connection: &Connection| match connection.state {
+            // A complete request may be among the input.
+            State::Reading if connection.has_unread_input => None,
             State::Closing => {
                 Some((if connection.is_delivered(now) { 0 } else { 3 }, connection.last_activity))
             }
@@ -575,7 +640,7 @@
             }
             _ => None,
         };
-        for _ in 0..=self.connections.len() {
+        for _ in 0..MAX_RELEASE_CANDIDATES {
             let next = self
                 .connections
                 .iter()
@@ -601,9 +666,38 @@
         self.state == State::Closing && now >= self.last_activity + DELIVERY_TIME
     }
 
+    /// Reads input. `first`: this is the first time in a turn. Requests that are in the buffer are processed before more is
+    /// read.
+    fn fill(&mut self, first: bool) -> FillOutcome {
+        let left = self.buffer.input().len();
+        let limit = match self.state {
+            _ if self.closed_by_peer => return FillOutcome::Closed,
+            State::Reading if first && left > 0 => return FillOutcome::LimitReached,
+            State::Reading => framing::MESSAGE_LIMIT.min(left + FILL_BYTES),
+            State::InProgress | State::Closing => framing::MESSAGE_LIMIT,
+        };
+        self.buffer.fill(&mut self.stream, limit)
+    }
+
+    /// Discards the input behind a request in progress once it reaches [`framing::MESSAGE_LIMIT`]: only behind it the end
+    /// of the connection shows. The response is then the last on this connection.
+    fn discard_excess_input(&mut self, filled: FillOutcome) -> TurnOutcome {
+        if self.buffer.input().len() < framing::MESSAGE_LIMIT {
+            return filled.into();
+        }
+        self.close_after_response = true;
+        self.buffer.consume(usize::MAX / 2);
+        TurnOutcome::MoreInput
+    }
+
+    /// Input has been received that is not processed yet, or may have been.
+    fn has_pending_input(&self) -> bool {
+        self.has_unread_input || !self.buffer.input().is_empty()
+    }
+
     /// The connection is between two requests, with no pending input or output.
     fn is_idle(&self) -> bool {
-        self.state == State::Reading && self.buffer.input().is_empty() && !self.buffer.has_output()
+        self.state == State::Reading && !self.has_pending_input() && !self.buffer.has_output()
     }
 }
 
--- a/src/net/http/client/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::net::core::deadlines::Deadlines;
+use crate::net::core::input_queue::InputQueue;
 use crate::net::core::request_table::RequestTable;
 use calicolb::wire::Names;
 use mio::Poll;
@@ -18,6 +19,7 @@
     names: Names,
     deadlines: Deadlines,
     request_table: RequestTable<Payload>,
+    input_queue: InputQueue,
     tokens: usize,
     now: Micros,
 }
@@ -30,8 +32,15 @@
         let now = 50 * SECOND;
         let request_table = RequestTable::new(settings, 1, now, 100);
         let poll = Poll::new().expect("creating the poll");
-        let mut fixture =
-            Fixture { poll, names, deadlines: Deadlines::default(), request_table, tokens: 100, now };
+        let mut fixture = Fixture {
+            poll,
+            names,
+            deadlines: Deadlines::default(),
+            request_table,
+            input_queue: InputQueue::default(),
+            tokens: 100,
+            now,
+        };
         let at = "127.0.0.1:0".parse().expect("parsing the listen address");
         let mut clients = ClientConnections::new(TcpListener::bind(at).expect("binding a free port"), 1);
         fixture.with(|ctx| clients.listen(ctx)).expect("registering the listener");
@@ -49,6 +58,7 @@
             unmatched_callbacks: &mut Vec::new(),
             peer_outbox: &mut Vec::new(),
             protocol_requests: &mut Vec::new(),
+            input_queue: &mut self.input_queue,
             now: self.now,
         })
     }
@@ -181,6 +191,84 @@
     }
 }
 
+const UP: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
+
+/// Gives waiting connections turns, one at a time, until none waits. Returns the number of turns.
+fn take_turns(fixture: &mut Fixture, clients: &mut ClientConnections) -> usize {
+    let mut turns = 0;
+    while let Some(token) = fixture.input_queue.pop() {
+        fixture.with(|ctx| clients.handle_ready(ctx, token));
+        turns += 1;
+    }
+    turns
+}
+
+// Guards against one call that reads as long as a peer sends: input beyond a turn waits, and wakes the connection by itself.
+#[test]
+fn connection_processes_a_bounded_number_of_requests_per_turn_and_continues_without_an_event() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (mut client, connection) = fixture.connect(&mut clients);
+    client.write_all(&UP.repeat(10 * MAX_MESSAGES_PER_TURN)).expect("sending many requests");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.with(|ctx| clients.handle_ready(ctx, connection));
+    assert!(clients.connections[&connection].has_unread_input && !clients.is_idle(fixture.now));
+    assert_eq!(take_turns(&mut fixture, &mut clients), 10);
+    assert!(clients.is_idle(fixture.now), "all requests are processed");
+    client.shutdown(std::net::Shutdown::Write).expect("ending the connection");
+    until(|| {
+        fixture.with(|ctx| clients.handle_ready(ctx, connection));
+        clients.connections.is_empty()
+    });
+    assert_eq!(read_to_end(client).matches("HTTP/1.1 503").count(), 10 * MAX_MESSAGES_PER_TURN);
+}
+
+// Guards against callbacks that are lost when their worker closes the connection behind more of them than fit into a turn.
+#[test]
+fn requests_before_the_end_of_a_connection_are_processed_in_later_turns() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (mut client, connection) = fixture.connect(&mut clients);
+    client.write_all(&UP.repeat(3 * MAX_MESSAGES_PER_TURN)).expect("sending many requests");
+    client.shutdown(std::net::Shutdown::Write).expect("ending the connection");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.with(|ctx| clients.handle_ready(ctx, connection));
+    take_turns(&mut fixture, &mut clients);
+    assert!(clients.connections.is_empty(), "the end of the connection was not noticed");
+    assert_eq!(read_to_end(client).matches("HTTP/1.1 503").count(), 3 * MAX_MESSAGES_PER_TURN);
+}
+
+// Guards against requests that are lost because a drain takes a connection for idle while its input waits for a turn.
+#[test]
+fn connection_with_input_beyond_its_turn_is_not_idle_and_not_released() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (mut client, connection) = fixture.connect(&mut clients);
+    client.write_all(&UP.repeat(MAX_MESSAGES_PER_TURN)).expect("sending a turn of requests");
+    client.write_all(REQUEST).expect("sending a request");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.with(|ctx| clients.handle_ready(ctx, connection));
+    assert!(!fixture.with(|ctx| clients.release_idle(ctx)), "a connection with a request was released");
+    fixture.with(|ctx| clients.begin_drain(ctx));
+    take_turns(&mut fixture, &mut clients);
+    assert_eq!(
+        (fixture.request_table.unanswered_requests(), clients.connections[&connection].state),
+        (1, State::InProgress)
+    );
+}
+
+// Guards against memory that grows with the number of connections that send without pause.
+#[test]
+fn connection_holds_little_input_beyond_the_requests_of_a_turn() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (client, connection) = fixture.connect(&mut clients);
+    client.set_nonblocking(true).expect("making the client non-blocking");
+    let block = UP.repeat(10_000);
+    let _ = (&client).write(&block).expect("sending as much as the socket takes");
+    std::thread::sleep(Duration::from_millis(50));
+    for _ in 0..100 {
+        fixture.with(|ctx| clients.handle_ready(ctx, connection));
+        assert!(clients.connections[&connection].buffer.input().len() <= 2 * FILL_BYTES);
+    }
+}
+
 #[test]
 fn client_that_sends_much_input_and_closes_while_it_waits_is_removed() {
     let (mut fixture, mut clients) = Fixture::new();
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -34,6 +34,10 @@
         self.clients.owns_token(token) || self.upstream.owns_token(token)
     }
 
+    fn reads_in_turns(&self, token: usize) -> bool {
+        self.clients.owns_connection(token)
+    }
+
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize) {
         if self.clients.owns_token(token) {
             self.clients.handle_ready(ctx, token)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 
 use self::core::deadlines::Deadlines;
 use self::core::envelope::Payload;
+use self::core::input_queue::InputQueue;
 use self::core::request_table::RequestTable;
 use calicolb::api::Micros;
 use calicolb::wire::Names;
@@ -38,6 +39,8 @@
     protocol_requests: &'a mut Vec<protocol::ProtocolRequest>,
     /// Datagrams to other schedulers, sent at the end of the iteration.
     peer_outbox: &'a mut Vec<(PeerTarget, Vec<u8>)>,
+    /// Connections whose input waits to be processed.
+    input_queue: &'a mut InputQueue,
     now: Micros,
 }
 
--- a/src/net/platform/call.rs
+++ b/src/net/platform/call.rs
@@ -76,61 +76,61 @@
 /// The result of reading a watch, with the reason for its end if it ended.
 pub(super) struct WatchRead {
     pub(super) input: WatchInput,
+    /// There may be more input, which no readiness event will report.
+    pub(super) has_more: bool,
     pub(super) end: Option<&'static str>,
 }
 
-/// Reads a watch and appends the complete changes to `updates`, also those that arrived before its end.
+/// Reads a watch, up to [`LIST_LIMIT`], and appends the complete changes to `updates`, also those that arrived before
+/// its end.
 pub(super) fn read_watch<T: DeserializeOwned>(call: &mut Call, updates: &mut Vec<T>) -> WatchRead {
     let mut chunks = 0_u32;
-    let end = read_chunks(call, updates, &mut chunks).err();
+    let result = read_chunks(call, updates, &mut chunks);
+    let has_more = result == Ok(true);
     let input = match chunks {
         0 => WatchInput::None,
-        _ if call.pending.is_empty() => WatchInput::Complete,
+        _ if call.pending.is_empty() && !has_more => WatchInput::Complete,
         _ => WatchInput::Partial,
     };
-    WatchRead { input, end }
+    WatchRead { input, has_more, end: result.err() }
 }
 
-/// Reads until no input is left, and counts the chunks.
+/// Reads input once and counts the chunks. Returns whether there may be more.
 fn read_chunks<T: DeserializeOwned>(
     call: &mut Call,
     updates: &mut Vec<T>,
     chunks: &mut u32,
-) -> Result<(), &'static str> {
-    let Some(mut filled) = flush_and_fill(call)? else { return Ok(()) };
-    loop {
-        if !call.head_received {
-            match framing::parse_response_head(call.buffer.input()) {
-                Ok(Some((response, _))) if response.status != 200 => return Err("the watch was refused"),
-                Ok(Some((_, length))) => {
-                    call.head_received = true;
-                    call.buffer.consume(length);
-                }
-                Ok(None) => {}
-                Err(_) => return Err("the response is malformed"),
-            }
-        }
-        while call.head_received {
-            let chunk = framing::parse_chunk(call.buffer.input(), LIST_LIMIT);
-            let Ok(chunk) = chunk else { return Err("the watch is malformed") };
-            let Some((data, length)) = chunk else { break };
-            // The last chunk of a response is empty.
-            if data.is_empty() {
-                return Err("the watch ended");
+) -> Result<bool, &'static str> {
+    let Some(filled) = flush_and_fill(call)? else { return Ok(false) };
+    if !call.head_received {
+        match framing::parse_response_head(call.buffer.input()) {
+            Ok(Some((response, _))) if response.status != 200 => return Err("the watch was refused"),
+            Ok(Some((_, length))) => {
+                call.head_received = true;
+                call.buffer.consume(length);
             }
-            call.pending.extend_from_slice(data);
-            call.buffer.consume(length);
-            read_changes(&mut call.pending, updates)?;
-            *chunks = chunks.saturating_add(1);
+            Ok(None) => {}
+            Err(_) => return Err("the response is malformed"),
         }
-        match filled {
-            FillOutcome::WouldBlock => return Ok(()),
-            FillOutcome::Closed => return Err("the watch broke"),
-            FillOutcome::LimitReached if call.buffer.input().len() >= LIST_LIMIT => {
-                return Err("the watch is malformed");
-            }
-            FillOutcome::LimitReached => filled = call.buffer.fill(&mut call.stream, LIST_LIMIT),
+    }
+    while call.head_received {
+        let chunk = framing::parse_chunk(call.buffer.input(), LIST_LIMIT);
+        let Ok(chunk) = chunk else { return Err("the watch is malformed") };
+        let Some((data, length)) = chunk else { break };
+        // The last chunk of a response is empty.
+        if data.is_empty() {
+            return Err("the watch ended");
         }
+        call.pending.extend_from_slice(data);
+        call.buffer.consume(length);
+        read_changes(&mut call.pending, updates)?;
+        *chunks = chunks.saturating_add(1);
+    }
+    match filled {
+        FillOutcome::WouldBlock => Ok(false),
+        FillOutcome::Closed => Err("the watch broke"),
+        FillOutcome::LimitReached if call.buffer.input().len() >= LIST_LIMIT => Err("the watch is malformed"),
+        FillOutcome::LimitReached => Ok(true),
     }
 }
 
@@ -166,6 +166,45 @@
 mod tests {
     use super::*;
     use crate::config::worker_list::ListUpdate;
+    use std::io::Write;
+
+    /// One change as a chunk of a watch.
+    const CHANGE: &[u8] = b"a\r\n{\"seq\":5}\n\r\n";
+    /// Number of changes that the peer of [`flooded_watch`] sends: several times what one read of a watch may take.
+    const SENT_CHANGES: usize = 4 * LIST_LIMIT / CHANGE.len();
+
+    /// A call for a watch whose peer sends changes without pause, and closes the connection.
+    fn flooded_watch() -> Call {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binding a free port");
+        let address = listener.local_addr().expect("local address of the listener");
+        let stream = std::net::TcpStream::connect(address).expect("connecting to the listener");
+        stream.set_nonblocking(true).expect("making the stream non-blocking");
+        std::thread::spawn(move || {
+            let (mut peer, _) = listener.accept().expect("accepting the connection");
+            let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            peer.write_all(&[head, CHANGE.repeat(SENT_CHANGES).as_slice()].concat())
+                .expect("sending changes");
+        });
+        let (stream, buffer) = (TcpStream::from_std(stream), Buffer::default());
+        Call { token: 1, stream, buffer, head_received: false, pending: Vec::new() }
+    }
+
+    // Guards against an iteration of the event loop that lasts as long as the peer of a watch sends.
+    #[test]
+    fn one_read_of_a_watch_takes_a_bounded_amount_of_input_and_reports_the_rest() {
+        let (mut call, mut received) = (flooded_watch(), 0);
+        loop {
+            let mut updates = Vec::<ListUpdate>::new();
+            let WatchRead { input, has_more, end } = read_watch(&mut call, &mut updates);
+            assert!(updates.len() * CHANGE.len() <= LIST_LIMIT + 16 * 1024, "{} changes", updates.len());
+            assert!(!(has_more && input == WatchInput::Complete), "unread input may hold a part of a change");
+            received += updates.len();
+            if end.is_some() {
+                break;
+            }
+        }
+        assert_eq!(received, SENT_CHANGES);
+    }
 
     fn summarize(updates: &[ListUpdate]) -> Vec<(u64, bool, usize)> {
         updates.iter().map(|update| (update.seq, update.whole, update.hosts.len())).collect()
--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -200,7 +200,10 @@
             }
         } else if let Some(mut call) = self.watch.take_if(|call| call.token == token) {
             let mut lines: Vec<WatchLine> = Vec::new();
-            let WatchRead { input, end } = read_watch(&mut call, &mut lines);
+            let WatchRead { input, has_more, end } = read_watch(&mut call, &mut lines);
+            if has_more {
+                ctx.input_queue.push_backlog(token);
+            }
             self.watch = Some(call);
             if input != WatchInput::None {
                 self.last_input = Some(ctx.now);
--- a/src/net/platform/discovery/mod.rs
+++ b/src/net/platform/discovery/mod.rs
@@ -321,7 +321,10 @@
             self.handle_watch_ready(ctx, workers);
         } else if let Some(mut call) = self.previous_watch.take_if(|call| call.token == token) {
             let mut updates = Vec::new();
-            let WatchRead { end, .. } = read_watch(&mut call, &mut updates);
+            let WatchRead { end, has_more, .. } = read_watch(&mut call, &mut updates);
+            if has_more {
+                ctx.input_queue.push_backlog(token);
+            }
             let applied =
                 updates.into_iter().try_for_each(|update| self.apply_if_current(ctx, workers, update));
             if applied.is_ok() && end.is_none() {
@@ -340,7 +343,10 @@
         // watch times out later in this iteration.
         let overdue = self.lease.due().is_some_and(|due| due <= ctx.now);
         let mut updates = Vec::new();
-        let WatchRead { input, end } = read_watch(&mut call, &mut updates);
+        let WatchRead { input, has_more, end } = read_watch(&mut call, &mut updates);
+        if has_more {
+            ctx.input_queue.push_backlog(call.token);
+        }
         let applied = updates.into_iter().try_for_each(|update| self.apply_if_current(ctx, workers, update));
         match input {
             WatchInput::None => {}
--- a/src/net/platform/upgrade.rs
+++ b/src/net/platform/upgrade.rs
@@ -261,6 +261,9 @@
             link.buffer.consume(end + 1);
         }
         intact &= link.buffer.input().len() < MAX_MESSAGE_BYTES && filled != FillOutcome::Closed;
+        if intact && filled == FillOutcome::LimitReached && !link.buffer.has_output() {
+            ctx.input_queue.push_backlog(token);
+        }
         if !intact {
             self.close_link(ctx, role);
         }
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -40,6 +40,10 @@
     /// Returns true if the token belongs to a connection or listener of this protocol.
     fn owns_token(&self, token: usize) -> bool;
 
+    /// Returns true if a peer opened this connection, so that its input is processed in turns (see
+    /// [`InputQueue`](crate::net::core::input_queue::InputQueue)).
+    fn reads_in_turns(&self, token: usize) -> bool;
+
     /// Handles readiness of a connection or listener: it can be read, written or accepted.
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize);
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -33,6 +33,8 @@
 //!   since the last `mark`; `until MS` sleeps until `MS` milliseconds have passed since it.
 //! * `fill_backlog h1` fills the accept queue of worker `h1`, so that no connection to it completes until `free_backlog h1`.
 //!   A connection attempt made meanwhile completes when the kernel repeats it, about 1 s after `free_backlog`.
+//! * `flood COUNT MESSAGE` lets `COUNT` clients send the message to the HTTP port again and again at full speed, until the
+//!   end of the script (see `flood`). The messages may be up to 900 at once on each connection.
 //! * `restart program` kills the process with SIGKILL and starts it again. Only the configuration file remains.
 //! * `start successor` starts a second process that inherits the clients' socket: `program` and `o…` mean the new
 //!   process from then on. `start successor 3600` sets the new process's wall clock 3600 seconds ahead; a negative
@@ -60,6 +62,7 @@
 
 #[path = "../discovery/mod.rs"]
 mod discovery;
+mod flood;
 
 use calicolb_gearman::packet::{PacketType, Parsed as ParseResult, Sender, encode, parse};
 use rustix::net::{AddressFamily, SocketType};
@@ -124,6 +127,8 @@
     /// Writes and closes made while the program was stopped: the connection's local address as /proc/net/tcp prints it,
     /// true if the connection was closed, and the number of lookups in which it was missing.
     pending_deliveries: Vec<(String, bool, u32)>,
+    /// Clients that send at full speed.
+    floods: Vec<flood::Flood>,
     /// Sockets that keep the addresses of closed listeners bound, so that connections there are refused.
     reserved_addresses: Vec<OwnedFd>,
 }
@@ -372,6 +377,7 @@
             recorded_memory_kib: 0,
             stopped: false,
             pending_deliveries: Vec::new(),
+            floods: Vec::new(),
             reserved_addresses: Vec::new(),
         };
         test_run.read_addresses().expect("the program did not log its addresses");
@@ -587,6 +593,12 @@
                     ))
                 }
             }
+            ("flood", count) => {
+                let count = count.parse().map_err(|_| format!("'{count}' is not a number of clients"))?;
+                let flood = flood::Flood::start(self.client_address, count, &encode_message(rest));
+                self.floods.push(flood.map_err(|error| error.to_string())?);
+                Ok(())
+            }
             ("restart", "program") => {
                 self.program.kill().map_err(|error| error.to_string())?;
                 self.program.wait().map_err(|error| error.to_string())?;
