--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -2,23 +2,18 @@
 
 use crate::log::log_line;
 use crate::net::Context;
-use crate::net::core::buffer::{Buffer, FillOutcome};
+use crate::net::core::buffer::Buffer;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
-use crate::net::core::envelope::{Envelope, Payload};
-use crate::net::core::iteration::{ACCEPT_TIME, MAX_MESSAGES_PER_TURN};
-use crate::net::core::request_table::{Answer, ClientUpdates, IntakeError, Job};
-use crate::net::core::transfer::Transfer;
-use crate::net::http::callback::handle_callback;
-use crate::net::http::framing::{self, Reject, Request};
+use crate::net::core::iteration::ACCEPT_TIME;
+use crate::net::core::request_table::Answer;
+use crate::net::http::framing::{self, Reject};
 use crate::net::protocol::ReleaseIdle;
-use calicolb::api::{ClassIx, Micros};
-use calicolb::wire;
+use calicolb::api::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::Shutdown;
-use std::rc::Rc;
 use std::time::Instant;
 
 const SECOND: Micros = 1_000_000;
@@ -45,16 +40,6 @@
 /// Maximum number of connections accepted in one iteration of the event loop; the rest is accepted in the
 /// next one.
 const MAX_ACCEPTS: usize = 256;
-/// Bytes that a connection may read beyond its unprocessed input at a time, so that many connections with much input do
-/// not hold much memory.
-const FILL_BYTES: usize = 16 * 1024;
-/// Maximum number of times that one turn fills the input buffer: enough for the largest message.
-const MAX_FILLS: usize = framing::MESSAGE_LIMIT / FILL_BYTES + 2;
-/// Maximum number of connections examined for one that can be closed in favour of another.
-const MAX_RELEASE_CANDIDATES: usize = 8;
-/// Upper bound of the `Request-Timeout` of a client, in seconds.
-const MAX_CLIENT_TIMEOUT_S: f64 = 3600.0;
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 /// State of a client connection.
 enum State {
@@ -66,27 +51,6 @@
     Closing,
 }
 
-/// Result of a turn of a connection.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum TurnOutcome {
-    /// All input is processed, or the connection waits for an answer or for its output to be written.
-    Waiting,
-    /// The turn is used up, and there may be more input.
-    MoreInput,
-    /// The peer has closed the connection, and all that it sent before is processed.
-    Closed,
-}
-
-impl From<FillOutcome> for TurnOutcome {
-    fn from(filled: FillOutcome) -> Self {
-        match filled {
-            FillOutcome::WouldBlock => TurnOutcome::Waiting,
-            FillOutcome::LimitReached => TurnOutcome::MoreInput,
-            FillOutcome::Closed => TurnOutcome::Closed,
-        }
-    }
-}
-
 struct Connection {
     stream: TcpStream,
     buffer: Buffer,
@@ -267,204 +231,6 @@
         }
     }
 
-    /// Reads and processes input of a connection, for one turn.
-    fn read(&mut self, ctx: &mut Context<'_>, token: usize) {
-        let outcome = self.take_turn(ctx, token);
-        if outcome == TurnOutcome::Closed {
-            // A client that closes its connection has gone, even in the middle of a response.
-            ctx.request_table.client_left(token);
-            return self.drop_connection(ctx, token);
-        }
-        let Some(connection) = self.connections.get_mut(&token) else { return };
-        connection.has_unread_input = outcome == TurnOutcome::MoreInput;
-        if connection.has_unread_input {
-            ctx.input_queue.push_backlog(token);
-        }
-    }
-
-    fn take_turn(&mut self, ctx: &mut Context<'_>, token: usize) -> TurnOutcome {
-        let mut requests_left = MAX_MESSAGES_PER_TURN;
-        for fill in 0..MAX_FILLS {
-            let Some(connection) = self.connections.get_mut(&token) else { return TurnOutcome::Waiting };
-            if connection.buffer.has_output() {
-                return TurnOutcome::Waiting;
-            }
-            let filled = connection.fill(fill == 0);
-            connection.closed_by_peer = filled == FillOutcome::Closed;
-            while requests_left > 0 && self.may_process(token) && self.process_request(ctx, token) {
-                requests_left -= 1;
-            }
-            let Some(connection) = self.connections.get_mut(&token) else { return TurnOutcome::Waiting };
-            match connection.state {
-                State::Reading if connection.buffer.has_output() => return TurnOutcome::Waiting,
-                State::Reading if requests_left == 0 => return TurnOutcome::MoreInput,
-                State::Reading | State::InProgress if filled == FillOutcome::Closed => {
-                    return TurnOutcome::Closed;
-                }
-                // Input behind the last response is discarded.
-                State::Closing => {
-                    connection.buffer.consume(usize::MAX / 2);
-                    return filled.into();
-                }
-                State::InProgress => return connection.discard_excess_input(filled),
-                State::Reading if filled == FillOutcome::WouldBlock => return TurnOutcome::Waiting,
-                // The timeout ends a request that does not fit into the buffer.
-                State::Reading if connection.buffer.input().len() >= framing::MESSAGE_LIMIT => {
-                    return TurnOutcome::Waiting;
-                }
-                State::Reading => {}
-            }
-        }
-        TurnOutcome::MoreInput
-    }
-
-    /// Returns whether the next request of a connection may be processed: the last one is answered.
-    fn may_process(&self, token: usize) -> bool {
-        let waits_for_request =
-            |connection: &Connection| connection.state == State::Reading && !connection.buffer.has_output();
-        self.connections.get(&token).is_some_and(waits_for_request)
-    }
-
-    /// Processes the next request in the buffer. Returns false if there is none, or it is malformed.
-    fn process_request(&mut self, ctx: &mut Context<'_>, token: usize) -> bool {
-        let first_request_timeout = self.first_request_timeout();
-        let Some(connection) = self.connections.get_mut(&token) else { return false };
-        match framing::parse_request(connection.buffer.input()) {
-            Ok(None) => {
-                // The limit counts from the first byte, so a client that sends single bytes cannot hold a
-                // connection forever.
-                let deadline = if connection.awaits_first_request {
-                    connection.last_activity + first_request_timeout
-                } else if connection.buffer.input().is_empty() {
-                    ctx.now + IDLE_TIMEOUT
-                } else {
-                    *connection.request_started.get_or_insert(ctx.now) + STALL_TIMEOUT
-                };
-                ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::Timeout), deadline);
-                false
-            }
-            Ok(Some((request, length))) => {
-                connection.buffer.consume(length);
-                connection.last_activity = ctx.now;
-                connection.awaits_first_request = false;
-                connection.request_started = None;
-                connection.close_after_response |= !request.keep_alive;
-                ctx.deadlines
-                    .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + IDLE_TIMEOUT);
-                match self.route(ctx, token, request) {
-                    Ok(()) => {}
-                    Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
-                }
-                true
-            }
-            Err(Reject(status)) => {
-                // The end of this message, and thus the start of the next one, is unknown.
-                connection.close_after_response = true;
-                self.reply(ctx, token, status, &[], b"");
-                false
-            }
-        }
-    }
-
-    fn route(&mut self, ctx: &mut Context<'_>, token: usize, request: Request) -> Result<(), Reject> {
-        let require_method = |method: &str| if request.method == method { Ok(()) } else { Err(Reject(405)) };
-        let path = request.path().to_owned();
-        match path.as_str() {
-            "/up" => {
-                require_method("GET")?;
-                let status = if self.accepts_clients { 200 } else { 503 };
-                self.reply(ctx, token, status, &[], b"");
-            }
-            "/_jobs/news" => {
-                require_method("POST")?;
-                handle_callback(ctx, &request.body)?;
-                if let Some(connection) = self.connections.get_mut(&token) {
-                    connection.carries_callbacks = true;
-                }
-                self.reply(ctx, token, 200, &[], b"");
-            }
-            _ => {
-                let job = job_from_request(ctx, request)?;
-                match ctx.request_table.add_request(ctx.now, token, job) {
-                    Ok(_) => {
-                        if let Some(connection) = self.connections.get_mut(&token) {
-                            connection.state = State::InProgress;
-                        }
-                        ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
-                    }
-                    Err(IntakeError::DuplicateName) => return Err(Reject(409)),
-                    Err(IntakeError::TooManyOpen) => return Err(Reject(503)),
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns the parts of a connection with a request in progress that another process needs: the stream,
-    /// whether another request may follow, and the unread input behind the current request.
-    pub fn connection_for_transfer(&self, token: usize) -> Option<(&TcpStream, bool, &[u8])> {
-        let connection = self.connections.get(&token)?;
-        (connection.state == State::InProgress)
-            .then(|| (&connection.stream, !connection.close_after_response, connection.buffer.input()))
-    }
-
-    /// Stops reading and writing a connection that has been sent to another process, until it is known which
-    /// of the two processes keeps it.
-    pub fn suspend_connection(&mut self, ctx: &mut Context<'_>, token: usize) {
-        ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
-        ctx.input_queue.remove(token);
-        if let Some(connection) = self.connections.get_mut(&token) {
-            let _ = ctx.registry.deregister(&mut connection.stream);
-        }
-    }
-
-    /// Drops a connection that another process has taken over, without shutting it down.
-    pub fn release_connection(&mut self, token: usize) {
-        self.connections.remove(&token);
-    }
-
-    /// Continues the request of a suspended connection here because no other process has taken it over.
-    pub fn resume_connection(&mut self, ctx: &mut Context<'_>, token: usize, transfer: Transfer) {
-        let Some(connection) = self.connections.get_mut(&token) else { return };
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        if let Err(error) = ctx.registry.register(&mut connection.stream, Token(token), interest) {
-            log_line!("failed to register a client connection again: {error}");
-        }
-        match job_from_transfer(ctx, &transfer) {
-            Ok(job) => ctx.request_table.adopt(ctx.now, token, job, &transfer.history, ctx.deadlines),
-            Err(Reject(status)) => {
-                connection.state = State::Reading;
-                self.reply(ctx, token, status, &[], b"");
-            }
-        }
-    }
-
-    /// Takes over a connection whose request another process has worked on.
-    ///
-    /// # Errors
-    /// This process cannot take the request; the connection stays untouched.
-    pub fn adopt_connection(
-        &mut self,
-        ctx: &mut Context<'_>,
-        stream: TcpStream,
-        transfer: Transfer,
-    ) -> Result<(), Reject> {
-        let job = job_from_transfer(ctx, &transfer)?;
-        if ctx.request_table.has_request(&job.name) {
-            return Err(Reject(409));
-        }
-        let token = ctx.next_token();
-        self.register_connection(ctx, stream, token);
-        let connection = self.connections.get_mut(&token).ok_or(Reject(503))?;
-        connection.awaits_first_request = false;
-        connection.close_after_response = !transfer.keep_alive;
-        connection.state = State::InProgress;
-        connection.buffer = Buffer::with_input(&transfer.unread);
-        ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
-        ctx.request_table.adopt(ctx.now, token, job, &transfer.history, ctx.deadlines);
-        Ok(())
-    }
-
     /// Writes the final response to the request of a connection.
     pub fn answer(&mut self, ctx: &mut Context<'_>, token: usize, answer: Answer) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
@@ -589,30 +355,6 @@
             .for_each(|timer| ctx.deadlines.clear(Deadline::Connection(token, timer)));
     }
 
-    /// Ends the drain: responses keep their connections open again.
-    pub fn end_drain(&mut self) {
-        self.draining = false;
-    }
-
-    /// Starts the drain: shuts down connections that are idle between two requests, and from now on every
-    /// response closes its connection. Connections that carry callbacks stay open.
-    pub fn begin_drain(&mut self, ctx: &mut Context<'_>) {
-        self.draining = true;
-        let idle: Vec<usize> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.is_idle() && !connection.carries_callbacks)
-            .map(|(&token, _)| token)
-            .collect();
-        for token in idle {
-            // Input that arrived since the poll is an accepted request, not one that crosses the shutdown.
-            self.read(ctx, token);
-            if self.connections.get(&token).is_some_and(Connection::is_idle) {
-                self.shut_down(ctx, token);
-            }
-        }
-    }
-
     /// Returns whether no connection has a request in progress and clients have had `DELIVERY_TIME` to read
     /// their last responses.
     pub fn is_idle(&self, now: Micros) -> bool {
@@ -620,76 +362,12 @@
     }
 }
 
-impl ReleaseIdle for ClientConnections {
-    /// Closes the connection that is needed least. The order is: last response delivered, idle client, idle
-    /// callback connection, last response possibly in flight, incomplete request, which is not accepted
-    /// before its last byte. Within each group the connection that has been inactive longest is closed.
-    fn release_idle(&mut self, ctx: &mut Context<'_>) -> bool {
-        let now = ctx.now;
-        let release_order = |connection: &Connection| match connection.state {
-            // A complete request may be among the input.
-            State::Reading if connection.has_unread_input => None,
-            State::Closing => {
-                Some((if connection.is_delivered(now) { 0 } else { 3 }, connection.last_activity))
-            }
-            State::Reading if connection.is_idle() => {
-                Some((1 + u8::from(connection.carries_callbacks), connection.last_activity))
-            }
-            State::Reading if !connection.buffer.has_output() => {
-                Some((4, connection.request_started.unwrap_or(connection.last_activity)))
-            }
-            _ => None,
-        };
-        for _ in 0..MAX_RELEASE_CANDIDATES {
-            let next = self
-                .connections
-                .iter()
-                .filter_map(|(&token, connection)| Some((release_order(connection)?, token)))
-                .min();
-            let Some((order, token)) = next else { break };
-            // A request that arrived since the poll is accepted: its connection must not be closed.
-            self.read(ctx, token);
-            let unchanged =
-                self.connections.get(&token).map(|connection| release_order(connection) == Some(order));
-            if unchanged != Some(false) {
-                self.drop_connection(ctx, token);
-                return true;
-            }
-        }
-        false
-    }
-}
-
 impl Connection {
     /// The last response, if any, was written `DELIVERY_TIME` ago, so the client has received it.
     fn is_delivered(&self, now: Micros) -> bool {
         self.state == State::Closing && now >= self.last_activity + DELIVERY_TIME
     }
 
-    /// Reads input. `first`: this is the first time in a turn. Requests that are in the buffer are processed before more is
-    /// read.
-    fn fill(&mut self, first: bool) -> FillOutcome {
-        let left = self.buffer.input().len();
-        let limit = match self.state {
-            _ if self.closed_by_peer => return FillOutcome::Closed,
-            State::Reading if first && left > 0 => return FillOutcome::LimitReached,
-            State::Reading => framing::MESSAGE_LIMIT.min(left + FILL_BYTES),
-            State::InProgress | State::Closing => framing::MESSAGE_LIMIT,
-        };
-        self.buffer.fill(&mut self.stream, limit)
-    }
-
-    /// Discards the input behind a request in progress once it reaches [`framing::MESSAGE_LIMIT`]: only behind it the end
-    /// of the connection shows. The response is then the last on this connection.
-    fn discard_excess_input(&mut self, filled: FillOutcome) -> TurnOutcome {
-        if self.buffer.input().len() < framing::MESSAGE_LIMIT {
-            return filled.into();
-        }
-        self.close_after_response = true;
-        self.buffer.consume(usize::MAX / 2);
-        TurnOutcome::MoreInput
-    }
-
     /// Input has been received that is not processed yet, or may have been.
     fn has_pending_input(&self) -> bool {
         self.has_unread_input || !self.buffer.input().is_empty()
@@ -701,81 +379,9 @@
     }
 }
 
-/// Builds the job of a transferred request, if its class is known here.
-fn job_from_transfer(ctx: &Context<'_>, transfer: &Transfer) -> Result<Job<Payload>, Reject> {
-    let Envelope { target, headers, body, .. } = transfer.envelope.clone();
-    let keep_alive = transfer.keep_alive;
-    job_from_request(ctx, Request { method: "POST".to_owned(), target, headers, body, keep_alive })
-}
-
-/// Builds the job of a client's request.
-fn job_from_request(ctx: &Context<'_>, request: Request) -> Result<Job<Payload>, Reject> {
-    let path = request.path().to_owned();
-    let class_name = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let class = ctx.names.class(class_name).map_err(|_| Reject(404))?;
-    if request.method == "POST" { parse_job(ctx, class, class_name, request) } else { Err(Reject(405)) }
-}
-
-fn parse_job(
-    ctx: &Context<'_>,
-    class: ClassIx,
-    class_name: &str,
-    request: Request,
-) -> Result<Job<Payload>, Reject> {
-    let bad_request = Reject(400);
-    let header = |name: &str| request.headers.get(name);
-    if header("request-class").is_some_and(|class| class != class_name) {
-        return Err(bad_request);
-    }
-    let id = header("request-id").filter(|id| is_valid_request_id(id)).ok_or(bad_request)?.to_owned();
-    let parse_number =
-        |text: &str| text.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0);
-    let timeout_s = parse_number(header("request-timeout").ok_or(bad_request)?)
-        .ok_or(bad_request)?
-        .min(MAX_CLIENT_TIMEOUT_S);
-    let tenant = match header("tenant") {
-        // A tenant that the settings do not know has no share to count against.
-        Some(name) => ctx.names.tenant(name).ok(),
-        None => None,
-    };
-    let hint = header("work-hint").map(|text| parse_number(text).ok_or(bad_request)).transpose()?;
-    let retry = header("client-retry") == Some("1");
-    let (mut slots, mut memory) = (None, 0.0);
-    for pair in header("request-info").unwrap_or("").split(',').filter(|pair| !pair.trim().is_empty()) {
-        let (key, value) = pair.split_once('=').ok_or(bad_request)?;
-        match key.trim() {
-            "slots" | "needs" => slots = Some(parse_number(value).ok_or(bad_request)?.ceil() as u32),
-            "memory" => memory = parse_number(value).ok_or(bad_request)?,
-            _ => {}
-        }
-    }
-    let Request { target, headers, body, .. } = request;
-    let key = framing::query_parameter(&target, "obj").map(wire::fnv1a_hash);
-    // The class determines which skill a worker must have for the job.
-    let skill = class.0 as u32;
-    let envelope = Envelope { name: id.clone(), skill, target, headers, body };
-    Ok(Job {
-        name: id,
-        class,
-        tenant,
-        hint,
-        client_timeout: (timeout_s * SECOND as f64) as Micros,
-        slots,
-        memory,
-        key,
-        retry,
-        skill,
-        updates: ClientUpdates::Nothing,
-        payload: Rc::new(envelope),
-    })
-}
-
-/// The id is part of the path of a cancellation, so it must not contain characters that are special in a
-/// path.
-fn is_valid_request_id(id: &str) -> bool {
-    (1..=128).contains(&id.len())
-        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte))
-}
-
+mod job;
+mod reading;
+mod release;
 #[cfg(test)]
 mod tests;
+mod transfer;
--- a/src/net/http/client/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -1,11 +1,14 @@
 //! Tests of client connections whose input or end arrives after the poll and before a deadline of the same iteration is
 //! handled.
 
+use super::reading::FILL_BYTES;
 use super::*;
 use crate::net::core::deadlines::Deadlines;
+use crate::net::core::envelope::Payload;
 use crate::net::core::input_queue::InputQueue;
+use crate::net::core::iteration::MAX_MESSAGES_PER_TURN;
 use crate::net::core::request_table::RequestTable;
-use calicolb::wire::Names;
+use calicolb::wire::{self, Names};
 use mio::Poll;
 use std::io::{Read, Write};
 use std::net::TcpStream as ClientStream;
