Skip informational responses in a loop, so that they cannot overflow the stack

What callers would see: a worker that answers with thousands of '100' heads ends the process. Not seen in service.

Evidence: framing::tests::any_number_of_informational_responses_is_skipped overflows the stack on (debug build) and passes now. A loop needs no stack, whatever a peer sends.

--- a/src/net/http/framing.rs
+++ b/src/net/http/framing.rs
@@ -132,12 +132,15 @@
 
 /// Parses a response like [`parse_response`], with a body of at most `limit` bytes.
 pub fn parse_response_with_limit(bytes: &[u8], limit: usize) -> Result<Option<(Response, usize)>, Reject> {
-    let Some((mut response, head)) = parse_response_head(bytes)? else { return Ok(None) };
-    if (100..200).contains(&response.status) {
-        // An informational response: the final response follows it.
-        let rest = parse_response_with_limit(&bytes[head..], limit)?;
-        return Ok(rest.map(|(response, length)| (response, head + length)));
-    }
+    let mut head = 0;
+    let mut response = loop {
+        let Some((response, length)) = parse_response_head(&bytes[head..])? else { return Ok(None) };
+        head += length;
+        // The final response follows an informational one.
+        if !(100..200).contains(&response.status) {
+            break response;
+        }
+    };
     let framed = response.headers.get("content-length").is_some() || has_transfer_encoding(&response.headers);
     if !framed || matches!(response.status, 204 | 304) {
         response.keep_alive &= matches!(response.status, 204 | 304);
@@ -313,6 +316,20 @@
         assert_eq!(status(&format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(HEAD_LIMIT))), 431);
     }
 
+    // Guards against a stack overflow through informational responses, of which a worker may send any number.
+    #[test]
+    fn any_number_of_informational_responses_is_skipped() {
+        let informational = "HTTP/1.1 100 C\r\n\r\n";
+        let count = MESSAGE_LIMIT / informational.len();
+        let text =
+            format!("{}HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", informational.repeat(count));
+        let (response, length) = parse_response(text.as_bytes())
+            .expect("the response is well formed")
+            .expect("the response is complete");
+        assert_eq!((response.status, length), (202, text.len()));
+        assert!(parse_response(informational.repeat(count).as_bytes()).is_ok_and(|parsed| parsed.is_none()));
+    }
+
     #[test]
     fn response_without_framing_closes_its_connection() {
         let (unframed, _) = parse_response(b"HTTP/1.1 202 Accepted\r\n\r\n")
