A repeat before the start no longer cancels a safe job when its worker confirms it

What callers would see: a safe job that runs is cancelled and begins anew, where a worker repeats 'returned', calls 'started' and only then answers 202, all for the second attempt there.

Cause: a report that comes before the 202 was kept and passed on with it as unattributed, though the start that had been reported meanwhile shows that it belongs to the earlier attempt. It is attributed again at the 202.

Evidence: request_table::repeated_reports::a_repeated_hand_back_before_the_start_does_not_cancel_a_safe_job_at_its_confirmation failed without the change and passes with it.

--- a/src/net/core/request_table/attempts.rs
+++ b/src/net/core/request_table/attempts.rs
@@ -41,7 +41,10 @@
         if attempt.cancel_pending {
             self.send_cancel(id);
         }
-        if let Some(ending) = early_end {
+        // Meanwhile the job may have started, so that the report of its end belongs to an earlier attempt.
+        if let Some(ending) =
+            early_end.filter(|&ending| self.attribute(id, ending) != Some(Attribution::Earlier))
+        {
             self.unattributed_end(id, ending);
         }
     }
--- a/src/net/core/request_table/tests/repeated_reports.rs
+++ b/src/net/core/request_table/tests/repeated_reports.rs
@@ -63,6 +63,19 @@
     assert_eq!(fixture.process(), [cancel]);
 }
 
+// Guards against a job being cancelled while it runs, because a repeat came before its start and both before its confirmation.
+#[test]
+fn a_repeated_hand_back_before_the_start_does_not_cancel_a_safe_job_at_its_confirmation() {
+    let mut fixture = Fixture::new();
+    let second = handed_back_once(&mut fixture, 0);
+    fixture.callback(AttemptUpdate::Ended(Ending::Full));
+    assert!(fixture.callback(AttemptUpdate::Note(AttemptNote::Started)));
+    fixture.table.attempt_accepted(second);
+    assert_eq!(fixture.process(), []);
+    assert!(fixture.callback(AttemptUpdate::Served(b"r".to_vec())));
+    assert_eq!(fixture.process(), [send_answer(Answer::Served(b"r".to_vec()))]);
+}
+
 // Guards against the hand-back of a started job being taken for proof that the job never ran.
 #[test]
 fn a_hand_back_after_the_start_is_no_proof_that_the_job_never_ran() {
