See the end of a waiting client's connection before the turns of an iteration

What callers would see: a connection to a worker is opened for a job whose client has gone, where so many clients leave at once that the time for input ends before all their ends are read. It is closed unwritten in the next iteration; under load an attempt could begin.

Cause: since the input of connections is read in turns, the end of a client's connection waited for its turn like any input.

Change: readiness that reports the end of a connection whose client waits for an answer is handled at once; there are at most as many of these as open requests.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -346,7 +346,7 @@
             let now = self.clock.now();
             self.iteration_started = Instant::now();
             for event in &events {
-                self.handle_ready(now, event.token());
+                self.handle_ready(now, event.token(), event.is_read_closed());
             }
             self.process_input(now);
             while let Some(deadline) = self.deadlines.next_due(now) {
@@ -442,13 +442,17 @@
         (ctx, components)
     }
 
-    /// Handles readiness of the socket with this token. Connections that peers opened wait for a turn.
-    fn handle_ready(&mut self, now: Micros, token: Token) {
+    /// Handles readiness of the socket with this token. Connections that peers opened wait for a turn, unless a client that
+    /// waits for an answer has closed its connection (`closed`): no attempt may begin for it any more.
+    fn handle_ready(&mut self, now: Micros, token: Token, closed: bool) {
         if token == SIGNALS {
             return self.handle_signals(now);
         }
         let (_, mut components) = self.split(now);
-        if components.protocols().any(|protocol| protocol.reads_in_turns(token.0)) {
+        let waits_for_turn = |protocol: &mut dyn Protocol| {
+            protocol.reads_in_turns(token.0) && !(closed && protocol.awaits_answer(token.0))
+        };
+        if components.protocols().any(waits_for_turn) {
             return self.input_queue.push_ready(token.0);
         }
         self.handle_input(now, token.0);
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -139,6 +139,10 @@
         self.connections.contains_key(&token)
     }
 
+    fn awaits_answer(&self, token: usize) -> bool {
+        self.job_table.has_waiting_client(token)
+    }
+
     fn on_deadline(&mut self, ctx: &mut Context<'_>, token: usize, timer: ConnectionTimer) {
         match timer {
             ConnectionTimer::Accept => self.accept_connections(ctx),
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -112,6 +112,11 @@
         self.connections.contains_key(&token)
     }
 
+    /// Returns whether the client of this connection waits for an answer.
+    pub fn awaits_answer(&self, token: usize) -> bool {
+        self.connections.get(&token).is_some_and(|connection| connection.state == State::InProgress)
+    }
+
     /// Starts accepting connections.
     pub fn listen(&mut self, ctx: &mut Context<'_>) -> io::Result<()> {
         if !self.listening {
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -38,6 +38,10 @@
         self.clients.owns_connection(token)
     }
 
+    fn awaits_answer(&self, token: usize) -> bool {
+        self.clients.awaits_answer(token)
+    }
+
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize) {
         if self.clients.owns_token(token) {
             self.clients.handle_ready(ctx, token)
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -44,6 +44,9 @@
     /// [`InputQueue`](crate::net::core::input_queue::InputQueue)).
     fn reads_in_turns(&self, token: usize) -> bool;
 
+    /// Returns true if a client on this connection waits for an answer.
+    fn awaits_answer(&self, token: usize) -> bool;
+
     /// Handles readiness of a connection or listener: it can be read, written or accepted.
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize);
 
