An attempt is over only when its worker answers a cancellation, not at a close

Cause: UpstreamConnections::cancel_attempt gave up an attempt without a 202 by closing its connection alone, and one connect timeout later Deadline::CancelDelivered reported it as over. That no 202 was read does not show that none was sent. A callback that reports the start did not count as confirmation, and nothing noticed a DELETE that failed.

Change: every written attempt is cancelled by DELETE (src/net/http/upstream/cancellations.rs). If nothing has come back from the worker its connection is closed first and the DELETE follows one connect timeout later, so that the request cannot arrive behind it; after a 202, started or progress it leaves at once. Where only one attempt may be out the attempt ends with the answer (below 500) or with the worker's own word, and the DELETE is sent again until then or the request's time. A pending cancellation is withdrawn when the job starts. A DELETE that would end a later job of the same name is dropped. The simulated fleet does the same.

Tests changed: rare::without_concurrent_attempts_a_resend_waits_for_the_cancel_to_arrive asked for a second attempt after a close that nobody answered, which is the fault; it now asks for a DELETE after 3 s and no attempt before its answer. request_table:: a_cancelled_attempt_that_was_not_accepted_is_over_only_when_its_worker_reports_its_end called cancel_delivered for a close; its successor calls it (cancel_confirmed) for the worker's answer, and checks that the end of the connection shows nothing.

--- a/crates/simulation/src/schedulers.rs
+++ b/crates/simulation/src/schedulers.rs
@@ -52,8 +52,8 @@
     AcceptanceTimeout(AttemptId),
     /// Time at which a cancelled attempt is cancelled at the worker even if it was not accepted.
     CancelUnaccepted(AttemptId),
-    /// Time at which the cancellation has reached the worker.
-    CancelDelivered(AttemptId),
+    /// Time at which the worker's answer to a cancellation arrives.
+    CancelConfirmed(AttemptId),
     /// Next deadline of the list lease.
     DiscoveryWatch,
 }
@@ -290,15 +290,17 @@
         self.end_attempt(now, id, ending, false, report);
     }
 
-    /// Called when the cancellation of an attempt has reached the worker. If the worker had accepted the attempt and it had
-    /// already ended in the decision module, it has now ended at the worker too.
-    fn cancel_delivered(&mut self, now: Micros, id: AttemptId) {
+    /// Called when the worker has confirmed the cancellation of an attempt: the attempt has ended there.
+    fn cancel_confirmed(&mut self, now: Micros, id: AttemptId) {
+        self.confirm_ended(id);
+        self.end_attempt(now, id, Ending::Cancelled, false, None);
+    }
+
+    /// True if an attempt ends only with the confirmation of its cancellation.
+    pub(crate) fn awaits_cancel(&self, id: AttemptId) -> bool {
         let entry = self.requests.get(&id.request);
         let attempt = entry.and_then(|entry| entry.attempts.get(id.number as usize));
-        match attempt.filter(|attempt| attempt.may_be_running && attempt.accepted) {
-            Some(_) => self.confirm_ended(id),
-            None => self.end_attempt(now, id, Ending::Cancelled, false, None),
-        }
+        attempt.is_some_and(|attempt| attempt.ending.is_none())
     }
 
     /// Notifies the module that an attempt has ended at its worker, if it had ended in the module and could still be running.
@@ -360,7 +362,7 @@
                     self.send_cancel(id);
                 }
             }
-            Deadline::CancelDelivered(id) => self.cancel_delivered(now, id),
+            Deadline::CancelConfirmed(id) => self.cancel_confirmed(now, id),
             Deadline::DiscoveryWatch => {
                 if self.list_timer_at.is_some_and(|at| at > now) {
                     return;
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -329,8 +329,9 @@
             SimEvent::TaskProgress { worker, incarnation, task } => {
                 self.task_progress(worker, incarnation, task)
             }
-            SimEvent::CancelArrives { worker, origin, acknowledges } => {
-                self.cancel_arrives(worker, origin, acknowledges)
+            SimEvent::SendCancel { worker, origin, failures } => self.send_cancel(origin, worker, failures),
+            SimEvent::CancelArrives { worker, origin, failures } => {
+                self.cancel_arrives(worker, origin, failures)
             }
             SimEvent::ProbeArrives { process, worker, sent } => self.probe_arrives(process, worker, sent),
             SimEvent::ProbeFinished { process, worker, sent, report, bytes } => {
--- a/crates/simulation/src/simulation/attempts.rs
+++ b/crates/simulation/src/simulation/attempts.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Time after a cancellation that was not confirmed until the next one, in microseconds.
+const CANCEL_RETRY_INTERVAL: Micros = 500_000;
+
 impl Simulation {
     pub(super) fn execute(&mut self, process: u32, command: Command) {
         match command {
@@ -15,19 +18,16 @@
                 let (from_zone, to_zone) =
                     (self.processes[process as usize].zone, self.workers[index as usize].zone);
                 let origin = origin(process, id);
+                if accepted {
+                    return self.send_cancel(origin, index, 0);
+                }
+                // The connection is closed, and a cancellation follows when the close must have arrived.
                 if self.links.is_open_both_ways(from_zone, to_zone) {
                     let at = self.now + self.links.delay(from_zone, to_zone);
-                    self.schedule(
-                        at,
-                        SimEvent::CancelArrives { worker: index, origin, acknowledges: accepted },
-                    );
-                }
-                if !accepted {
-                    self.schedule(
-                        self.now + MAX_TRANSIT_TIME,
-                        SimEvent::DeadlineReached { process, deadline: Deadline::CancelDelivered(id) },
-                    );
+                    self.schedule(at, SimEvent::CancelArrives { worker: index, origin, failures: None });
                 }
+                let send_at = self.now + MAX_TRANSIT_TIME;
+                self.schedule(send_at, SimEvent::SendCancel { worker: index, origin, failures: 0 });
             }
             Command::SendProbe(worker) => self.send_probe(process, worker),
             Command::SendPeerMessage { to, body } => self.send_peer_message(process, to, body),
@@ -38,6 +38,28 @@
         }
     }
 
+    /// Sends a cancellation that the worker confirms. It is sent again as long as an attempt waits for the confirmation.
+    pub(super) fn send_cancel(&mut self, origin: Origin, worker: u32, failures: u32) {
+        let process = &self.processes[origin.process as usize];
+        let id = AttemptId { request: origin.request, number: origin.attempt };
+        if !process.alive || (failures > 0 && !process.awaits_cancel(id)) {
+            return;
+        }
+        let (from_zone, to_zone) = (process.zone, self.workers[worker as usize].zone);
+        if self.links.is_open_both_ways(from_zone, to_zone) {
+            let at = self.now + self.links.delay(from_zone, to_zone);
+            self.schedule(at, SimEvent::CancelArrives { worker, origin, failures: Some(failures) });
+        } else {
+            self.retry_cancel(origin, worker, failures);
+        }
+    }
+
+    /// Sends a cancellation again that was not confirmed.
+    pub(super) fn retry_cancel(&mut self, origin: Origin, worker: u32, failures: u32) {
+        let at = self.now + CANCEL_RETRY_INTERVAL;
+        self.schedule(at, SimEvent::SendCancel { worker, origin, failures: failures.saturating_add(1) });
+    }
+
     pub(super) fn send_peer_message(&mut self, process: u32, to: Option<u32>, body: Vec<u8>) {
         let (rank, zone) = (self.processes[process as usize].rank, self.processes[process as usize].zone);
         let body = Rc::new(body);
--- a/crates/simulation/src/simulation/tasks.rs
+++ b/crates/simulation/src/simulation/tasks.rs
@@ -160,9 +160,14 @@
         });
     }
 
-    pub(super) fn cancel_arrives(&mut self, index: u32, origin: Origin, acknowledges: bool) {
+    /// `failures`: number of cancellations of the attempt that were not confirmed; `None` if this is the end of its
+    /// connection, which is not confirmed.
+    pub(super) fn cancel_arrives(&mut self, index: u32, origin: Origin, failures: Option<u32>) {
         let worker = &mut self.workers[index as usize];
         if worker.state != WorkerState::Up {
+            if let Some(failures) = failures {
+                self.retry_cancel(origin, index, failures);
+            }
             return;
         }
         let zone = worker.zone;
@@ -172,11 +177,11 @@
             self.task_ended(&task, number);
             self.start_tasks(index);
         }
-        if acknowledges {
+        if failures.is_some() {
             let process = origin.process;
             let id = AttemptId { request: origin.request, number: origin.attempt };
             let at = self.now + self.links.delay(zone, self.processes[process as usize].zone);
-            self.schedule(at, SimEvent::DeadlineReached { process, deadline: Deadline::CancelDelivered(id) });
+            self.schedule(at, SimEvent::DeadlineReached { process, deadline: Deadline::CancelConfirmed(id) });
         }
     }
 
--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -15,9 +15,8 @@
     /// A worker should have confirmed by now that it accepted the job of an attempt that is to be cancelled: request
     /// number and attempt number.
     CancelUnaccepted(u32, u32),
-    /// The end of the connection of a cancelled attempt has reached the worker by now: request number and attempt
-    /// number.
-    CancelDelivered(u32, u32),
+    /// The cancellation of an attempt is to be sent, or sent again: request number and attempt number.
+    CancelDue(u32, u32),
     /// A timer that a protocol set for the connection or listener with this token.
     Connection(usize, ConnectionTimer),
     /// Datagrams of other schedulers remain from the last iteration of the event loop.
--- a/src/net/core/request_table/actions.rs
+++ b/src/net/core/request_table/actions.rs
@@ -25,10 +25,10 @@
                 if allow_duplicates || concluded {
                     return self.cancel_attempt(now, id, Ending::Cancelled);
                 }
-                // The attempt may run until its worker has received the cancellation, so the request must not be sent
-                // to another worker before that. A worker that has not confirmed the job yet may still accept it, and
-                // then only an explicit message cancels the job: closing the connection would have no effect. The
-                // cancellation therefore waits for the confirmation, or for its timeout.
+                // The attempt may run until its worker has confirmed the cancellation, so the request must not be sent
+                // to another worker before that. The worker of an attempt that has just been written is about to
+                // confirm the job, and could answer the cancellation before it has read the attempt. The cancellation
+                // therefore waits for the confirmation of the job, or for its timeout.
                 attempt.cancel_pending = true;
                 if attempt.accepted || now >= written + acceptance_timeout {
                     self.send_cancel(id);
@@ -105,14 +105,14 @@
         self.end_attempt(now, id, ending, !ending.never_ran(), None);
     }
 
-    /// Sends a cancellation to the worker of an attempt, at most once. The first cancellation may be the close of the
-    /// attempt's connection, and the worker could answer a second cancellation before that close has reached it.
+    /// Sends a cancellation to the worker of an attempt, at most once: the protocol of the worker repeats it as long as
+    /// [`RequestTable::cancel_demand`] asks for it.
     pub(super) fn send_cancel(&mut self, id: AttemptId) {
         let Some(attempt) = self.open_attempt(id).filter(|attempt| !attempt.cancel_sent) else { return };
         attempt.cancel_sent = true;
-        let worker = attempt.worker;
+        let (worker, receipt) = (attempt.worker, attempt.receipt());
         let name = self.requests.get(&id.request).map(|entry| entry.name.clone()).unwrap_or_default();
-        self.commands.push(Command::Cancel { attempt: id, worker, name });
+        self.commands.push(Command::Cancel { attempt: id, worker, name, receipt });
     }
 
     /// Answers a request with its result, and ends the attempt that produced it.
--- a/src/net/core/request_table/attempts.rs
+++ b/src/net/core/request_table/attempts.rs
@@ -1,6 +1,6 @@
 //! Events on attempts, as reported by their connections and by their workers.
 
-use super::attribution::{Attribution, attribute_end};
+use super::attribution::{Attribution, attribute_end, none_ran_at};
 use super::*;
 
 impl<P: Clone> RequestTable<P> {
@@ -130,18 +130,33 @@
         }
     }
 
-    /// Reports that a cancellation has reached the worker. An attempt that is still open ends as cancelled. An attempt
-    /// that had ended here before is over at the worker too, if the worker had accepted the job and so received an
-    /// explicit cancellation: a worker that was accepting the job just then may have ignored the end of its connection.
+    /// Reports that the worker has confirmed a cancellation, so that the attempt is over there. An attempt that is still
+    /// open ends as cancelled.
     ///
     /// As long as a cancellation is not confirmed, it is unknown whether the job runs, and the attempt ends with a
     /// report of the worker or with its time limit.
-    pub fn cancel_delivered(&mut self, now: Micros, id: AttemptId) {
-        let entry = self.requests.get_mut(&id.request);
-        let attempt = entry.and_then(|entry| entry.attempts.get_mut(id.number as usize));
-        match attempt.filter(|attempt| attempt.may_run && attempt.accepted) {
-            Some(_) => self.confirm_not_running(id),
-            None => self.end_attempt(now, id, Ending::Cancelled, false, None),
+    pub fn cancel_confirmed(&mut self, now: Micros, id: AttemptId) {
+        self.confirm_not_running(id);
+        self.end_attempt(now, id, Ending::Cancelled, false, None);
+    }
+
+    /// Returns who depends on the confirmation of the cancellation of this attempt. `name`: the request name that the
+    /// worker knows.
+    pub fn cancel_demand(&self, id: AttemptId, name: &str) -> CancelDemand {
+        let Some(entry) = self.requests.get(&id.request).filter(|entry| entry.name == name) else {
+            let name_is_used = self.by_name.contains_key(name) || self.open_elsewhere.contains(name);
+            return if name_is_used { CancelDemand::Obsolete } else { CancelDemand::Optional };
+        };
+        let Some((attempt, later)) = entry.attempts.get(id.number as usize..).and_then(<[_]>::split_first)
+        else {
+            return CancelDemand::Obsolete;
+        };
+        if attempt.ending.is_none() {
+            CancelDemand::Awaited
+        } else if later.iter().any(|other| other.worker == attempt.worker) {
+            CancelDemand::Obsolete
+        } else {
+            CancelDemand::Optional
         }
     }
 
@@ -195,8 +210,15 @@
         }
         match update {
             AttemptUpdate::Note(note) => {
+                let certain = self.note_is_of_latest(id);
                 if let Some(attempt) = self.open_attempt(id) {
                     attempt.started = true;
+                    // A cancellation that waits for the confirmation of the job was decided while nothing was known of
+                    // the job. The decision module decides anew, now that the job runs.
+                    attempt.cancel_pending &= attempt.cancel_sent || !certain;
+                }
+                if certain {
+                    self.attempt_accepted(id);
                 }
                 match note {
                     AttemptNote::Progress(share) if relays_progress => {
@@ -232,6 +254,16 @@
         Some(attribute_end(entry.earlier_attempts.iter().chain(earlier), rest.first()?, ending))
     }
 
+    /// Returns whether a report of a start or of progress from the worker of this attempt certainly belongs to it.
+    fn note_is_of_latest(&self, id: AttemptId) -> bool {
+        let Some(entry) = self.requests.get(&id.request) else { return false };
+        let attempts = entry.attempts.split_at_checked(id.number as usize);
+        let current = attempts.and_then(|(earlier, rest)| Some((earlier, rest.first()?)));
+        current.is_some_and(|(earlier, current)| {
+            none_ran_at(entry.earlier_attempts.iter().chain(earlier), current.worker)
+        })
+    }
+
     /// Applies a report that an attempt at the worker of this open attempt has ended. Returns whether it counts for this
     /// attempt.
     fn reported_end(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Option<Report>) -> bool {
--- a/src/net/core/request_table/attribution.rs
+++ b/src/net/core/request_table/attribution.rs
@@ -5,7 +5,7 @@
 //! to an earlier attempt there.
 
 use super::request::Attempt;
-use calicolb::api::Ending;
+use calicolb::api::{Ending, WorkerId};
 
 /// The attempt that a report of an end belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +29,7 @@
     let may_be_earlier = earlier_here().any(|attempt| attempt.may_report(ending));
     // A report of a start belongs to the latest attempt if no earlier one has started here. A job that has started is not
     // handed back.
-    let earlier_never_ran = earlier_here().all(Attempt::never_ran);
+    let earlier_never_ran = none_ran_at(earlier.clone(), current.worker);
     let contradicts_start = ending == Ending::Full && current.started;
     match (may_be_earlier, contradicts_start) {
         (true, true) if earlier_never_ran => Attribution::Earlier,
@@ -38,6 +38,12 @@
     }
 }
 
+/// Returns whether each of these attempts that went to this worker has ended and certainly never ran there, so that a
+/// report of a start from the worker belongs to a later attempt.
+pub(super) fn none_ran_at<'a>(mut attempts: impl Iterator<Item = &'a Attempt>, worker: WorkerId) -> bool {
+    attempts.all(|attempt| attempt.worker != worker || attempt.never_ran())
+}
+
 impl Attempt {
     /// Returns whether the worker of this ended attempt may still report that it ended in this way.
     fn may_report(&self, ending: Ending) -> bool {
--- a/src/net/core/request_table/request.rs
+++ b/src/net/core/request_table/request.rs
@@ -118,6 +118,29 @@
     Ended(Ending),
 }
 
+/// What is known of the arrival of an attempt at its worker, when the attempt is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// The last byte of the attempt is not written, so the worker cannot have accepted the job.
+    Unwritten,
+    /// The attempt is written, and the worker has reported nothing. It may have accepted the job all the same: its
+    /// confirmation may be lost.
+    Unknown,
+    /// The worker has confirmed the job, or reported on it.
+    Confirmed,
+}
+
+/// Who depends on the confirmation of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelDemand {
+    /// The attempt ends with the confirmation, and its request is not sent again before.
+    Awaited,
+    /// Nobody: the cancellation only spares the worker some work.
+    Optional,
+    /// The worker may have a later job of the same name, which the cancellation would end in place of its own.
+    Obsolete,
+}
+
 /// A command of the request table to the event loop.
 #[derive(Debug, PartialEq)]
 pub enum Command<P> {
@@ -147,7 +170,7 @@
         timeout: Micros,
     },
     /// Cancel an attempt that its worker may have received. The protocol of the worker reports the confirmation with
-    /// [`RequestTable::cancel_delivered`](super::RequestTable::cancel_delivered).
+    /// [`RequestTable::cancel_confirmed`](super::RequestTable::cancel_confirmed).
     Cancel {
         /// The attempt.
         attempt: AttemptId,
@@ -155,6 +178,8 @@
         worker: WorkerId,
         /// The request name that the worker knows.
         name: String,
+        /// What is known of the attempt's arrival at the worker.
+        receipt: Receipt,
     },
     /// Ask a worker for its load.
     Probe(WorkerId),
@@ -181,7 +206,7 @@
     pub(super) sent: Micros,
     /// Time at which the last byte of the attempt was written. From this time on the attempt may have run.
     pub(super) written_at: Option<Micros>,
-    /// The worker has confirmed that it accepted the job.
+    /// The worker has confirmed that it accepted the job, or has reported on the job.
     pub(super) accepted: bool,
     /// The worker has reported that the job started or progressed.
     pub(super) started: bool,
@@ -220,6 +245,15 @@
             ended_by: None,
         }
     }
+
+    /// What is known of the arrival of the attempt at its worker.
+    pub(super) fn receipt(&self) -> Receipt {
+        match self.written_at {
+            None => Receipt::Unwritten,
+            Some(_) if self.accepted => Receipt::Confirmed,
+            Some(_) => Receipt::Unknown,
+        }
+    }
 }
 
 /// State of an open request.
--- a/src/net/core/request_table/tests.rs
+++ b/src/net/core/request_table/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use calicolb::wire;
 
+mod cancellations;
 mod repeated_reports;
 
 const WORKER: WorkerId = WorkerId(7);
@@ -182,7 +183,8 @@
     let mut fixture = Fixture::new();
     let attempt = fixture.add_request(1);
     fixture.table.attempt_written(fixture.now, attempt);
-    let cancel = Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned() };
+    let cancel =
+        Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned(), receipt: Receipt::Unknown };
     assert_eq!(fixture.next_commands(), [cancel, send_answer(Answer::Failed)]);
 }
 
@@ -195,10 +197,11 @@
     let action = Action::Cancel { request: RequestId(attempt.request), attempt: attempt.number };
     fixture.table.execute_action(fixture.now, action, &mut fixture.deadlines);
     // The cancellation is in transit and may be lost: the attempt has not ended, and no other attempt may be sent.
-    let cancel = Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned() };
+    let cancel =
+        Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned(), receipt: Receipt::Confirmed };
     assert_eq!(fixture.process(), [cancel]);
     assert!(!fixture.table.has_pending());
-    fixture.table.cancel_delivered(fixture.now, attempt);
+    fixture.table.cancel_confirmed(fixture.now, attempt);
     assert_eq!(sent_attempt(&fixture.next_commands()).number, 1);
     // Before its worker has confirmed the job, the attempt is not cancelled: the worker may be accepting it just then.
     let second = AttemptId { request: attempt.request, number: 1 };
@@ -213,7 +216,7 @@
     // A result that arrives before the cancellation reaches the worker is the answer.
     assert!(fixture.callback(AttemptUpdate::Served(b"r".to_vec())));
     assert!(fixture.process().contains(&send_answer(Answer::Served(b"r".to_vec()))));
-    fixture.table.cancel_delivered(fixture.now, second);
+    fixture.table.cancel_confirmed(fixture.now, second);
     assert_eq!((fixture.process(), fixture.table.unanswered_requests()), (vec![], 0));
 }
 
@@ -254,7 +257,8 @@
     assert_eq!(fixture.process(), [], "the attempt was cancelled while the worker may still accept the job");
     fixture.now += network_delay::acceptance_timeout(fixture.connect_timeout);
     fixture.table.cancel_unaccepted(attempt);
-    let cancel = Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned() };
+    let cancel =
+        Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned(), receipt: Receipt::Unknown };
     assert_eq!(fixture.process(), [cancel]);
     fixture.table.execute_action(fixture.now, action(), &mut fixture.deadlines);
     assert_eq!(fixture.process(), []);
@@ -276,15 +280,18 @@
     let over = |fixture: &mut Fixture| {
         matches!(fixture.table.events.pop_front(), Some(Event::Note { note: AttemptNote::Over, .. }))
     };
-    fixture.table.cancel_delivered(fixture.now, attempt);
+    fixture.table.cancel_confirmed(fixture.now, attempt);
     assert!(over(&mut fixture));
-    fixture.table.cancel_delivered(fixture.now, attempt);
+    fixture.table.cancel_confirmed(fixture.now, attempt);
     assert!(fixture.table.events.is_empty(), "the end of the attempt was reported twice");
 }
 
 #[test]
-fn a_cancelled_attempt_that_was_not_accepted_is_over_only_when_its_worker_reports_its_end() {
-    for served in [true, false] {
+fn a_cancelled_attempt_that_was_not_accepted_is_over_only_when_its_worker_says_so() {
+    let is_over = |fixture: &mut Fixture| {
+        matches!(fixture.table.events.pop_front(), Some(Event::Note { note: AttemptNote::Over, .. }))
+    };
+    let cancelled = || {
         let mut fixture = Fixture::new();
         let attempt = fixture.add_request(0);
         fixture.table.attempt_written(fixture.now, attempt);
@@ -294,20 +301,26 @@
             fixture.table.events.pop_front(),
             Some(Event::Outcome(Outcome { running: true, .. }))
         ));
-        fixture.table.cancel_delivered(fixture.now, attempt);
+        // The end of the connection is no proof: the worker may have accepted the job before.
+        fixture.table.connection_broken(fixture.now, attempt);
         assert!(
             fixture.table.events.is_empty(),
-            "the attempt was reported as over, but its worker may have accepted the job before the connection ended"
+            "the attempt was reported as over without a word of its worker"
         );
-        // The worker's own report of the end of the job counts, and gives no answer to the client.
-        let update =
-            if served { AttemptUpdate::Served(b"r".to_vec()) } else { AttemptUpdate::Ended(Ending::Broken) };
+        (fixture, attempt)
+    };
+    // The worker's own report of the end of the job counts, and gives no answer to the client.
+    for update in [AttemptUpdate::Served(b"r".to_vec()), AttemptUpdate::Ended(Ending::Broken)] {
+        let (mut fixture, _) = cancelled();
         assert!(!fixture.callback(update));
-        assert!(matches!(
-            fixture.table.events.pop_front(),
-            Some(Event::Note { note: AttemptNote::Over, .. })
-        ));
+        assert!(is_over(&mut fixture));
     }
+    // So does its answer to the cancellation.
+    let (mut fixture, attempt) = cancelled();
+    fixture.table.cancel_confirmed(fixture.now, attempt);
+    assert!(is_over(&mut fixture));
+    assert!(!fixture.callback(AttemptUpdate::Ended(Ending::Broken)));
+    assert!(fixture.table.events.is_empty(), "the end of the attempt was reported twice");
 }
 
 #[test]
--- a/src/net/core/request_table/tests/repeated_reports.rs
+++ b/src/net/core/request_table/tests/repeated_reports.rs
@@ -42,12 +42,17 @@
     let second = handed_back_once(&mut fixture, 0);
     fixture.table.attempt_accepted(second);
     fixture.callback(AttemptUpdate::Ended(Ending::Full));
-    let cancel = Command::Cancel { attempt: second, worker: WORKER, name: "a1".to_owned() };
+    let cancel = Command::Cancel {
+        attempt: second,
+        worker: WORKER,
+        name: "a1".to_owned(),
+        receipt: Receipt::Confirmed,
+    };
     assert_eq!(fixture.process(), [cancel]);
     fixture.process();
     fixture.callback(AttemptUpdate::Ended(Ending::Full));
     assert!(!fixture.table.has_pending(), "the repeat was taken for the end of the cancelled attempt");
-    fixture.table.cancel_delivered(fixture.now, second);
+    fixture.table.cancel_confirmed(fixture.now, second);
     assert_eq!(sent_attempt(&fixture.next_commands()).number, 2);
 }
 
@@ -59,7 +64,12 @@
     fixture.callback(AttemptUpdate::Ended(Ending::Full));
     assert_eq!(fixture.process(), []);
     fixture.table.attempt_accepted(second);
-    let cancel = Command::Cancel { attempt: second, worker: WORKER, name: "a1".to_owned() };
+    let cancel = Command::Cancel {
+        attempt: second,
+        worker: WORKER,
+        name: "a1".to_owned(),
+        receipt: Receipt::Confirmed,
+    };
     assert_eq!(fixture.process(), [cancel]);
 }
 
@@ -85,7 +95,8 @@
     fixture.table.attempt_accepted(attempt);
     assert!(fixture.callback(AttemptUpdate::Note(AttemptNote::Started)));
     fixture.callback(AttemptUpdate::Ended(Ending::Full));
-    let cancel = Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned() };
+    let cancel =
+        Command::Cancel { attempt, worker: WORKER, name: "a1".to_owned(), receipt: Receipt::Confirmed };
     assert_eq!(fixture.next_commands(), [cancel, send_answer(Answer::Failed)]);
 }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -505,8 +505,9 @@
             Deadline::CancelUnaccepted(request, attempt) => {
                 ctx.request_table.cancel_unaccepted(AttemptId { request, number: attempt })
             }
-            Deadline::CancelDelivered(request, attempt) => {
-                ctx.request_table.cancel_delivered(now, AttemptId { request, number: attempt })
+            Deadline::CancelDue(request, attempt) => {
+                let attempt = AttemptId { request, number: attempt };
+                components.protocols().for_each(|protocol| protocol.on_cancel_due(&mut ctx, attempt));
             }
             Deadline::Connection(token, timer) => {
                 if let Some(protocol) = components.protocols().find(|protocol| protocol.owns_token(token)) {
@@ -571,8 +572,8 @@
                     .protocol_for_worker(worker)
                     .send_attempt(&mut ctx, attempt, worker, &payload, timeout);
             }
-            Command::Cancel { attempt, worker, name } => {
-                components.protocol_for_worker(worker).cancel(&mut ctx, attempt, worker, &name)
+            Command::Cancel { attempt, worker, name, receipt } => {
+                components.protocol_for_worker(worker).cancel(&mut ctx, attempt, worker, &name, receipt)
             }
             Command::Probe(worker) => components.protocol_for_worker(worker).probe(&mut ctx, worker),
             // A message to the own rank goes to the successor process, which adds the reported load to its own.
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -14,7 +14,7 @@
 use crate::net::Context;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::envelope::Payload;
-use crate::net::core::request_table::{Answer, AttemptId, ClientId, PartialResult};
+use crate::net::core::request_table::{Answer, AttemptId, ClientId, PartialResult, Receipt};
 use crate::net::core::worker_registry::WorkerSource;
 use crate::net::protocol::{DescriptorLimits, Protocol, ReleaseIdle};
 use calicolb::api::{Class, Ending, ListKind, Member, Micros, Report, WorkerId, WorkerStatus};
@@ -242,13 +242,20 @@
         }
     }
 
-    fn cancel(&mut self, ctx: &mut Context<'_>, attempt: AttemptId, _worker: WorkerId, _name: &str) {
+    fn cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        attempt: AttemptId,
+        _worker: WorkerId,
+        _name: &str,
+        _receipt: Receipt,
+    ) {
         let connection = self.worker_table.cancel(attempt);
         if self.offered_payloads.remove(&attempt).is_some() {
             if let Some(token) = connection {
                 ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::OfferTimeout));
             }
-            return ctx.request_table.cancel_delivered(ctx.now, attempt);
+            return ctx.request_table.cancel_confirmed(ctx.now, attempt);
         }
         // The attempt was assigned, and the protocol has no packet that cancels a job. The worker keeps running it, and its
         // later reports are ignored.
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -8,7 +8,7 @@
 use crate::net::Context;
 use crate::net::core::deadlines::ConnectionTimer;
 use crate::net::core::envelope::Payload;
-use crate::net::core::request_table::{Answer, AttemptId, ClientId};
+use crate::net::core::request_table::{Answer, AttemptId, ClientId, Receipt};
 use crate::net::protocol::{DescriptorLimits, Protocol, ReleaseIdle};
 use calicolb::api::{Micros, WorkerId};
 use client::ClientConnections;
@@ -81,8 +81,19 @@
         self.upstream.send_attempt(ctx, &mut self.clients, attempt, worker, payload, wait);
     }
 
-    fn cancel(&mut self, ctx: &mut Context<'_>, attempt: AttemptId, worker: WorkerId, name: &str) {
-        self.upstream.cancel_attempt(ctx, &mut self.clients, attempt, worker, name);
+    fn cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        attempt: AttemptId,
+        worker: WorkerId,
+        name: &str,
+        receipt: Receipt,
+    ) {
+        self.upstream.cancel_attempt(ctx, &mut self.clients, attempt, worker, name, receipt);
+    }
+
+    fn on_cancel_due(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
+        self.upstream.send_due_cancel(ctx, &mut self.clients, attempt);
     }
 
     fn release_attempt(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
--- a/src/net/http/upstream.rs
+++ b/src/net/http/upstream.rs
@@ -14,6 +14,7 @@
 use crate::net::http::framing;
 use crate::net::protocol::ReleaseIdle;
 use calicolb::api::{Ending, Micros, WorkerId};
+use cancellations::Cancellations;
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::collections::HashMap;
@@ -34,8 +35,8 @@
 /// before the idle limit is lowered. Breaks also occur for other reasons, and opening a connection per
 /// request would cost more than those breaks.
 const MAX_BREAK_RATE: f64 = 0.25;
-/// Timeout of a probe or a cancellation, in microseconds.
-const AUXILIARY_REQUEST_TIMEOUT: Micros = 1_000 * MILLI;
+/// Time within which a probe is answered, in microseconds.
+const PROBE_TIMEOUT: Micros = 1_000 * MILLI;
 
 /// The exchange that occupies a connection.
 #[derive(Debug, PartialEq)]
@@ -130,6 +131,8 @@
     connections: HashMap<usize, Connection>,
     /// Tokens of the connections of attempts that have not been answered yet.
     pending_attempts: HashMap<AttemptId, usize>,
+    /// Cancellations that their workers have not confirmed yet.
+    cancellations: Cancellations,
     /// Tokens of connections that were established for an attempt in this iteration of the event loop. The
     /// attempt is sent once all events of the iteration have been processed.
     connected_attempts: Vec<usize>,
@@ -150,6 +153,7 @@
             workers: HashMap::new(),
             connections: HashMap::new(),
             pending_attempts: HashMap::new(),
+            cancellations: Cancellations::default(),
             connected_attempts: Vec::new(),
             connect_timeout,
             idle_limit: IdleLimit::new(idle_limit_for(worker_idle_timeout)),
@@ -247,41 +251,14 @@
             payload.headers.iter().filter(|(name, _)| is_forwarded(name)).collect();
         headers.push(("Request-Timeout", &timeout_s));
         let bytes = framing::write_request("POST", &payload.target, &headers, &payload.body);
-        if !self.send_request(ctx, idle_clients, worker, Task::Attempt(attempt), &bytes) {
+        let sent = self.address(worker).is_some_and(|address| {
+            self.send_request(ctx, idle_clients, (worker, address), Task::Attempt(attempt), &bytes)
+        });
+        if !sent {
             ctx.request_table.connection_broken(ctx.now, attempt);
         }
     }
 
-    /// Cancels an attempt: by closing its connection if the worker has not accepted the job yet, otherwise by
-    /// a DELETE request.
-    pub fn cancel_attempt(
-        &mut self,
-        ctx: &mut Context<'_>,
-        idle_clients: &mut dyn ReleaseIdle,
-        attempt: AttemptId,
-        worker: WorkerId,
-        name: &str,
-    ) {
-        match self.pending_attempts.get(&attempt).copied() {
-            Some(token) => {
-                self.drop_connection(ctx, token);
-                ctx.deadlines.set(
-                    Deadline::CancelDelivered(attempt.request, attempt.number),
-                    ctx.now + network_delay::max_transit_time(self.connect_timeout),
-                );
-            }
-            None => {
-                let bytes = framing::write_request(
-                    "DELETE",
-                    &format!("/jobs/{name}"),
-                    &[("Host", "origin.svc")],
-                    b"",
-                );
-                self.send_request(ctx, idle_clients, worker, Task::Cancel(attempt), &bytes);
-            }
-        }
-    }
-
     /// Closes the connection of an attempt that has already ended. A callback ended the attempt, but the
     /// answer on its own connection did not arrive within the attempt's deadline, and nothing else would end
     /// the wait for it.
@@ -294,17 +271,36 @@
     /// Requests the load report of a worker.
     pub fn probe(&mut self, ctx: &mut Context<'_>, idle_clients: &mut dyn ReleaseIdle, worker: WorkerId) {
         let bytes = framing::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
-        if !self.send_request(ctx, idle_clients, worker, Task::Probe(ctx.now), &bytes) {
+        let task = Task::Probe(ctx.now);
+        let sent = self
+            .address(worker)
+            .is_some_and(|address| self.send_request(ctx, idle_clients, (worker, address), task, &bytes));
+        if !sent {
             ctx.request_table.probe_finished(worker, Ending::Unreachable, 0, None);
         }
     }
 
+    /// The address of a worker, if the worker is listed.
+    fn address(&self, worker: WorkerId) -> Option<SocketAddr> {
+        self.workers.get(&worker).map(|worker| worker.address)
+    }
+
+    /// Time within which the answer to a request has to arrive, in microseconds. The answer to an attempt is timed from
+    /// its last byte.
+    fn answer_timeout(&self, task: &Task) -> Option<Micros> {
+        match task {
+            Task::Cancel(_) => Some(network_delay::acceptance_timeout(self.connect_timeout)),
+            Task::Probe(_) => Some(PROBE_TIMEOUT),
+            Task::Attempt(_) | Task::Idle => None,
+        }
+    }
+
     /// Writes a request on an idle connection or on a new one. Returns false if no connection is available.
     fn send_request(
         &mut self,
         ctx: &mut Context<'_>,
         idle_clients: &mut dyn ReleaseIdle,
-        worker: WorkerId,
+        (worker, address): (WorkerId, SocketAddr),
         task: Task,
         bytes: &[u8],
     ) -> bool {
@@ -313,18 +309,16 @@
                 self.reused_total += 1;
                 token
             }
-            None => match self.open_connection(ctx, idle_clients, worker) {
+            None => match self.open_connection(ctx, idle_clients, worker, address) {
                 Some(token) => token,
                 None => return false,
             },
         };
+        let answer_timeout = self.answer_timeout(&task);
         let Some(connection) = self.connections.get_mut(&token) else { return false };
         connection.buffer.append_output(bytes);
-        if connection.is_connected && !matches!(task, Task::Attempt(_)) {
-            ctx.deadlines.set(
-                Deadline::Connection(token, ConnectionTimer::Timeout),
-                ctx.now + AUXILIARY_REQUEST_TIMEOUT,
-            );
+        if let Some(timeout) = answer_timeout.filter(|_| connection.is_connected) {
+            ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + timeout);
         }
         if let Task::Attempt(attempt) = task {
             self.pending_attempts.insert(attempt, token);
@@ -361,6 +355,7 @@
         ctx: &mut Context<'_>,
         idle_clients: &mut dyn ReleaseIdle,
         worker: WorkerId,
+        address: SocketAddr,
     ) -> Option<usize> {
         if self.connections.len() >= self.max_connections {
             let idle = self.workers.values().find_map(|worker| worker.idle.first().copied());
@@ -373,7 +368,6 @@
             };
             self.drop_connection(ctx, token);
         }
-        let address = self.workers.get(&worker)?.address;
         let mut connect_result = TcpStream::connect(address);
         // The connect fails when the process is out of descriptors, for example. Sending jobs takes
         // precedence over idle client connections, and nothing has been sent yet.
@@ -412,6 +406,8 @@
 
     /// Handles a readable or writable connection.
     pub fn handle_ready(&mut self, ctx: &mut Context<'_>, token: usize) {
+        let answer_timeout =
+            self.connections.get(&token).and_then(|connection| self.answer_timeout(&connection.task));
         let Some(connection) = self.connections.get_mut(&token) else { return };
         if !connection.is_connected {
             let failed = !matches!(connection.stream.take_error(), Ok(None));
@@ -430,10 +426,9 @@
                 ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
                 return self.connected_attempts.push(token);
             }
-            ctx.deadlines.set(
-                Deadline::Connection(token, ConnectionTimer::Timeout),
-                ctx.now + AUXILIARY_REQUEST_TIMEOUT,
-            );
+            if let Some(timeout) = answer_timeout {
+                ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + timeout);
+            }
         }
         self.flush_and_read(ctx, token);
     }
@@ -527,9 +522,7 @@
                             report,
                         );
                     }
-                    // Any status confirms the cancellation: the worker has received it or does not know the
-                    // job.
-                    Task::Cancel(attempt) => ctx.request_table.cancel_delivered(ctx.now, attempt),
+                    Task::Cancel(attempt) => self.handle_cancel_answer(ctx, attempt, response.status),
                     Task::Idle => {}
                 }
                 let reusable = self.workers.get_mut(&worker).filter(|worker| {
@@ -576,7 +569,8 @@
                 let ending = if was_connected { Ending::Broken } else { Ending::Unreachable };
                 ctx.request_table.probe_finished(worker, ending, ctx.now.saturating_sub(sent), None);
             }
-            Task::Cancel(_) | Task::Idle => {}
+            Task::Cancel(attempt) => self.handle_cancel_failure(ctx, attempt),
+            Task::Idle => {}
         }
         self.drop_connection(ctx, token);
     }
@@ -655,5 +649,6 @@
     }
 }
 
+mod cancellations;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/net/http/upstream/cancellations.rs
@@ -0,0 +1,132 @@
+//! Cancellation of attempts over HTTP.
+//!
+//! The end of an attempt's connection cancels the job only if it reaches the worker before the worker accepts the job, and
+//! that no confirmation has been read does not show that none was sent. Each cancelled attempt is therefore followed by a
+//! DELETE request, and it is over only once the worker has answered one. The answer is a proof only if the request cannot
+//! arrive after the DELETE: a DELETE that follows the end of the connection waits until that end has arrived.
+
+use super::*;
+use crate::net::core::request_table::{CancelDemand, Receipt};
+
+/// Time after a failed DELETE until the next one, in microseconds; it doubles with each failure.
+const MIN_RETRY_DELAY: Micros = 100 * MILLI;
+/// Upper bound of the time after a failed DELETE until the next one, in microseconds.
+const MAX_RETRY_DELAY: Micros = 1_000 * MILLI;
+/// Maximum number of unconfirmed cancellations. Above it, cancellations on which nothing depends are dropped.
+const MAX_CANCELLATIONS: usize = 4096;
+
+/// A cancellation that its worker has not confirmed.
+struct Cancellation {
+    worker: WorkerId,
+    /// Address of the worker when the cancellation began; used if the worker has left the list since.
+    address: Option<SocketAddr>,
+    /// The request name that the worker knows.
+    name: String,
+    /// Number of DELETE requests that failed.
+    failures: u32,
+}
+
+/// Cancellations that their workers have not confirmed yet, by attempt.
+#[derive(Default)]
+pub(super) struct Cancellations(HashMap<AttemptId, Cancellation>);
+
+/// Time until the next DELETE after this number of failed ones, in microseconds.
+fn retry_delay(failures: u32) -> Micros {
+    let doublings = failures.saturating_sub(1).min(Micros::BITS - 1);
+    MIN_RETRY_DELAY.saturating_mul(1 << doublings).min(MAX_RETRY_DELAY)
+}
+
+impl UpstreamConnections {
+    /// Cancels an attempt. Its connection is closed, if the answer on it is outstanding. A DELETE request follows: at
+    /// once if the worker is known to have received the attempt, otherwise when the end of the connection has arrived.
+    pub fn cancel_attempt(
+        &mut self,
+        ctx: &mut Context<'_>,
+        idle_clients: &mut dyn ReleaseIdle,
+        attempt: AttemptId,
+        worker: WorkerId,
+        name: &str,
+        receipt: Receipt,
+    ) {
+        let pending = self.pending_attempts.get(&attempt).copied();
+        let connection = pending.and_then(|token| self.connections.get(&token));
+        let connected_to = connection.and_then(|connection| connection.stream.peer_addr().ok());
+        let address = connected_to.or_else(|| self.address(worker));
+        if let Some(token) = pending {
+            self.drop_connection(ctx, token);
+        }
+        if receipt == Receipt::Unwritten {
+            return;
+        }
+        let cancellation = Cancellation { worker, address, name: name.to_owned(), failures: 0 };
+        self.cancellations.0.insert(attempt, cancellation);
+        if pending.is_some() && receipt == Receipt::Unknown {
+            let close_arrives = ctx.now + network_delay::max_transit_time(self.connect_timeout);
+            ctx.deadlines.set(cancel_due(attempt), close_arrives);
+        } else {
+            self.send_due_cancel(ctx, idle_clients, attempt);
+        }
+    }
+
+    /// Sends the DELETE request of a cancellation, if the cancellation is still of use.
+    pub fn send_due_cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        idle_clients: &mut dyn ReleaseIdle,
+        attempt: AttemptId,
+    ) {
+        let Some(cancellation) = self.cancellations.0.get(&attempt) else { return };
+        let needed = match ctx.request_table.cancel_demand(attempt, &cancellation.name) {
+            CancelDemand::Awaited => true,
+            CancelDemand::Optional => {
+                cancellation.failures == 0 && self.cancellations.0.len() <= MAX_CANCELLATIONS
+            }
+            CancelDemand::Obsolete => false,
+        };
+        if !needed {
+            self.cancellations.0.remove(&attempt);
+            return;
+        }
+        let worker = cancellation.worker;
+        log_line!(
+            debug: request = attempt.request, attempt = attempt.number, hop = worker.0,
+            failures = cancellation.failures, "cancellation sent"
+        );
+        let address = self.address(worker).or(cancellation.address);
+        let target = format!("/jobs/{}", cancellation.name);
+        let bytes = framing::write_request("DELETE", &target, &[("Host", "origin.svc")], b"");
+        let sent = address.is_some_and(|address| {
+            self.send_request(ctx, idle_clients, (worker, address), Task::Cancel(attempt), &bytes)
+        });
+        if !sent {
+            self.handle_cancel_failure(ctx, attempt);
+        }
+    }
+
+    /// Handles the answer to a DELETE request. Any answer but a failure of the worker confirms the cancellation: the
+    /// worker has ended the job, or does not know it.
+    pub(super) fn handle_cancel_answer(&mut self, ctx: &mut Context<'_>, attempt: AttemptId, status: u16) {
+        if status >= 500 {
+            log_line!("a worker answered a cancellation with status {status}");
+            return self.handle_cancel_failure(ctx, attempt);
+        }
+        if self.cancellations.0.remove(&attempt).is_some() {
+            log_line!(debug: request = attempt.request, attempt = attempt.number, "cancellation confirmed");
+            ctx.deadlines.clear(cancel_due(attempt));
+            ctx.request_table.cancel_confirmed(ctx.now, attempt);
+        }
+    }
+
+    /// Handles a DELETE request that could not be sent or was not answered: it is sent again later.
+    pub(super) fn handle_cancel_failure(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
+        if let Some(cancellation) = self.cancellations.0.get_mut(&attempt) {
+            cancellation.failures = cancellation.failures.saturating_add(1);
+            ctx.deadlines.set(cancel_due(attempt), ctx.now + retry_delay(cancellation.failures));
+        }
+    }
+}
+
+/// The deadline at which the DELETE request of a cancellation is sent.
+fn cancel_due(attempt: AttemptId) -> Deadline {
+    Deadline::CancelDue(attempt.request, attempt.number)
+}
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -4,7 +4,7 @@
 use crate::net::Context;
 use crate::net::core::deadlines::ConnectionTimer;
 use crate::net::core::envelope::Payload;
-use crate::net::core::request_table::{Answer, AttemptId, ClientId, PartialResult};
+use crate::net::core::request_table::{Answer, AttemptId, ClientId, PartialResult, Receipt};
 use calicolb::api::{Class, Micros, WorkerId};
 use calicolb::settings_update::SettingsError;
 use calicolb::wire::Names;
@@ -77,8 +77,19 @@
         timeout: Micros,
     );
 
-    /// Cancels an attempt that its worker may have received. `name`: the request name that the worker knows.
-    fn cancel(&mut self, ctx: &mut Context<'_>, attempt: AttemptId, worker: WorkerId, name: &str);
+    /// Cancels an attempt that its worker may have received. `name`: the request name that the worker knows. `receipt`:
+    /// what is known of the attempt's arrival at the worker.
+    fn cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        attempt: AttemptId,
+        worker: WorkerId,
+        name: &str,
+        receipt: Receipt,
+    );
+
+    /// Sends a cancellation for which this protocol set [`Deadline::CancelDue`](crate::net::core::deadlines::Deadline).
+    fn on_cancel_due(&mut self, _ctx: &mut Context<'_>, _attempt: AttemptId) {}
 
     /// Releases the state kept for an attempt that had ended before and whose time limit is now reached.
     fn release_attempt(&mut self, ctx: &mut Context<'_>, attempt: AttemptId);
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -8,8 +8,9 @@
 
 #[test]
 fn without_concurrent_attempts_a_resend_waits_for_the_cancel_to_arrive() {
-    // The worker sends nothing. After 2 s it counts as silent and its connection is closed, and the close may take 1 s (the
-    // connect timeout) to reach the worker. The next attempt may start only after that.
+    // The worker confirms nothing. After 2 s it counts as silent and its connection is closed, and the close may take 1 s (the
+    // connect timeout) to reach the worker. A cancellation may follow only then, since the worker could answer an earlier one
+    // before it has read the attempt; and the next attempt may start only when the cancellation is answered.
     let settings = [
         ("/settings/ceilings/may_duplicate", "false"),
         ("/settings/ceilings/connect_timeout_us", "1000000"),
@@ -21,8 +22,12 @@
         send c1 POST /look Request-Id:a1 Request-Timeout:20
         expect h1 POST /look Request-Id:a1
         wait h1
-        expect h1.2 POST /look Request-Id:a1
+        expect h1.2 DELETE /jobs/a1
         after 3000
+        until 3300
+        none h1
+        send h1.2 200
+        expect h1.2 POST /look Request-Id:a1
         "#,
     );
 }
