A slow answer to a cancellation counts only with the answer to a second one

What callers could see: where two attempts may not be out at once, a worker that is held up with both the job and the DELETE unread may read the DELETE first, answer it, and then take the job, while the request already goes out again.

Cause: the answer to the first DELETE proved the end of an attempt however long it took.

Change: where nothing had come back from the worker, only an answer to the first DELETE within a quarter of the maximum transit time is a proof; otherwise a second DELETE, sent one transit time after the first answer, brings it. Nothing changes after a 202, a start or progress, nor for a worker that answers at once.

--- a/src/net/http/upstream/cancellations.rs
+++ b/src/net/http/upstream/cancellations.rs
@@ -2,8 +2,10 @@
 //!
 //! The end of an attempt's connection cancels the job only if it reaches the worker before the worker accepts the job, and
 //! that no confirmation has been read does not show that none was sent. Each cancelled attempt is therefore followed by a
-//! DELETE request, and it is over only once the worker has answered one. The answer is a proof only if the request cannot
-//! arrive after the DELETE: a DELETE that follows the end of the connection waits until that end has arrived.
+//! DELETE request, and it is over only once the worker has answered one. The answer is a proof only if the worker has
+//! read the attempt before the DELETE. A DELETE that follows the end of the connection therefore waits until that end has
+//! arrived. If its answer is slow, the worker or the network was held up, and the attempt may have waited there beside it:
+//! then a second DELETE, sent some time after the answer to the first one, brings the proof.
 
 use super::*;
 use crate::net::core::request_table::{CancelDemand, Receipt};
@@ -12,6 +14,8 @@
 const MIN_RETRY_DELAY: Micros = 100 * MILLI;
 /// Upper bound of the time after a failed DELETE until the next one, in microseconds.
 const MAX_RETRY_DELAY: Micros = 1_000 * MILLI;
+/// An answer is prompt if it arrives within the maximum transit time divided by this number.
+const PROMPT_ANSWER_DIVISOR: Micros = 4;
 /// Maximum number of unconfirmed cancellations. Above it, cancellations on which nothing depends are dropped.
 const MAX_CANCELLATIONS: usize = 4096;
 
@@ -22,8 +26,23 @@
     address: Option<SocketAddr>,
     /// The request name that the worker knows.
     name: String,
+    /// The worker is known to have received the attempt, so its answer to any DELETE is a proof.
+    received: bool,
+    /// Time at which the last DELETE request was sent.
+    sent_at: Micros,
     /// Number of DELETE requests that failed.
     failures: u32,
+    /// A DELETE request was answered, but the answer was no proof.
+    answered: bool,
+}
+
+impl Cancellation {
+    /// Returns whether an answer that arrives now proves that the attempt is over. `transit_time`: upper bound of the
+    /// time that a message is on its way, in microseconds.
+    fn is_proven(&self, now: Micros, transit_time: Micros) -> bool {
+        let is_prompt = now.saturating_sub(self.sent_at) <= transit_time / PROMPT_ANSWER_DIVISOR;
+        self.received || self.answered || (self.failures == 0 && is_prompt)
+    }
 }
 
 /// Cancellations that their workers have not confirmed yet, by attempt.
@@ -58,9 +77,18 @@
         if receipt == Receipt::Unwritten {
             return;
         }
-        let cancellation = Cancellation { worker, address, name: name.to_owned(), failures: 0 };
+        let received = pending.is_none() || receipt == Receipt::Confirmed;
+        let cancellation = Cancellation {
+            worker,
+            address,
+            name: name.to_owned(),
+            received,
+            sent_at: ctx.now,
+            failures: 0,
+            answered: false,
+        };
         self.cancellations.0.insert(attempt, cancellation);
-        if pending.is_some() && receipt == Receipt::Unknown {
+        if !received {
             let close_arrives = ctx.now + network_delay::max_transit_time(self.connect_timeout);
             ctx.deadlines.set(cancel_due(attempt), close_arrives);
         } else {
@@ -75,11 +103,12 @@
         idle_clients: &mut dyn ReleaseIdle,
         attempt: AttemptId,
     ) {
-        let Some(cancellation) = self.cancellations.0.get(&attempt) else { return };
+        let pending_cancellations = self.cancellations.0.len();
+        let Some(cancellation) = self.cancellations.0.get_mut(&attempt) else { return };
         let needed = match ctx.request_table.cancel_demand(attempt, &cancellation.name) {
             CancelDemand::Awaited => true,
             CancelDemand::Optional => {
-                cancellation.failures == 0 && self.cancellations.0.len() <= MAX_CANCELLATIONS
+                cancellation.failures == 0 && pending_cancellations <= MAX_CANCELLATIONS
             }
             CancelDemand::Obsolete => false,
         };
@@ -87,13 +116,14 @@
             self.cancellations.0.remove(&attempt);
             return;
         }
+        cancellation.sent_at = ctx.now;
         let worker = cancellation.worker;
         log_line!(
             debug: request = attempt.request, attempt = attempt.number, hop = worker.0,
             failures = cancellation.failures, "cancellation sent"
         );
-        let address = self.address(worker).or(cancellation.address);
-        let target = format!("/jobs/{}", cancellation.name);
+        let (last_address, target) = (cancellation.address, format!("/jobs/{}", cancellation.name));
+        let address = self.address(worker).or(last_address);
         let bytes = framing::write_request("DELETE", &target, &[("Host", "origin.svc")], b"");
         let sent = address.is_some_and(|address| {
             self.send_request(ctx, idle_clients, (worker, address), Task::Cancel(attempt), &bytes)
@@ -110,10 +140,15 @@
             log_line!("a worker answered a cancellation with status {status}");
             return self.handle_cancel_failure(ctx, attempt);
         }
-        if self.cancellations.0.remove(&attempt).is_some() {
+        let transit_time = network_delay::max_transit_time(self.connect_timeout);
+        let Some(cancellation) = self.cancellations.0.get_mut(&attempt) else { return };
+        if cancellation.is_proven(ctx.now, transit_time) {
+            self.cancellations.0.remove(&attempt);
             log_line!(debug: request = attempt.request, attempt = attempt.number, "cancellation confirmed");
-            ctx.deadlines.clear(cancel_due(attempt));
             ctx.request_table.cancel_confirmed(ctx.now, attempt);
+        } else {
+            cancellation.answered = true;
+            ctx.deadlines.set(cancel_due(attempt), ctx.now + transit_time);
         }
     }
 
--- a/tests/lost_confirmations.rs
+++ b/tests/lost_confirmations.rs
@@ -91,11 +91,33 @@
         none h1
         none h2
         send h1.4 404
+        mark
+        expect h1.4 DELETE /jobs/a1
+        after 240
+        none h2
+        send h1.4 404
         expect h1.4 POST /look Request-Id:a1
         "#;
     run(2, &[UNCONFIRMED, repeated_cancellations].concat());
 }
 
+// Guards against an answer of a worker that was held up: it may have read the cancellation before the job, and run that.
+#[test]
+fn slow_answer_to_a_cancellation_is_followed_by_a_second_cancellation() {
+    let slow_answer = r#"
+        expect h1.2 DELETE /jobs/a1
+        until 1000
+        send h1.2 404
+        expect h1.2 DELETE /jobs/a1
+        after 1250
+        none h2
+        send h1.2 200
+        expect h1.2 POST /look Request-Id:a1
+        within 1350
+        "#;
+    run(2, &[UNCONFIRMED, slow_answer].concat());
+}
+
 // Guards the answer in time: a request whose cancellation is never answered is refused at its time, without a second attempt.
 #[test]
 fn request_is_answered_in_time_though_its_cancellation_is_never_answered() {
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -24,7 +24,7 @@
         wait h1
         expect h1.2 DELETE /jobs/a1
         after 3000
-        until 3300
+        until 3100
         none h1
         send h1.2 200
         expect h1.2 POST /look Request-Id:a1
