Confirm the end of an attempt whose connection broke, where one may be out at once

Change: where two attempts may not be out at once, the request may be sent again, and cancelling is allowed, the attempt stays open and a DELETE leaves at once; the answer ends it as broken. Any other attempt ends as before, so a job that must not run twice is answered at once. Dispatcher::may_repeat tells whether the effect, its memory span and the number of attempts allow a further one. A DELETE that breaks no longer makes the next answer count as slow; only one that is not answered in time does.

--- a/crates/decisions/src/rules/endings.rs
+++ b/crates/decisions/src/rules/endings.rs
@@ -28,11 +28,9 @@
         let repeat_harmless = match request.effect {
             Effect::Safe => true,
             Effect::Unsafe => may_have_run.next().is_none(),
-            // The workers of the group remember a request for `span` after its first send. Only half of `span` is
-            // used; the other half is a margin for the time on the network.
             Effect::Keyed { group, span } => may_have_run.all(|attempt| {
                 let drops_repeats = worker.drops_repeats(group, &self.workers[attempt.worker]);
-                drops_repeats && now < attempt.sent + span / 2
+                drops_repeats && is_remembered(now, attempt, span)
             }),
         };
         // Rule 3 forbids sends to a draining worker. Nothing is sent after the notification of the drain, so the grace
@@ -44,6 +42,20 @@
             && !worker.lacks_skill(request.skill)
     }
 
+    /// Returns true if a request whose attempts may all have run may be sent again, as far as its effect and the number
+    /// of its attempts decide.
+    pub fn may_repeat(&self, now: Micros, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id).filter(|request| !request.done) else { return false };
+        let repeat_harmless = match request.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { span, .. } => {
+                request.attempts.iter().all(|attempt| is_remembered(now, attempt, span))
+            }
+        };
+        repeat_harmless && request.attempts.len() < self.settings.limits.max_attempts as usize
+    }
+
     /// Returns true if all rules allow sending the job to this worker now. [`Self::send_attempt`] checks in addition
     /// whether an attempt of the request is in flight.
     pub(super) fn may_send(&self, now: Micros, request: &Request, index: usize) -> bool {
@@ -362,3 +374,9 @@
         }
     }
 }
+
+/// Returns whether the workers that drop repeats of an attempt still remember it. They do for `span` after it was sent, of
+/// which only half is used; the other half is a margin for the time on the network.
+fn is_remembered(now: Micros, attempt: &Attempt, span: Micros) -> bool {
+    now < attempt.sent + span / 2
+}
--- a/src/net/core/request_table/attempts.rs
+++ b/src/net/core/request_table/attempts.rs
@@ -123,6 +123,33 @@
         }
     }
 
+    /// Reports that the connection of an attempt has ended without a result, where the worker can still be told to cancel
+    /// the job. It may have accepted the job, with the confirmation lost: if the request is to be sent again and two
+    /// attempts may not be in progress at once, the attempt is cancelled and ends with the confirmation of that.
+    pub fn connection_lost(&mut self, now: Micros, id: AttemptId) {
+        if !self.must_confirm_end(now, id) {
+            return self.connection_broken(now, id);
+        }
+        if let Some(attempt) = self.open_attempt(id) {
+            attempt.disconnected = true;
+            attempt.cancel_pending = true;
+            self.send_cancel(id);
+        }
+    }
+
+    /// Returns whether this open attempt, whose connection has broken, may run at its worker while a further attempt of
+    /// its request, which must not be in progress at the same time, is possible.
+    fn must_confirm_end(&self, now: Micros, id: AttemptId) -> bool {
+        let Some(entry) = self.requests.get(&id.request).filter(|entry| !entry.concluded) else {
+            return false;
+        };
+        let Some(attempt) = entry.attempts.get(id.number as usize) else { return false };
+        let may_be_accepted = attempt.receipt() == Receipt::Unknown;
+        let may_repeat = !entry.streaming && self.dispatcher.may_repeat(now, RequestId(id.request));
+        let may_cancel = self.settings().limits.cancel;
+        !self.allow_duplicates && may_be_accepted && may_repeat && may_cancel
+    }
+
     /// Sends a pending cancellation if its worker has not accepted the job within the acceptance timeout.
     pub fn cancel_unaccepted(&mut self, id: AttemptId) {
         if self.open_attempt(id).is_some_and(|attempt| attempt.cancel_pending && !attempt.accepted) {
@@ -131,13 +158,15 @@
     }
 
     /// Reports that the worker has confirmed a cancellation, so that the attempt is over there. An attempt that is still
-    /// open ends as cancelled.
+    /// open ends as cancelled, or as broken if its connection broke.
     ///
     /// As long as a cancellation is not confirmed, it is unknown whether the job runs, and the attempt ends with a
     /// report of the worker or with its time limit.
     pub fn cancel_confirmed(&mut self, now: Micros, id: AttemptId) {
         self.confirm_not_running(id);
-        self.end_attempt(now, id, Ending::Cancelled, false, None);
+        let disconnected = self.open_attempt(id).is_some_and(|attempt| attempt.disconnected);
+        let ending = if disconnected { Ending::Broken } else { Ending::Cancelled };
+        self.end_attempt(now, id, ending, false, None);
     }
 
     /// Returns who depends on the confirmation of the cancellation of this attempt. `name`: the request name that the
--- a/src/net/core/request_table/request.rs
+++ b/src/net/core/request_table/request.rs
@@ -126,6 +126,9 @@
     /// The attempt is written, and the worker has reported nothing. It may have accepted the job all the same: its
     /// confirmation may be lost.
     Unknown,
+    /// The attempt is written, and its connection broke before the worker had reported anything. The confirmation may be
+    /// lost with the connection.
+    Disconnected,
     /// The worker has confirmed the job, or reported on it.
     Confirmed,
 }
@@ -219,6 +222,9 @@
     pub(super) cancel_pending: bool,
     /// The cancellation has been sent to the worker.
     pub(super) cancel_sent: bool,
+    /// The connection of the written attempt broke before the worker confirmed the job, and the attempt ends when the
+    /// worker confirms the cancellation.
+    pub(super) disconnected: bool,
     /// Ending of the attempt, once it has ended.
     pub(super) ending: Option<Ending>,
     /// The attempt has ended for the decision module, but may still be running at its worker.
@@ -240,6 +246,7 @@
             early_end: None,
             cancel_pending: false,
             cancel_sent: false,
+            disconnected: false,
             ending: None,
             may_run: false,
             ended_by: None,
@@ -251,6 +258,7 @@
         match self.written_at {
             None => Receipt::Unwritten,
             Some(_) if self.accepted => Receipt::Confirmed,
+            Some(_) if self.disconnected => Receipt::Disconnected,
             Some(_) => Receipt::Unknown,
         }
     }
--- a/src/net/http/upstream.rs
+++ b/src/net/http/upstream.rs
@@ -19,7 +19,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::collections::HashMap;
-use std::io::Read;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 
 const MILLI: Micros = 1_000;
@@ -35,6 +35,25 @@
     Probe(Micros),
 }
 
+/// The reason why a request was not written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SendError {
+    /// The worker's machine refused the connection: no process listens there.
+    Refused,
+    /// No connection is available.
+    NoConnection,
+}
+
+impl From<&io::Error> for SendError {
+    fn from(error: &io::Error) -> Self {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            SendError::Refused
+        } else {
+            SendError::NoConnection
+        }
+    }
+}
+
 struct Connection {
     stream: TcpStream,
     buffer: Buffer,
@@ -184,7 +203,7 @@
         headers.push(("Request-Timeout", &timeout_s));
         let bytes = framing::write_request("POST", &payload.target, &headers, &payload.body);
         let sent = self.address(worker).is_some_and(|address| {
-            self.send_request(ctx, idle_clients, (worker, address), Task::Attempt(attempt), &bytes)
+            self.send_request(ctx, idle_clients, (worker, address), Task::Attempt(attempt), &bytes).is_ok()
         });
         if !sent {
             ctx.request_table.connection_broken(ctx.now, attempt);
@@ -204,9 +223,9 @@
     pub fn probe(&mut self, ctx: &mut Context<'_>, idle_clients: &mut dyn ReleaseIdle, worker: WorkerId) {
         let bytes = framing::write_request("GET", "/metrics/load", &[("Host", "origin.svc")], b"");
         let task = Task::Probe(ctx.now);
-        let sent = self
-            .address(worker)
-            .is_some_and(|address| self.send_request(ctx, idle_clients, (worker, address), task, &bytes));
+        let sent = self.address(worker).is_some_and(|address| {
+            self.send_request(ctx, idle_clients, (worker, address), task, &bytes).is_ok()
+        });
         if !sent {
             ctx.request_table.probe_finished(worker, Ending::Unreachable, 0, None);
         }
@@ -227,7 +246,10 @@
         }
     }
 
-    /// Writes a request on an idle connection or on a new one. Returns false if no connection is available.
+    /// Writes a request on an idle connection or on a new one.
+    ///
+    /// # Errors
+    /// Fails if no connection is available.
     fn send_request(
         &mut self,
         ctx: &mut Context<'_>,
@@ -235,19 +257,16 @@
         (worker, address): (WorkerId, SocketAddr),
         task: Task,
         bytes: &[u8],
-    ) -> bool {
+    ) -> Result<(), SendError> {
         let token = match self.take_idle(ctx, worker) {
             Some(token) => {
                 self.reused_total += 1;
                 token
             }
-            None => match self.open_connection(ctx, idle_clients, worker, address) {
-                Some(token) => token,
-                None => return false,
-            },
+            None => self.open_connection(ctx, idle_clients, worker, address)?,
         };
         let answer_timeout = self.answer_timeout(&task);
-        let Some(connection) = self.connections.get_mut(&token) else { return false };
+        let connection = self.connections.get_mut(&token).ok_or(SendError::NoConnection)?;
         connection.buffer.append_output(bytes);
         if let Some(timeout) = answer_timeout.filter(|_| connection.is_connected) {
             ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + timeout);
@@ -259,7 +278,7 @@
         if connection.is_connected {
             self.flush(ctx, token);
         }
-        true
+        Ok(())
     }
 
     fn take_idle(&mut self, ctx: &mut Context<'_>, worker: WorkerId) -> Option<usize> {
@@ -273,7 +292,7 @@
             }
             // Detects that the worker closed the connection after the poll. A request written on the closed
             // connection would fail but count as one that may have run.
-            let still_open = matches!(connection.stream.read(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+            let still_open = matches!(connection.stream.read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock);
             if still_open {
                 return Some(token);
             }
@@ -288,7 +307,7 @@
         idle_clients: &mut dyn ReleaseIdle,
         worker: WorkerId,
         address: SocketAddr,
-    ) -> Option<usize> {
+    ) -> Result<usize, SendError> {
         if self.connections.len() >= self.max_connections {
             let idle = self.workers.values().find_map(|worker| worker.idle.first().copied());
             let Some(token) = idle else {
@@ -296,7 +315,7 @@
                     "no connection available for another attempt: {} connections are open",
                     self.connections.len()
                 );
-                return None;
+                return Err(SendError::NoConnection);
             };
             self.drop_connection(ctx, token);
         }
@@ -310,14 +329,14 @@
             Ok(stream) => stream,
             Err(error) => {
                 log_line!("failed to connect to worker at {address}: {error}");
-                return None;
+                return Err(SendError::from(&error));
             }
         };
         let token = ctx.next_token();
         let both = Interest::READABLE | Interest::WRITABLE;
         if let Err(error) = ctx.registry.register(&mut stream, Token(token), both) {
             log_line!("failed to register the connection to {address}: {error}");
-            return None;
+            return Err(SendError::NoConnection);
         }
         ctx.deadlines
             .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + self.connect_timeout);
@@ -333,7 +352,7 @@
         };
         self.connections.insert(token, connection);
         self.opened_total += 1;
-        Some(token)
+        Ok(token)
     }
 
     /// Handles a readable or writable connection.
@@ -342,9 +361,10 @@
             self.connections.get(&token).and_then(|connection| self.answer_timeout(&connection.task));
         let Some(connection) = self.connections.get_mut(&token) else { return };
         if !connection.is_connected {
-            let failed = !matches!(connection.stream.take_error(), Ok(None));
-            if failed {
-                return self.handle_failure(ctx, token);
+            match connection.stream.take_error() {
+                Ok(None) => {}
+                Ok(Some(error)) => return self.handle_connect_error(ctx, token, SendError::from(&error)),
+                Err(_) => return self.handle_failure(ctx, token),
             }
             if connection.stream.peer_addr().is_err() {
                 return;
@@ -365,6 +385,17 @@
         self.flush_and_read(ctx, token);
     }
 
+    /// Handles a connection that could not be established.
+    fn handle_connect_error(&mut self, ctx: &mut Context<'_>, token: usize, error: SendError) {
+        match self.connections.get(&token) {
+            Some(&Connection { task: Task::Cancel(attempt), .. }) if error == SendError::Refused => {
+                self.drop_connection(ctx, token);
+                self.handle_cancel_refused(ctx, attempt);
+            }
+            _ => self.handle_failure(ctx, token),
+        }
+    }
+
     fn flush_and_read(&mut self, ctx: &mut Context<'_>, token: usize) {
         if self.flush(ctx, token) {
             self.read(ctx, token);
@@ -495,7 +526,7 @@
         match task {
             Task::Attempt(attempt) => {
                 self.pending_attempts.remove(&attempt);
-                ctx.request_table.connection_broken(ctx.now, attempt);
+                ctx.request_table.connection_lost(ctx.now, attempt);
             }
             Task::Probe(sent) => {
                 let ending = if was_connected { Ending::Broken } else { Ending::Unreachable };
@@ -528,6 +559,10 @@
             Some(Connection { is_connected: true, task: Task::Attempt(attempt), .. }) => {
                 ctx.request_table.acceptance_overdue(*attempt)
             }
+            Some(&Connection { task: Task::Cancel(attempt), .. }) => {
+                self.record_cancel_timeout(attempt);
+                self.handle_failure(ctx, token);
+            }
             _ => self.handle_failure(ctx, token),
         }
     }
--- a/src/net/http/upstream/cancellations.rs
+++ b/src/net/http/upstream/cancellations.rs
@@ -32,8 +32,12 @@
     sent_at: Micros,
     /// Number of DELETE requests that failed.
     failures: u32,
+    /// A DELETE request was not answered in time: the worker or the network was held up.
+    held_up: bool,
     /// A DELETE request was answered, but the answer was no proof.
     answered: bool,
+    /// The connection of the attempt broke.
+    disconnected: bool,
 }
 
 impl Cancellation {
@@ -41,7 +45,7 @@
     /// time that a message is on its way, in microseconds.
     fn is_proven(&self, now: Micros, transit_time: Micros) -> bool {
         let is_prompt = now.saturating_sub(self.sent_at) <= transit_time / PROMPT_ANSWER_DIVISOR;
-        self.received || self.answered || (self.failures == 0 && is_prompt)
+        self.received || self.answered || (!self.held_up && is_prompt)
     }
 }
 
@@ -57,7 +61,8 @@
 
 impl UpstreamConnections {
     /// Cancels an attempt. Its connection is closed, if the answer on it is outstanding. A DELETE request follows: at
-    /// once if the worker is known to have received the attempt, otherwise when the end of the connection has arrived.
+    /// once if the worker is known to have received the attempt or the connection broke, otherwise when the end of the
+    /// connection has arrived.
     pub fn cancel_attempt(
         &mut self,
         ctx: &mut Context<'_>,
@@ -77,7 +82,8 @@
         if receipt == Receipt::Unwritten {
             return;
         }
-        let received = pending.is_none() || receipt == Receipt::Confirmed;
+        let disconnected = receipt == Receipt::Disconnected;
+        let received = receipt == Receipt::Confirmed || (pending.is_none() && !disconnected);
         let cancellation = Cancellation {
             worker,
             address,
@@ -85,10 +91,12 @@
             received,
             sent_at: ctx.now,
             failures: 0,
+            held_up: false,
             answered: false,
+            disconnected,
         };
         self.cancellations.0.insert(attempt, cancellation);
-        if !received {
+        if pending.is_some() && !received {
             let close_arrives = ctx.now + network_delay::max_transit_time(self.connect_timeout);
             ctx.deadlines.set(cancel_due(attempt), close_arrives);
         } else {
@@ -125,14 +133,31 @@
         let (last_address, target) = (cancellation.address, format!("/jobs/{}", cancellation.name));
         let address = self.address(worker).or(last_address);
         let bytes = framing::write_request("DELETE", &target, &[("Host", "origin.svc")], b"");
-        let sent = address.is_some_and(|address| {
+        let sent = address.map_or(Err(SendError::NoConnection), |address| {
             self.send_request(ctx, idle_clients, (worker, address), Task::Cancel(attempt), &bytes)
         });
-        if !sent {
-            self.handle_cancel_failure(ctx, attempt);
+        match sent {
+            Ok(()) => {}
+            Err(SendError::Refused) => self.handle_cancel_refused(ctx, attempt),
+            Err(SendError::NoConnection) => self.handle_cancel_failure(ctx, attempt),
         }
     }
 
+    /// Handles a refused connection for a DELETE request. A process that dies resets its connections, and new ones are
+    /// refused: together the two signs show that the job has died with its worker.
+    pub(super) fn handle_cancel_refused(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
+        match self.cancellations.0.get(&attempt) {
+            Some(cancellation) if cancellation.disconnected => self.confirm_cancel(ctx, attempt),
+            _ => self.handle_cancel_failure(ctx, attempt),
+        }
+    }
+
+    fn confirm_cancel(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
+        self.cancellations.0.remove(&attempt);
+        log_line!(debug: request = attempt.request, attempt = attempt.number, "cancellation confirmed");
+        ctx.request_table.cancel_confirmed(ctx.now, attempt);
+    }
+
     /// Handles the answer to a DELETE request. Any answer but a failure of the worker confirms the cancellation: the
     /// worker has ended the job, or does not know it.
     pub(super) fn handle_cancel_answer(&mut self, ctx: &mut Context<'_>, attempt: AttemptId, status: u16) {
@@ -143,15 +168,20 @@
         let transit_time = network_delay::max_transit_time(self.connect_timeout);
         let Some(cancellation) = self.cancellations.0.get_mut(&attempt) else { return };
         if cancellation.is_proven(ctx.now, transit_time) {
-            self.cancellations.0.remove(&attempt);
-            log_line!(debug: request = attempt.request, attempt = attempt.number, "cancellation confirmed");
-            ctx.request_table.cancel_confirmed(ctx.now, attempt);
+            self.confirm_cancel(ctx, attempt);
         } else {
             cancellation.answered = true;
             ctx.deadlines.set(cancel_due(attempt), ctx.now + transit_time);
         }
     }
 
+    /// Records that a DELETE request was not answered in time. Its connection fails next.
+    pub(super) fn record_cancel_timeout(&mut self, attempt: AttemptId) {
+        if let Some(cancellation) = self.cancellations.0.get_mut(&attempt) {
+            cancellation.held_up = true;
+        }
+    }
+
     /// Handles a DELETE request that could not be sent or was not answered: it is sent again later.
     pub(super) fn handle_cancel_failure(&mut self, ctx: &mut Context<'_>, attempt: AttemptId) {
         if let Some(cancellation) = self.cancellations.0.get_mut(&attempt) {
