--- a/review/standins-2/src/bin/case6.rs
+++ b/review/standins-2/src/bin/case6.rs
@@ -42,6 +42,7 @@
         let reporter = Reporter {
             name: name.to_owned(),
             listen: Arc::new(Mutex::new(listen.clone())),
+            tells_start: true,
             record: record.clone(),
         };
         let dial = worker::start(
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -23,6 +23,8 @@
     pub name: String,
     /// The schedulers' `listen` address.
     pub listen: Arc<Mutex<String>>,
+    /// The settings say that workers report the start of a job.
+    pub tells_start: bool,
     pub record: Record,
 }
 
@@ -92,7 +94,9 @@
                 let reporter = reporter.clone();
                 thread::spawn(move || {
                     reporter.record.line(format!("{}: runs {id}", reporter.name));
-                    reporter.report(&id, r#""state":"started""#);
+                    if reporter.tells_start {
+                        reporter.report(&id, r#""state":"started""#);
+                    }
                     thread::sleep(Duration::from_millis(ms));
                     reporter.report(&id, &format!(r#""state":"done","result":"{result}""#));
                 });
