--- a/review/standins-2/src/bin/case6.rs
+++ b/review/standins-2/src/bin/case6.rs
@@ -1,8 +1,9 @@
 //! Case 6: clients that stop in the middle of a request drive the scheduler over its memory limit.
 
 use standins::discovery::{Discovery, Host};
-use standins::http::{self, Client};
+use standins::http;
 use standins::platform::{Case, Config, Scheduler, head_office, wait_until};
+use standins::usual::{self, Counts};
 use standins::worker::{Deed, Reporter};
 use standins::{BROKEN, COULD_NOT_RUN, HELD, free_address, lock, trouble, worker};
 use std::io::Write;
@@ -23,14 +24,6 @@
 /// Time for which the usual clients send.
 const SENDING: Duration = Duration::from_secs(12);
 
-/// What became of the usual clients' requests.
-#[derive(Default)]
-struct Counts {
-    sent: AtomicUsize,
-    answered: AtomicUsize,
-    lost: AtomicUsize,
-}
-
 fn main() {
     let case = Case::prepare().unwrap_or_else(|why| {
         println!("{why}");
@@ -89,12 +82,7 @@
         thread::spawn(move || watch_memory(&scheduler, &over, &peak, &record))
     };
     let counts = Arc::new(Counts::default());
-    let usual: Vec<_> = (0..USUAL_CLIENTS)
-        .map(|number| {
-            let (listen, counts, record) = (listen.clone(), Arc::clone(&counts), record.clone());
-            thread::spawn(move || usual_client(number, &listen, &counts, &record))
-        })
-        .collect();
+    let usual = usual::start(USUAL_CLIENTS, &listen, SENDING, &counts, &record);
     if trouble() {
         thread::sleep(Duration::from_secs(3));
         bad_clients(&listen, &record);
@@ -106,15 +94,13 @@
     lock(&scheduler).kill();
     let number = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
     record.say(format!(
-        "usual clients: {} requests sent, {} answered, {} lost; peak memory {} KiB of {} KiB; the scheduler {}",
-        number(&counts.sent),
-        number(&counts.answered),
-        number(&counts.lost),
+        "usual clients: {}; peak memory {} KiB of {} KiB; the scheduler {}",
+        counts.text(),
         number(&peak),
         MEMORY_MB * 1024,
         if ended { "was killed" } else { "ran to the end" }
     ));
-    if number(&counts.answered) == 0 {
+    if number(&counts.served) == 0 {
         case.finish(&["n1"], COULD_NOT_RUN);
     }
     case.finish(&["n1"], if ended || number(&counts.lost) > 0 { BROKEN } else { HELD })
@@ -140,45 +126,6 @@
     }
 }
 
-/// A usual client: one request after another on a kept connection. A request is lost if it was written whole on an
-/// accepted connection and the connection ends, or its time and half a second pass, without a whole answer.
-fn usual_client(number: usize, listen: &str, counts: &Counts, record: &standins::record::Record) {
-    let started = Instant::now();
-    let mut client = None;
-    let mut next = 0;
-    while started.elapsed() < SENDING {
-        let mut connection = match client.take().map_or_else(|| Client::connect(listen), Ok) {
-            Ok(connection) => connection,
-            Err(_) => {
-                thread::sleep(Duration::from_millis(200));
-                continue;
-            }
-        };
-        next += 1;
-        let class = ["stock-check", "issue-parcel"][next % 2];
-        let id = format!("{number:04x}{next:012x}");
-        if connection.send(&http::job(class, &id, 5.0, "Work-Hint: 300000\r\n", "a usual body")).is_err() {
-            continue;
-        }
-        counts.sent.fetch_add(1, Ordering::Relaxed);
-        match connection.answer(Duration::from_millis(5_500)) {
-            Ok(Some(answer)) => {
-                counts.answered.fetch_add(1, Ordering::Relaxed);
-                record.line(format!("client {number}: {class} {id} answered {}", answer.status()));
-                if answer.header("connection") != Some("close") {
-                    client = Some(connection);
-                }
-            }
-            other => {
-                counts.lost.fetch_add(1, Ordering::Relaxed);
-                let why = other.err().map_or("closed".to_owned(), |error| error.to_string());
-                record.line(format!("client {number}: {class} {id} LOST: {why}"));
-            }
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-}
-
 /// Clients that begin a request, send most of it and stop: its body comes in small chunks that never end. They read what
 /// they are sent, and go when they have an answer or a close.
 fn bad_clients(listen: &str, record: &standins::record::Record) {
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod platform;
 pub mod record;
+pub mod usual;
 pub mod worker;
 
 use std::net::TcpListener;
