--- a/review/standins-2/src/bin/case6.rs
+++ b/review/standins-2/src/bin/case6.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// The memory limit of the configuration: within the 32 to 192 MB of the pages.
-const MEMORY_MB: u64 = 64;
+const MEMORY_MB: u64 = 48;
 /// The socket limit of the configuration: within the 256 to 1,024 of the pages.
 const SOCKETS: u64 = 1_024;
 /// Clients that stop in the middle of a request.
--- a/review/standins-2/src/bin/case9.rs
+++ b/review/standins-2/src/bin/case9.rs
@@ -1,18 +1,21 @@
-//! Case 9: after rolling deploys of a large fleet an upgrade does not hand over, and results of jobs are dropped.
+//! Case 9: after rolling deploys of a large fleet an upgrade drives the old process over the memory limit, and it is killed
+//! with the requests that it has.
 
 use standins::discovery::{Discovery, Host};
 use standins::http::{self, Client};
-use standins::platform::{Case, Config, head_office, wait_until};
+use standins::platform::{Case, Config, Scheduler, head_office, wait_until};
 use standins::record::Record;
 use standins::worker::{Deed, Reporter};
 use standins::{BROKEN, COULD_NOT_RUN, HELD, free_address, lock, trouble, worker};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The memory limit of the configuration, for both processes of an upgrade together: within the 32 to 192 MB of the pages.
+const MEMORY_MB: u64 = 80;
 /// Workers of the fleet.
 const FLEET: usize = 3_200;
 /// Rolling deploys before the upgrade, how long each takes, and which share of the fleet it replaces.
@@ -25,9 +28,19 @@
 /// Workers of the scheduler's own zone, which run the jobs and are not replaced.
 const NEAR: usize = 12;
 const TIMEOUT_S: f64 = 5.0;
+/// Time that a job runs.
+const WORK_MS: u64 = 800;
 
-/// When a scheduler answered a report of a job's result, by the id of the request.
-type Reported = Arc<Mutex<HashMap<String, Instant>>>;
+/// What the workers know of the requests.
+#[derive(Default)]
+struct Jobs {
+    /// The ids that were forwarded.
+    forwarded: HashSet<String>,
+    /// When a scheduler answered the report of a result, by the id of the request.
+    reported: HashMap<String, Instant>,
+}
+
+type Reported = Arc<Mutex<Jobs>>;
 
 #[derive(Default)]
 struct Counts {
@@ -35,7 +48,8 @@
     served: AtomicUsize,
     refused: AtomicUsize,
     failed: AtomicUsize,
-    unanswered: AtomicUsize,
+    /// Requests that were read and forwarded, or written to a new connection, and never answered.
+    lost: AtomicUsize,
     /// Requests whose result was reported and acknowledged in time, and that were not served.
     lost_results: AtomicUsize,
 }
@@ -82,7 +96,7 @@
         let config = Config {
             listen: &listen,
             discovery: &discovery.address,
-            memory_mb: 192,
+            memory_mb: MEMORY_MB,
             sockets: 1_024,
             known: &discovery.known(),
             settings: &settings,
@@ -96,7 +110,7 @@
         ];
         case.start(name, "", &variables, Some(&socket))
     };
-    let mut old = start("old");
+    let old = Arc::new(Mutex::new(start("old")));
     if !http::wait_up(&listen, Duration::from_secs(30))
         || !case.wait_for_log("old", "the list is confirmed", Duration::from_secs(10))
     {
@@ -105,7 +119,7 @@
     if trouble() {
         deploy(&discovery, &record);
     }
-    record.say(format!("old process before the upgrade: {} KiB", old.memory_kib()));
+    record.say(format!("old process before the upgrade: {} KiB", lock(&old).memory_kib()));
 
     let (counts, over) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
     let clients: Vec<_> = (0..CLIENTS)
@@ -116,38 +130,69 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(2));
-    let mut new = start("new");
+    let new = Arc::new(Mutex::new(start("new")));
+    let platform = {
+        let (processes, over, record) =
+            ([Arc::clone(&old), Arc::clone(&new)], Arc::clone(&over), record.clone());
+        thread::spawn(move || watch_memory(&processes, &over, &record))
+    };
     let is_ready = case.wait_for_log("new", "serves on", Duration::from_secs(6));
     record.say(format!("platform: the new process is ready: {is_ready}"));
     thread::sleep(Duration::from_secs(2));
     record.say("platform: SIGTERM to the old process");
-    old.signal("TERM");
-    let left = wait_until(Duration::from_millis(3_700), || old.has_ended());
-    record.say(format!("platform: the old process left by itself: {left}"));
-    old.kill();
+    lock(&old).signal("TERM");
+    let left = wait_until(Duration::from_millis(3_700), || lock(&old).has_ended());
+    record.say(format!("platform: the old process has ended: {left}"));
+    lock(&old).kill();
     thread::sleep(Duration::from_secs(3));
     over.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| client.join().expect("a client failed"));
-    let crashed = new.has_ended();
-    new.kill();
+    let killed = platform.join().expect("the platform failed");
+    let crashed = lock(&new).has_ended();
+    lock(&new).kill();
 
     let number = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
     record.say(format!(
-        "{} sent, {} served, {} refused, {} failed, {} unanswered; results reported in time and not served: {}",
+        "{} sent, {} served, {} refused, {} failed, {} lost; results reported in time and not served: {}",
         number(&counts.sent),
         number(&counts.served),
         number(&counts.refused),
         number(&counts.failed),
-        number(&counts.unanswered),
+        number(&counts.lost),
         number(&counts.lost_results)
     ));
     if !is_ready || number(&counts.served) == 0 {
         case.finish(&["old", "new"], COULD_NOT_RUN);
     }
-    let broken = crashed || number(&counts.unanswered) > 0 || number(&counts.lost_results) > 0;
+    let broken = killed || crashed || number(&counts.lost) > 0 || number(&counts.lost_results) > 0;
     case.finish(&["old", "new"], if broken { BROKEN } else { HELD })
 }
 
+/// The platform: the memory of both processes counts together. Over the limit the larger one is killed. Returns whether one
+/// was.
+fn watch_memory(processes: &[Arc<Mutex<Scheduler>>; 2], over: &AtomicBool, record: &Record) -> bool {
+    let mut peak = 0;
+    let mut killed = false;
+    while !over.load(Ordering::Relaxed) && !killed {
+        let memory = processes.each_ref().map(|process| lock(process).memory_kib());
+        peak = peak.max(memory[0] + memory[1]);
+        if memory[0] + memory[1] > MEMORY_MB * 1024 {
+            let larger = usize::from(memory[1] > memory[0]);
+            record.say(format!(
+                "platform: the processes have {} and {} KiB, the {} one is killed",
+                memory[0],
+                memory[1],
+                ["old", "new"][larger]
+            ));
+            lock(&processes[larger]).kill();
+            killed = true;
+        }
+        thread::sleep(Duration::from_millis(3));
+    }
+    record.say(format!("peak memory of both processes: {peak} KiB of {} KiB", MEMORY_MB * 1024));
+    killed
+}
+
 /// Starts a worker that keeps its connection for reports.
 fn start_worker(name: &str, listen: &str, record: &Record, reported: &Reported) -> String {
     let reporter = Reporter {
@@ -163,15 +208,16 @@
         Arc::new(move |reporter, message, stream| {
             use std::io::Write;
             let id = message.header("request-id").unwrap_or("").to_owned();
+            lock(&reported).forwarded.insert(id.clone());
             let _ = stream.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
             let (reporter, kept, reported) = (reporter.clone(), Arc::clone(&kept), Arc::clone(&reported));
             thread::spawn(move || {
                 reporter.record.line(format!("{}: runs {id}", reporter.name));
                 report(&reporter, &kept, &id, r#""state":"started""#);
-                thread::sleep(Duration::from_millis(200));
+                thread::sleep(Duration::from_millis(WORK_MS));
                 let done = format!(r#""state":"done","result":"result of {id}""#);
                 if report(&reporter, &kept, &id, &done) {
-                    lock(&reported).insert(id, Instant::now());
+                    lock(&reported).reported.insert(id, Instant::now());
                 }
             });
             Deed::Nothing
@@ -242,18 +288,25 @@
 ) {
     let add = |counter: &AtomicUsize| counter.fetch_add(1, Ordering::Relaxed);
     let (mut kept, mut next) = (None, 0);
+    thread::sleep(Duration::from_millis(WORK_MS * number as u64 / CLIENTS as u64));
     while !over.load(Ordering::Relaxed) {
         next += 1;
-        let class = ["stock-check", "issue-parcel"][(number + next) % 2];
+        let class = ["stock-report", "pallet-transfer"][(number + next) % 2];
         let id = format!("{number:04x}{next:012x}");
         let sent_at = Instant::now();
         add(&counts.sent);
         let mut answer = None;
-        // A close may cross the request, which is then sent once more, on a new connection.
+        // A close may cross a request that is not read. The request is then sent once more, on a new connection.
         for _ in 0..2 {
             let connection = kept.take().map_or_else(|| Client::connect(listen), Ok);
             let answered = connection.and_then(|mut client: Client| {
-                client.send(&http::job(class, &id, TIMEOUT_S, "Work-Hint: 200000\r\n", "a usual body"))?;
+                client.send(&http::job(
+                    class,
+                    &id,
+                    TIMEOUT_S,
+                    &format!("Work-Hint: {}\r\n", WORK_MS * 1000),
+                    "a usual body",
+                ))?;
                 let answer = client.answer(Duration::from_millis(5_500))?;
                 Ok((client, answer))
             });
@@ -264,12 +317,12 @@
                 answer = Some(message.status());
                 break;
             }
-            if sent_at.elapsed() > Duration::from_secs(5) {
+            if sent_at.elapsed() > Duration::from_secs(5) || lock(reported).forwarded.contains(&id) {
                 break;
             }
         }
         let answered_at = Instant::now();
-        let result_at = lock(reported).get(&id).copied();
+        let result_at = lock(reported).reported.get(&id).copied();
         // The result counts if it came a tenth of a second before the answer and before the client's time was over.
         let in_time = result_at.is_some_and(|at| {
             at + Duration::from_millis(100) < answered_at
@@ -279,7 +332,7 @@
             Some(200) => add(&counts.served),
             Some(429 | 503) => add(&counts.refused),
             Some(_) => add(&counts.failed),
-            None => add(&counts.unanswered),
+            None => add(&counts.lost),
         };
         let is_lost = in_time && answer != Some(200);
         if is_lost {
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -19,7 +19,7 @@
 /// Ends all processes that were started.
 fn end_processes() {
     for process in lock(&RUNNING).drain(..) {
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {process}")).status();
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {process} 2>/dev/null")).status();
     }
 }
 
@@ -165,7 +165,10 @@
 
     /// Sends a signal: `TERM`, `HUP`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{signal} {}", self.child.id())).status();
+        let _ = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("kill -{signal} {} 2>/dev/null", self.child.id()))
+            .status();
     }
 
     /// Returns whether the process has ended.
