--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -315,6 +315,39 @@
     }
 }
 
+/// Settings of one scheduler of `kirkpinar-onarim`, with the figures of its account.
+pub fn kirkpinar() -> Settings {
+    let class = |name, aim_ms, deadline_ms, effect, window_ms, stretch, worth, late_worth| Class {
+        name,
+        aim_ms,
+        deadline_ms,
+        effect,
+        window_ms,
+        stretch,
+        worth,
+        late_worth,
+    };
+    Settings {
+        classes: vec![
+            class("durum-sorgu", 150, 5_000, "read_like", 40_000, 2.0, 1.0, 0.3),
+            class("parca-ayir", 600, 25_000, "idempotency_key", 40_000, 2.0, 8.0, 0.25),
+            class("fatura-kes", 600, 8_000, "non_idempotent", 40_000, 2.5, 8.0, 0.25),
+        ],
+        zones: vec!["merkez", "sanayi"],
+        kinds: vec!["cift-cekirdek", "uc-cekirdek"],
+        copies: false,
+        tries: 4,
+        pushed: true,
+        tells_start: true,
+        connect_timeout_ms: 250,
+        conn_idle_ms: 10_000,
+        cold_ms: 9_000,
+        fall_multiple: 3.0,
+        fall_ms: 1_000,
+        drain_grace_ms: 2_000,
+    }
+}
+
 /// The configuration file of a scheduler.
 pub struct Config<'a> {
     pub listen: &'a str,
