--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -2,7 +2,8 @@
 
 use crate::lock;
 use crate::record::Record;
-use std::fs::{self, File};
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -27,7 +28,7 @@
 pub struct Case {
     /// Root of the repository.
     pub root: PathBuf,
-    /// A temporary folder, removed at the end.
+    /// A temporary folder.
     pub scratch: PathBuf,
     pub record: Record,
     /// The command of `run` in the deploy file.
@@ -35,7 +36,8 @@
 }
 
 impl Case {
-    /// Prepares a case. The first argument of the program is the folder of the case.
+    /// Prepares a case. The arguments of the program are the folder of the case and a temporary folder, in whose file `pids`
+    /// the processes are named that are started.
     ///
     /// # Errors
     /// Fails if a folder or the scheduler's program is missing.
@@ -50,8 +52,7 @@
         if !root.join("target/release/calicolb").exists() {
             return Err("the scheduler is not built".to_owned());
         }
-        let scratch = std::env::temp_dir().join(format!("calicolb-review-{}", std::process::id()));
-        fs::create_dir_all(&scratch).map_err(|error| error.to_string())?;
+        let scratch = PathBuf::from(std::env::args().nth(2).ok_or("the temporary folder is missing")?);
         let record = Record::create(&folder).map_err(|error| error.to_string())?;
         let show = std::panic::take_hook();
         std::panic::set_hook(Box::new(move |panic| {
@@ -97,6 +98,8 @@
             .spawn()
             .expect("starting the scheduler");
         lock(&RUNNING).push(child.id());
+        let pids = OpenOptions::new().create(true).append(true).open(self.scratch.join("pids"));
+        writeln!(pids.expect("opening the file of processes"), "{}", child.id()).expect("noting a process");
         self.record.line(format!("platform: started {name}, process {}", child.id()));
         Scheduler { child, name: name.to_owned() }
     }
@@ -119,7 +122,7 @@
         path.display().to_string()
     }
 
-    /// Ends all processes, copies the end of the logs into the record and removes the temporary folder.
+    /// Ends all processes, and copies the end of the logs into the record.
     pub fn finish(&self, logs: &[&str], status: i32) -> ! {
         end_processes();
         for name in logs {
@@ -130,7 +133,6 @@
                 .iter()
                 .for_each(|line| self.record.line(format!("  {line}")));
         }
-        let _ = fs::remove_dir_all(&self.scratch);
         self.record.say(match status {
             crate::HELD => "the rule held",
             crate::BROKEN => "THE RULE WAS BROKEN",
