--- a/review/standins-2/src/bin/case8.rs
+++ b/review/standins-2/src/bin/case8.rs
@@ -119,7 +119,10 @@
     if *runs > 1 || !trouble() {
         return Deed::Run { ms: RUN_MS, result };
     }
-    reporter.record.line(format!("{}: the connection of {id} ends before the 202", reporter.name));
+    reporter.record.line(format!(
+        "{}: the disruption: the connection of {id}, the first attempt of {body}, ends before the 202",
+        reporter.name
+    ));
     let _ = stream.shutdown(Shutdown::Both);
     let reporter = reporter.clone();
     thread::spawn(move || {
--- a/review/standins-2/src/bin/case9.rs
+++ b/review/standins-2/src/bin/case9.rs
@@ -77,6 +77,7 @@
     if !http::wait_up(&listen, Duration::from_secs(30)) {
         case.finish(&["n1"], COULD_NOT_RUN);
     }
+    record.say(format!("limits of the configuration: memory_mb {MEMORY_MB}, sockets {SOCKETS}"));
     record.say(format!("ready, memory {} KiB", lock(&scheduler).memory_kib()));
 
     let over = Arc::new(AtomicBool::new(false));
@@ -165,7 +166,12 @@
     for number in 0..STOPPERS {
         connect(stopped(&format!("half{number:x}")), &mut clients);
     }
-    record.say(format!("{} bad clients connected in {} ms", SENDERS + STOPPERS, begun.elapsed().as_millis()));
+    let longest = clients.iter().map(|(_, message, _)| message.len()).max().unwrap_or(0);
+    record.say(format!(
+        "{} bad clients connected in {} ms, each sends {longest} bytes at most",
+        SENDERS + STOPPERS,
+        begun.elapsed().as_millis()
+    ));
     let _ = wait_until(Duration::from_secs(5), || go_on(&mut clients));
     record.say(format!("{} bad clients were left after {} ms", clients.len(), begun.elapsed().as_millis()));
 }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -3,12 +3,21 @@
 use crate::http::{self, Message};
 use crate::lock;
 use crate::record::Record;
+use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
+/// The ids of the requests that came to a worker.
+static FORWARDED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+/// Whether the request of this id came to a worker.
+pub fn was_forwarded(id: &str) -> bool {
+    lock(&FORWARDED).contains(id)
+}
+
 /// What a worker does with an attempt, as decided by a case.
 pub enum Deed {
     /// Takes the job with 202, runs it for this time and reports the result.
@@ -86,6 +95,7 @@
             continue;
         }
         let id = message.header("request-id").unwrap_or("").to_owned();
+        lock(&FORWARDED).insert(id.clone());
         match decide(reporter, &message, &mut out) {
             Deed::Run { ms, result } => {
                 if out.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").is_err() {
