Forget workers that left the list, and hand over without a tree of JSON values

At 192 MB the handover was over 4 MiB, the link ended, and both processes served unknown to each other.

Cause: Dispatcher::workers kept each worker ever seen, though a deploy gives every machine a new id, and the handover put all of them into a tree of serde_json values, more than ten times the size of its text. A single message over the limit closed the link.

Change: entries of departed workers are removed after 180 s, or beyond 2,048 of them, unless an attempt, a planned job or the window of a cold worker needs them; indices in open requests are converted in the same step. Learned state is written and read as text, typed, with the listed and needed workers only; hosts of the list stay raw text until they are read. A handover over 4 MiB leaves out the learned state, then the list, never the names of open requests. Two passes over a full list that took the square of its length are linear.

Why it works: the table, each pass over it and the handover now follow the list and not the life of the process.

The tests that pass knowledge between dispatchers now pass it as text; what they assert is unchanged.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -474,8 +474,8 @@
         report: Option<Report>,
     },
     /// Knowledge of the predecessor, which ends when its own requests are done (see
-    /// [`Dispatcher::knowledge`](crate::rules::Dispatcher::knowledge)).
-    KnowledgeReceived(serde_json::Value),
+    /// [`Dispatcher::knowledge_text`](crate::rules::Dispatcher::knowledge_text)).
+    KnowledgeReceived(String),
     /// `true`: a successor of this process has taken over; `false`: that successor has ended.
     SuccessorActive(bool),
     /// The worker list has moved to another address; the subscription, if any, will end.
--- a/crates/decisions/src/handover.rs
+++ b/crates/decisions/src/handover.rs
@@ -1,13 +1,28 @@
 //! Handover of learned knowledge to the successor process. This file converts the knowledge and makes no decisions.
 
-use crate::api::{Action, Micros};
+use crate::api::{Action, Micros, WorkerStatus};
 use crate::rules::Dispatcher;
 use crate::state::{Knowledge, PeerLoad, SizeMap, TokenBucket, Worker};
-use calicolb_knowledge::classes::ClassModel;
-use serde::Deserialize;
+
+/// The learned knowledge in the form that a successor receives: workers, samples of job sizes, and the other figures.
+type LearnedState = (Vec<Worker>, Vec<SizeMap>, Knowledge);
 
 impl Dispatcher {
-    /// Returns the learned knowledge, for the successor process.
+    /// Returns the learned knowledge, for the successor process, as JSON text: an array of the workers, the samples of job
+    /// sizes and the other figures. It names the workers that are listed or otherwise needed. The text is written without
+    /// an intermediate tree of JSON values, which would take more than ten times its memory.
+    ///
+    /// # Errors
+    /// Returns the error of the serializer.
+    pub fn knowledge_text(&self, now: Micros) -> serde_json::Result<String> {
+        let needed = self.needed_workers(now);
+        let is_kept = |(worker, needed): &(&Worker, bool)| *needed || worker.status != WorkerStatus::Gone;
+        let workers: Vec<&Worker> =
+            self.workers.iter().zip(needed).filter(is_kept).map(|(worker, _)| worker).collect();
+        serde_json::to_string(&(workers, &self.size_maps, &self.knowledge))
+    }
+
+    /// Returns all learned knowledge as a tree of JSON values, for inspection.
     pub fn knowledge(&self) -> serde_json::Value {
         serde_json::json!([self.workers, self.size_maps, self.knowledge])
     }
@@ -16,51 +31,46 @@
     /// each new index, which holds the old index, or `None` for a new class or tenant. Knowledge that cannot be parsed
     /// is returned unchanged; the receiver rejects it later.
     pub fn remap_knowledge(
-        mut knowledge: serde_json::Value,
+        text: String,
         classes: &[Option<usize>],
         tenants: &[Option<usize>],
         now: Micros,
-    ) -> serde_json::Value {
-        let Some(know) = knowledge.get_mut(2) else { return knowledge };
-        let parsed = (Vec::deserialize(&know["classes"]), Vec::deserialize(&know["buckets"]));
-        let (Ok(models), Ok(buckets)): (Result<Vec<ClassModel>, _>, Result<Vec<TokenBucket>, _>) = parsed
-        else {
-            return knowledge;
-        };
-        let models = classes.iter().map(|old| models.get((*old)?).cloned());
-        know["classes"] = models.map(|model| serde_json::json!(model.unwrap_or_default())).collect();
-        let buckets = tenants.iter().map(|old| buckets.get((*old)?));
-        know["buckets"] =
-            buckets.map(|bucket| serde_json::json!(bucket.unwrap_or(&TokenBucket::new(now)))).collect();
-        knowledge
+    ) -> String {
+        let Ok((workers, maps, mut know)) = serde_json::from_str::<LearnedState>(&text) else { return text };
+        if is_identity(classes, know.classes.len()) && is_identity(tenants, know.buckets.len()) {
+            return text;
+        }
+        let models = classes.iter().map(|old| know.classes.get((*old)?).cloned());
+        know.classes = models.map(Option::unwrap_or_default).collect();
+        let buckets = tenants.iter().map(|old| know.buckets.get((*old)?).cloned());
+        know.buckets = buckets.map(|bucket| bucket.unwrap_or_else(|| TokenBucket::new(now))).collect();
+        serde_json::to_string(&(workers, maps, know)).unwrap_or(text)
     }
 
     /// Converts the times in another process's knowledge to this process's clock. `behind` is how far the other clock
     /// is behind this one, in microseconds; it is negative if the other clock is ahead. The start times of workers come
     /// from the workers' own clocks and stay. Knowledge that cannot be parsed is returned unchanged; the receiver
     /// rejects it later.
-    pub fn shift_knowledge(mut knowledge: serde_json::Value, behind: i64) -> serde_json::Value {
-        let parsed = (Vec::deserialize(&knowledge[0]), Knowledge::deserialize(&knowledge[2]));
-        let (Ok(mut workers), Ok(mut know)): (Result<Vec<Worker>, _>, Result<Knowledge, _>) = parsed else {
-            return knowledge;
+    pub fn shift_knowledge(text: String, behind: i64) -> String {
+        let Ok((mut workers, maps, mut know)) = serde_json::from_str::<LearnedState>(&text) else {
+            return text;
         };
         workers.iter_mut().for_each(|worker| worker.shift(behind));
         know.shift(behind);
-        (knowledge[0], knowledge[2]) = (serde_json::json!(workers), serde_json::json!(know));
-        knowledge
+        serde_json::to_string(&(workers, maps, know)).unwrap_or(text)
     }
 
     /// Takes over the knowledge of another process. Knowledge that cannot be parsed or that was learned under settings
     /// of another shape is ignored, with a log line.
-    pub(crate) fn on_knowledge_received(&mut self, received: serde_json::Value) {
-        let fits = |(workers, maps, know): &(Vec<Worker>, Vec<SizeMap>, Knowledge)| {
+    pub(crate) fn on_knowledge_received(&mut self, received: &str) {
+        let fits = |(workers, maps, know): &LearnedState| {
             let covered = workers.iter().all(|worker| know.covers(worker));
             covered && know.has_same_shape(&self.knowledge) && maps.len() == self.size_maps.len()
         };
-        match serde_json::from_value(received).ok().filter(fits) {
+        match serde_json::from_str(received).ok().filter(fits) {
             Some((workers, maps, know)) => {
-                self.worker_index = workers.iter().enumerate().map(|(at, worker)| (worker.id, at)).collect();
                 (self.workers, self.size_maps, self.knowledge) = (workers, maps, know);
+                self.index_workers();
                 let ranks = self.knowledge.zones_by_rank.len().max(self.peer_set.size() as usize);
                 self.knowledge.zones_by_rank.resize(ranks, None);
             }
@@ -73,6 +83,12 @@
     }
 }
 
+/// Returns whether these old indices, by new index, leave a table of `count` entries as it is.
+fn is_identity(old_indices: &[Option<usize>], count: usize) -> bool {
+    old_indices.len() == count
+        && old_indices.iter().enumerate().all(|(index, old_index)| *old_index == Some(index))
+}
+
 /// Converts a time to a clock that is `by` microseconds ahead of the clock that the time was taken from.
 fn shift(at: &mut Micros, by: i64) {
     *at = at.saturating_add_signed(by);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 //! has its own file in `src/rules`.
 
 pub mod api;
+pub mod departed;
 mod handover;
 mod peer_message;
 pub mod rejections;
--- a/crates/decisions/src/rules/list.rs
+++ b/crates/decisions/src/rules/list.rs
@@ -1,6 +1,7 @@
 //! Worker list: the entries of the workers, and when the list is requested.
 
 use super::*;
+use std::collections::HashSet;
 
 impl Dispatcher {
     /// Handles an event of the worker list. Sets a timer for the next call where one is due, updates the workers and
@@ -27,10 +28,12 @@
         }
         self.worker_list.lost &= kind == ListKind::Saved;
         if kind != ListKind::Changes {
-            let unlisted = |worker: &&mut Worker| members.iter().all(|member| member.worker != worker.id);
+            let listed: HashSet<WorkerId> = members.iter().map(|member| member.worker).collect();
+            let unlisted = |worker: &&mut Worker| !listed.contains(&worker.id);
             self.workers.iter_mut().filter(unlisted).for_each(|worker| worker.status = WorkerStatus::Gone);
         }
         members.into_iter().for_each(|member| self.update_worker(member));
+        self.forget_departed_workers(now);
         self.rebuild_size_maps();
         if kind == ListKind::Saved {
             if self.peer_set.sends_peer_messages() {
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -170,7 +170,7 @@
                 self.subscribe_to_list();
             }
             Event::Settings(settings) => self.on_settings(now, *settings),
-            Event::KnowledgeReceived(knowledge) => self.on_knowledge_received(knowledge),
+            Event::KnowledgeReceived(knowledge) => self.on_knowledge_received(&knowledge),
             Event::SuccessorActive(active) => {
                 self.has_successor = active;
                 (0..self.workers.len()).for_each(|index| self.send_load(now, index, None));
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -184,6 +184,9 @@
     /// Status in the worker list.
     #[serde(rename = "standing")]
     pub(crate) status: WorkerStatus,
+    /// Time at which the worker was first found to have left the worker list; `None` while it is listed.
+    #[serde(skip)]
+    pub(crate) departed_at: Option<Micros>,
     /// Number of lanes, if the worker list states it exactly. Serialized under its earlier name, so that another
     /// version of the program can read it.
     #[serde(default, rename = "told")]
@@ -406,7 +409,7 @@
 }
 
 /// Token bucket for a tenant's quota. One token is one request within the tenant's share.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct TokenBucket {
     /// Saved tokens.
     pub(crate) tokens: f64,
--- a/crates/scaling/src/hypotheses.rs
+++ b/crates/scaling/src/hypotheses.rs
@@ -38,7 +38,8 @@
         .iter()
         .zip(&grown)
         .map(|(fleet, (scheduler, resident_growth))| {
-            let knowledge_bytes = scheduler.knowledge().to_string().len() as f64;
+            let knowledge = scheduler.knowledge_text(scenario::current_time(fleet)).unwrap_or_default();
+            let knowledge_bytes = knowledge.len() as f64;
             (
                 fleet.days,
                 kib(knowledge_bytes),
--- a/crates/scaling/src/probe.rs
+++ b/crates/scaling/src/probe.rs
@@ -171,9 +171,8 @@
     let now = scenario::current_time(fleet);
     let mut bytes = 0;
     let mut hand_over = |dispatcher: &mut Dispatcher, actions: &mut Vec<Action>| {
-        let text = serde_json::to_vec(&dispatcher.knowledge()).unwrap_or_default();
-        bytes = text.len();
-        let knowledge = serde_json::from_slice(&text).unwrap_or_default();
+        let knowledge = dispatcher.knowledge_text(now).unwrap_or_default();
+        bytes = knowledge.len();
         dispatcher.on_event(now, Event::KnowledgeReceived(knowledge), actions);
         actions.clear();
     };
@@ -196,7 +195,9 @@
 pub fn departed_workers(fleet: &FleetParameters, seed: u64, _cpu_times: bool) -> Cost {
     let new_fleet = FleetParameters { days: 0, ..*fleet };
     let knowledge_bytes = |fleet: &FleetParameters| {
-        scenario::settled_scheduler(fleet, seed).knowledge().to_string().len() as f64
+        let scheduler = scenario::settled_scheduler(fleet, seed);
+        let knowledge = scheduler.knowledge_text(scenario::current_time(fleet)).unwrap_or_default();
+        knowledge.len() as f64
     };
     let bytes = knowledge_bytes(fleet) - knowledge_bytes(&new_fleet);
     Cost {
--- a/crates/simulation/src/incidents.rs
+++ b/crates/simulation/src/incidents.rs
@@ -208,9 +208,10 @@
     /// Starts a successor for the process of a scheduler, which hands over and gets SIGTERM.
     fn restart_scheduler(&mut self, rank: u32) {
         let Some(predecessor) = self.live_process(rank) else { return };
+        let now = self.now;
         let target = &mut self.processes[predecessor as usize];
         let (knowledge, next, confirmed) =
-            (target.hand_over(), target.next_request_number(), target.list_confirmed_at());
+            (target.hand_over(now), target.next_request_number(), target.list_confirmed_at());
         let list = self.discovery.whole_list();
         let successor = self.start_process(rank);
         self.with_process(successor, |successor, _| {
--- a/crates/simulation/src/schedulers/process_end.rs
+++ b/crates/simulation/src/schedulers/process_end.rs
@@ -140,9 +140,9 @@
     }
 
     /// Hands over to a successor: returns the knowledge of this process.
-    pub(crate) fn hand_over(&mut self) -> serde_json::Value {
+    pub(crate) fn hand_over(&mut self, now: Micros) -> String {
         self.events.push_back(Event::SuccessorActive(true));
-        self.dispatcher.knowledge()
+        self.dispatcher.knowledge_text(now).unwrap_or_default()
     }
 
     /// Time at which discovery last confirmed the list.
@@ -151,7 +151,7 @@
     }
 
     /// Takes over the knowledge of the predecessor. `next` is the number of the next request.
-    pub(crate) fn import_knowledge(&mut self, knowledge: serde_json::Value, next: u32) {
+    pub(crate) fn import_knowledge(&mut self, knowledge: String, next: u32) {
         self.next_request = next;
         self.events.push_back(Event::KnowledgeReceived(knowledge));
     }
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -236,8 +236,8 @@
 
     /// Size of the knowledge of a process as JSON, in bytes.
     fn knowledge_bytes(&self, process: u32) -> u64 {
-        let knowledge = self.processes[process as usize].dispatcher.knowledge();
-        serde_json::to_vec(&knowledge).map_or(0, |text| text.len() as u64)
+        let dispatcher = &self.processes[process as usize].dispatcher;
+        dispatcher.knowledge_text(self.now).map_or(0, |text| text.len() as u64)
     }
 
     /// The settings that the scheduler of this rank starts with.
--- a/src/config/worker_list.rs
+++ b/src/config/worker_list.rs
@@ -1,7 +1,7 @@
 //! The list of workers in the JSON form of the discovery service. The platform's configuration may contain a copy.
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 /// A complete version of the list, or the changes since the version that the receiver has.
 #[derive(Serialize, Deserialize)]
@@ -11,7 +11,8 @@
     /// True if `hosts` is the complete list, false if it holds the changes.
     #[serde(default)]
     pub whole: bool,
-    /// One JSON object for each worker, not yet parsed.
+    /// One JSON object for each worker, as text that is not yet parsed: a tree of JSON values would take many times its
+    /// memory.
     #[serde(default)]
-    pub hosts: Vec<Value>,
+    pub hosts: Vec<Box<RawValue>>,
 }
--- a/src/net/core/buffer.rs
+++ b/src/net/core/buffer.rs
@@ -94,6 +94,15 @@
         self.data.extend_from_slice(bytes);
     }
 
+    /// Appends bytes to the pending output, without a copy if the buffer is empty.
+    pub fn append_owned_output(&mut self, bytes: Vec<u8>) {
+        if self.data.is_empty() {
+            self.data = bytes;
+        } else {
+            self.append_output(&bytes);
+        }
+    }
+
     /// Returns true if output is pending.
     pub fn has_output(&self) -> bool {
         self.output_start < self.data.len()
--- a/src/net/core/request_table/upgrade.rs
+++ b/src/net/core/request_table/upgrade.rs
@@ -4,11 +4,14 @@
 use super::*;
 
 impl<P: Clone> RequestTable<P> {
-    /// Hands over to a successor: returns what the decision module has learned. From now on the successor sends peer
-    /// messages for both processes.
-    pub fn hand_over(&mut self) -> serde_json::Value {
+    /// Hands over to a successor: returns what the decision module has learned, as JSON text. From now on the successor
+    /// sends peer messages for both processes.
+    ///
+    /// # Errors
+    /// Returns the error of the serializer; the successor then begins without what was learned.
+    pub fn hand_over(&mut self, now: Micros) -> serde_json::Result<String> {
         self.events.push_back(Event::SuccessorActive(true));
-        self.dispatcher.knowledge()
+        self.dispatcher.knowledge_text(now)
     }
 
     /// Reports that the successor process has ended.
@@ -16,8 +19,8 @@
         self.events.push_back(Event::SuccessorActive(false));
     }
 
-    /// Imports what the decision module of the predecessor process had learned.
-    pub fn import_knowledge(&mut self, knowledge: serde_json::Value) {
+    /// Imports what the decision module of the predecessor process had learned, as JSON text.
+    pub fn import_knowledge(&mut self, knowledge: String) {
         self.events.push_back(Event::KnowledgeReceived(knowledge));
     }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -21,9 +21,10 @@
 use crate::net::operators::management::{MAX_MANAGEMENT_CONNECTIONS, ManagementCommand, ManagementServer};
 use crate::net::platform::control::ControlClient;
 use crate::net::platform::discovery::DiscoveryClient;
+use crate::net::platform::handover::{Handover, IndexedNames};
 use crate::net::platform::inherited_socket;
 use crate::net::platform::peer_socket::PeerSocket;
-use crate::net::platform::upgrade::{HANDOVER_TIMEOUT, Handover, IndexedNames, Message, Role, UpgradeLink};
+use crate::net::platform::upgrade::{HANDOVER_TIMEOUT, Message, Role, UpgradeLink};
 use crate::net::protocol::{DescriptorLimits, Protocol, ProtocolRequest};
 use crate::net::{Context, PeerTarget};
 use calicolb::api::{Class, ListKind, Micros, WorkerId};
@@ -240,7 +241,7 @@
                 let ahead =
                     handover.clock.map_or(0, |clock| components.upgrade_link.record_clock_offset(now, clock));
                 let knowledge = settings_update::remap_knowledge(
-                    handover.dispatcher_state,
+                    Box::<str>::from(handover.dispatcher_state).into_string(),
                     &handover.names,
                     ctx.names,
                     now,
--- a/src/net/event_loop/settings_update.rs
+++ b/src/net/event_loop/settings_update.rs
@@ -3,12 +3,11 @@
 use super::{ControlClient, EventLoop};
 use crate::config::{Config, SettingsError, SettingsUpdate};
 use crate::log::log_line;
-use crate::net::platform::upgrade::IndexedNames;
+use crate::net::platform::handover::IndexedNames;
 use calicolb::api::Micros;
 use calicolb::rules::Dispatcher;
 use calicolb::settings_update::merge;
 use calicolb::wire::Names;
-use serde_json::Value;
 use std::time::Instant;
 
 /// Clock differences below this (microseconds) are ignored, because they include the transit time of the message
@@ -121,7 +120,7 @@
 
 /// Converts the knowledge of the predecessor's decision module to the clock of this process. `ahead`: microseconds by
 /// which the predecessor's clock is ahead.
-pub(super) fn adjust_clock(knowledge: Value, ahead: i64) -> Value {
+pub(super) fn adjust_clock(knowledge: String, ahead: i64) -> String {
     if ahead.unsigned_abs() < CLOCK_TOLERANCE {
         knowledge
     } else {
@@ -132,11 +131,11 @@
 /// Converts the knowledge of another process's decision module to the indices that classes and tenants have here. The
 /// indices differ if classes or tenants were added and removed in another order there.
 pub(super) fn remap_knowledge(
-    knowledge: Value,
+    knowledge: String,
     their_names: &Option<IndexedNames>,
     names: &Names,
     now: Micros,
-) -> Value {
+) -> String {
     let Some(their_names) = their_names else { return knowledge };
     let index = |list: &[String], name: &str| list.iter().position(|other| other == name);
     let classes: Vec<_> = names.classes().map(|name| index(&their_names.classes, name)).collect();
--- a/src/net/event_loop/upgrade.rs
+++ b/src/net/event_loop/upgrade.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::net::core::request_table::ClientId;
 use crate::net::core::transfer::{AnyTransfer, Transfer};
+use serde_json::value::RawValue;
 
 impl EventLoop {
     /// Hands over to a successor: from now on it accepts all new requests. Requests that were accepted here are
@@ -22,16 +23,21 @@
         components.http.clients.stop_listening(&mut ctx);
         components.http.begin_drain(&mut ctx);
         components.upgrade_link.stop_listening();
+        let learned = ctx.request_table.hand_over(now).and_then(RawValue::from_string);
+        let dispatcher_state = learned.unwrap_or_else(|error| {
+            log_line!("the successor begins without what was learned: {error}");
+            RawValue::NULL.to_owned()
+        });
         let handover = Handover {
             worker_list: components.discovery.known_list(),
             clock: Some(now),
             confirmed_us_ago: components.discovery.time_since_confirmation(now),
-            dispatcher_state: ctx.request_table.hand_over(),
+            dispatcher_state,
             names: Some(IndexedNames::new(ctx.names)),
             open_requests: ctx.request_table.track_open_names(),
             draining: components.drain.is_operator_drain(),
         };
-        components.upgrade_link.send(Role::Successor, &Message::Handover(Box::new(handover)));
+        components.upgrade_link.send_handover(handover);
         if components.drain.is_process_exiting() {
             components.drain.start_disconnecting();
         }
--- a/src/net/platform/discovery/mod.rs
+++ b/src/net/platform/discovery/mod.rs
@@ -159,7 +159,8 @@
 
     /// The known list, for the handover to a successor.
     pub fn known_list(&self) -> ListUpdate {
-        let hosts = self.listed.values().filter_map(|entry| serde_json::to_value(entry).ok()).collect();
+        let hosts =
+            self.listed.values().filter_map(|entry| serde_json::value::to_raw_value(entry).ok()).collect();
         ListUpdate { seq: self.seq, whole: true, hosts }
     }
 
--- a/src/net/platform/discovery/versions.rs
+++ b/src/net/platform/discovery/versions.rs
@@ -10,7 +10,8 @@
 use calicolb::api::{ListKind, Member, WorkerId, WorkerStatus};
 use calicolb::wire::WireError;
 use calicolb_freshness::MISSED_CHANGE_DELAY;
-use serde_json::Value;
+use serde_json::value::RawValue;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 impl DiscoveryClient {
@@ -46,19 +47,16 @@
         self.seq = update.seq;
         self.digest = None;
         let mut members = Vec::with_capacity(update.hosts.len());
-        for value in update.hosts {
-            match self.read_entry(ctx, workers, value) {
+        for host in update.hosts {
+            match self.read_entry(ctx, workers, &host) {
                 Ok(member) => members.push(member),
                 Err(error) => log_line!("a line of the list is dropped: {error}"),
             }
         }
         if kind != ListKind::Changes {
-            let gone: Vec<WorkerId> = self
-                .listed
-                .keys()
-                .copied()
-                .filter(|id| members.iter().all(|member| member.worker != *id))
-                .collect();
+            let present: HashSet<WorkerId> = members.iter().map(|member| member.worker).collect();
+            let gone: Vec<WorkerId> =
+                self.listed.keys().copied().filter(|id| !present.contains(id)).collect();
             for id in gone {
                 self.listed.remove(&id);
                 workers.remove_worker(ctx, id);
@@ -90,9 +88,9 @@
         &mut self,
         ctx: &mut Context<'_>,
         workers: &mut UpstreamConnections,
-        value: Value,
+        host: &RawValue,
     ) -> Result<Member, WireError> {
-        let entry: Entry = serde_json::from_value(value).map_err(|error| WireError(error.to_string()))?;
+        let entry: Entry = serde_json::from_str(host.get()).map_err(|error| WireError(error.to_string()))?;
         let address: SocketAddr =
             entry.address.parse().map_err(|_| WireError(format!("'{}' is not an address", entry.address)))?;
         let member = read_member(ctx.names, &entry)?;
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 pub mod control;
 pub mod discovery;
+pub mod handover;
 pub mod inherited_socket;
 pub mod peer_socket;
 pub mod upgrade;
--- a/src/net/platform/upgrade.rs
+++ b/src/net/platform/upgrade.rs
@@ -4,13 +4,12 @@
 //!
 //! This module only carries messages. The event loop acts on them.
 
-use crate::config::worker_list::ListUpdate;
 use crate::log::log_line;
 use crate::net::Context;
 use crate::net::core::buffer::{Buffer, FillOutcome};
 use crate::net::core::transfer::{AnyTransfer, Transfer};
+use crate::net::platform::handover::Handover;
 use calicolb::api::Micros;
-use calicolb::wire::Names;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use rustix::net::{
@@ -18,7 +17,6 @@
     SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
 };
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::collections::VecDeque;
 use std::fs;
 use std::io::{self, IoSlice, IoSliceMut, Read};
@@ -68,53 +66,6 @@
     Drain(bool),
 }
 
-/// The state that a successor receives.
-#[derive(Serialize, Deserialize)]
-pub struct Handover {
-    /// The list of workers and its version.
-    #[serde(rename = "routes")]
-    pub worker_list: ListUpdate,
-    /// The predecessor's clock when this message was written, in microseconds. Older versions do not send it.
-    #[serde(default)]
-    pub clock: Option<Micros>,
-    /// Time since discovery last confirmed that list, in microseconds; `None` if it never did, or if the
-    /// predecessor is an older version that does not send it.
-    #[serde(default)]
-    pub confirmed_us_ago: Option<u64>,
-    /// The state that the dispatcher has learned, in the dispatcher's own format.
-    #[serde(rename = "knowledge")]
-    pub dispatcher_state: Value,
-    /// The names behind the class and tenant indices in `dispatcher_state`. Older versions do not send them.
-    #[serde(default)]
-    pub names: Option<IndexedNames>,
-    /// The names of the open requests.
-    #[serde(rename = "open")]
-    pub open_requests: Vec<String>,
-    /// Clients are being drained on an operator's request.
-    #[serde(rename = "drained")]
-    pub draining: bool,
-}
-
-/// Names of classes and tenants in the order of their indices.
-#[derive(Serialize, Deserialize)]
-pub struct IndexedNames {
-    /// Class names by index.
-    pub classes: Vec<String>,
-    /// Tenant names by index.
-    pub tenants: Vec<String>,
-}
-
-impl IndexedNames {
-    /// Collects the names of the settings in the order of their indices.
-    pub fn new(names: &Names) -> Self {
-        let to_owned = |name: &str| name.to_owned();
-        IndexedNames {
-            classes: names.classes().map(to_owned).collect(),
-            tenants: names.tenants().map(to_owned).collect(),
-        }
-    }
-}
-
 /// The role of the process at the other end of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -287,6 +238,19 @@
         }
     }
 
+    /// Sends the state of this process to a successor.
+    pub fn send_handover(&mut self, handover: Handover) {
+        let line = match handover.encode(MAX_MESSAGE_BYTES) {
+            Ok(line) => line,
+            Err(error) => return log_line!("failed to serialize the state for the successor: {error}"),
+        };
+        log_line!(bytes = line.len(), "sending the state of this process to the successor");
+        let Some(link) = &mut self.successor else { return };
+        link.buffer.append_owned_output(line);
+        // A broken link is also reported by the poll and handled there.
+        let _ = link.buffer.flush(&mut link.stream);
+    }
+
     /// Returns the next passed connection; `None` if its descriptor could not be received.
     pub fn take_received_connection(&mut self) -> Option<TcpStream> {
         let descriptor = self.received_descriptors.pop_front()??;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -593,7 +593,7 @@
     };
     assert_eq!(to_own_rank(&load_messages).len(), 1);
     let now = predecessor.now;
-    let start = |knowledge: Option<serde_json::Value>| {
+    let start = |knowledge: Option<String>| {
         let mut successor = Bench::new(peer_settings(0));
         successor.now = now;
         knowledge.into_iter().for_each(|knowledge| drop(successor.tell(Event::KnowledgeReceived(knowledge))));
@@ -601,7 +601,7 @@
         successor
     };
     // The load of the predecessor takes the only lane.
-    let mut successor = start(Some(knowledge));
+    let mut successor = start(Some(knowledge.to_string()));
     let forwarded = successor.tell(Event::Peer { from: 0, body: to_own_rank(&load_messages)[0].clone() });
     assert!(
         forwarded.iter().any(|action| matches!(action, Action::SendMessage { to: Some(1), .. })),
@@ -623,7 +623,7 @@
     };
     assert_eq!(end(&actions), 1);
     // Knowledge that does not fit the settings is ignored.
-    let mut uninformed = start(Some(serde_json::json!([[], [], {}])));
+    let mut uninformed = start(Some(serde_json::json!([[], [], {}]).to_string()));
     assert_eq!(end(&uninformed.arrive(1, 0, 300 * MS)), 4);
 }
 
@@ -644,7 +644,7 @@
             .expect("a kind in the learned data has no field counted");
     }
     let mut successor = Bench::new(settings());
-    let actions = successor.tell(Event::KnowledgeReceived(knowledge));
+    let actions = successor.tell(Event::KnowledgeReceived(knowledge.to_string()));
     assert!(actions.iter().all(|action| !matches!(action, Action::Log(_))), "{actions:?}");
     assert_eq!(sends(&successor.arrive(2, 0, 100 * MS)), [(2, WorkerId(11))]);
 }
--- a/tests/settings_update.rs
+++ b/tests/settings_update.rs
@@ -432,10 +432,10 @@
     let mut settings = two_tenants(10.0);
     settings.classes.push(class(Effect::Safe));
     let mut successor = Bench::with_workers(settings, &[1, 2]);
-    let actions = successor.tell(Event::KnowledgeReceived(known.clone()));
+    let actions = successor.tell(Event::KnowledgeReceived(known.to_string()));
     assert!(matches!(&actions[..], [Action::Log(line)] if line.contains("does not fit")), "{actions:?}");
     let remapped = Dispatcher::remap_knowledge(
-        known.clone(),
+        known.to_string(),
         &[Some(1), None, Some(0)],
         &[Some(1), None],
         successor.now,
@@ -448,6 +448,7 @@
     assert_eq!(tokens(&successor), [5.0, 3.0]);
     // A value that is not knowledge of a dispatcher is returned unchanged.
     for value in [Value::Null, Value::from(7), serde_json::json!([[], [], {"classes": 7}])] {
-        assert_eq!(Dispatcher::remap_knowledge(value.clone(), &[Some(0)], &[], successor.now), value);
+        let text = value.to_string();
+        assert_eq!(Dispatcher::remap_knowledge(text.clone(), &[Some(0)], &[], successor.now), text);
     }
 }
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -183,8 +183,8 @@
         predecessor.arrive(1, 0, 50 * MS);
         predecessor.outcome(1, 0, WorkerId(11), Ending::Error);
         assert_eq!(predecessor.dispatcher.avoided_worker_count(predecessor.now), 1);
-        let knowledge =
-            calicolb::rules::Dispatcher::shift_knowledge(predecessor.dispatcher.knowledge(), clock_offset);
+        let knowledge = predecessor.dispatcher.knowledge().to_string();
+        let knowledge = calicolb::rules::Dispatcher::shift_knowledge(knowledge, clock_offset);
         let mut successor = Bench::with_workers(settings(), &[11]);
         let now = predecessor.now.saturating_add_signed(clock_offset);
         successor.dispatcher.on_event(now, Event::KnowledgeReceived(knowledge), &mut Vec::new());
@@ -195,6 +195,6 @@
             "clock offset {clock_offset} us"
         );
     }
-    let unknown = serde_json::json!("no knowledge");
+    let unknown = serde_json::json!("no knowledge").to_string();
     assert_eq!(calicolb::rules::Dispatcher::shift_knowledge(unknown.clone(), 5), unknown);
 }
