Bound the sum of what peers make a process hold by limits.memory_mb

Cause: limits.memory_mb was read nowhere. Each connection had a bound, their sum had none; the framing of small chunks was kept with the body, and the request was parsed again from its first byte with each read.

Change: all input, output, incomplete requests and payloads are charged to one account. Its limit follows from memory_mb and the number of workers, half for each process of an upgrade at all times. Over it, input behind a request in progress goes first, then incomplete requests (stopped ones before slow ones), then incomplete reports; a payload without room is refused with 503; what was accepted stays. Bodies are decoded once, as they arrive, without their framing: the account needs that, so both faults are mended here. A connection whose time is over while its input waits for a turn ends after that turn. Buffers hold their bytes and no spare 8 KB.

Why it works: no pair of limits is left to which the fault could move; the sum is checked after each turn, which is bounded.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -21,6 +21,9 @@
 /// File name, in `$TMPDIR`, of the Unix socket over which predecessor and successor of an upgrade communicate.
 const UPGRADE_SOCKET: &str = "calicolb.sock";
 const DEFAULT_DESCRIPTORS: u64 = 1_024;
+/// Limit of the memory where none is configured, in MiB.
+const DEFAULT_MEMORY_MIB: u64 = 192;
+const BYTES_PER_MIB: u64 = 1 << 20;
 const DEFAULT_WORKER_IDLE_TIMEOUT: Micros = 5_000_000;
 const DEFAULT_MAX_OPEN_REQUESTS: u64 = 20_000;
 
@@ -134,6 +137,8 @@
     pub seed: u64,
     /// The largest number of descriptors that the process may hold.
     pub max_descriptors: usize,
+    /// The memory, in bytes, that the process may take, together with the other process during an upgrade.
+    pub memory_bytes: usize,
     /// The addresses of the other schedulers, if peer messages are enabled.
     pub peers: Option<PeerConfig>,
     /// The last known list of workers, used until discovery or the predecessor provides a newer one.
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -183,6 +183,7 @@
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |since_epoch| since_epoch.as_nanos() as u64),
             max_descriptors: max_descriptors as usize,
+            memory_bytes: (DEFAULT_MEMORY_MIB * BYTES_PER_MIB) as usize,
             peers: None,
             known_workers: None,
             static_workers,
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -3,6 +3,7 @@
 use super::*;
 use calicolb::api::Effect;
 use calicolb::wire;
+use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -81,9 +82,7 @@
             update;
         let known_workers = match root.map.get("known") {
             None | Some(Value::Null) => None,
-            Some(value) => {
-                Some(serde_json::from_value(value.clone()).map_err(|error| format!("'known': {error}"))?)
-            }
+            Some(value) => Some(ListUpdate::deserialize(value).map_err(|error| format!("'known': {error}"))?),
         };
         let max_descriptors = match &limits {
             Some(limits) => limits.unsigned("sockets")?.unwrap_or(DEFAULT_DESCRIPTORS),
@@ -94,6 +93,10 @@
                 "'limits.sockets' is {max_descriptors}: the program needs at least {MIN_DESCRIPTORS}"
             ));
         }
+        let memory_mib = match &limits {
+            Some(limits) => limits.unsigned("memory_mb")?.unwrap_or(DEFAULT_MEMORY_MIB),
+            None => DEFAULT_MEMORY_MIB,
+        };
         Ok(Config {
             name: lookup("name", "RELAY_NAME")?.map_or_else(|| "calicolb".to_owned(), |found| found.1),
             listen: required_address("listen", "RELAY_LISTEN")?,
@@ -106,6 +109,7 @@
             passed_socket,
             seed: parse_seed(&root)?,
             max_descriptors: max_descriptors as usize,
+            memory_bytes: memory_mib.saturating_mul(BYTES_PER_MIB) as usize,
             peers: peer_config(&root, &parsed_settings)?,
             known_workers,
             static_workers: Vec::new(),
@@ -398,6 +402,7 @@
         assert_error("8c1f30d27a5be964", "seedling", "'seed'");
         assert_error("900", "\"many\"", "'limits.sockets'");
         assert_error("900", "3", "'limits.sockets'");
+        assert_error("192", "\"much\"", "'limits.memory_mb'");
         assert_error("[\"127.0.0.3:7946\"]", "[7]", "'peers[0]'");
         assert_error("127.0.0.4:7946", "all", "'peers_all'");
         assert_error("\"limits\":", "\"control\":[\"here\"],\"limits\":", "'control[0]'");
--- a/src/net/core/buffer.rs
+++ b/src/net/core/buffer.rs
@@ -1,11 +1,12 @@
 //! The buffer of a connection: unread input followed by output that is not yet written.
 
+use crate::net::core::memory::{MemoryAccount, MemoryCharge, MemoryUse};
 use std::io::{self, ErrorKind, Read, Write};
 
 /// Bytes that one read may add.
-const READ_CHUNK: usize = 8 * 1024;
-/// An empty buffer with a larger capacity (bytes) shrinks, so that one large message does not hold memory for good.
-const MAX_IDLE_CAPACITY: usize = 32 * 1024;
+pub const READ_CHUNK: usize = 8 * 1024;
+/// An empty buffer with a larger capacity (bytes) is freed, so that idle connections hold little memory.
+const MAX_IDLE_CAPACITY: usize = 1024;
 
 /// Input and output of one connection. HTTP/1.1 is half-duplex, so one buffer serves both directions: nothing is read
 /// while output is pending, which also bounds the memory that a peer can take up by not reading its answers.
@@ -18,6 +19,8 @@
     input_end: usize,
     /// Offset of the first byte of output that is not yet written.
     output_start: usize,
+    /// Charge for the capacity of `data`.
+    charge: MemoryCharge,
 }
 
 /// Reason for which [`Buffer::fill`] stopped reading.
@@ -32,6 +35,11 @@
 }
 
 impl Buffer {
+    /// Creates an empty buffer whose memory is charged to this account.
+    pub fn charged_to(account: &MemoryAccount) -> Self {
+        Buffer { charge: account.charge(MemoryUse::Connection), ..Buffer::default() }
+    }
+
     /// Input that is not yet consumed.
     pub fn input(&self) -> &[u8] {
         &self.data[self.input_start..self.input_end]
@@ -49,8 +57,13 @@
         self.data.clear();
         (self.input_start, self.input_end, self.output_start) = (0, 0, 0);
         if self.data.capacity() > MAX_IDLE_CAPACITY {
-            self.data.shrink_to(READ_CHUNK);
+            self.data = Vec::new();
         }
+        self.update_charge();
+    }
+
+    fn update_charge(&mut self) {
+        self.charge.set(self.data.capacity());
     }
 
     /// Reads until the source would block or ends, or until at least `limit` bytes of input are held.
@@ -63,41 +76,52 @@
             self.input_end -= self.input_start;
             self.input_start = 0;
         }
+        self.data.truncate(self.input_end);
+        // Bytes are read into a fixed array first, so that a connection holds no more memory than its input needs.
+        let mut chunk = [0; READ_CHUNK];
         let filled = loop {
             if self.input_end >= limit {
                 break FillOutcome::LimitReached;
             }
-            self.data.resize(self.input_end + READ_CHUNK, 0);
-            match source.read(&mut self.data[self.input_end..]) {
+            match source.read(&mut chunk) {
                 Ok(0) => break FillOutcome::Closed,
-                Ok(count) => self.input_end += count,
+                Ok(count) => {
+                    self.data.extend_from_slice(&chunk[..count]);
+                    self.input_end += count;
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break FillOutcome::WouldBlock,
                 Err(_) => break FillOutcome::Closed,
             }
         };
-        self.data.truncate(self.input_end);
         self.output_start = self.input_end;
         if self.input_start == self.input_end {
             self.clear();
         }
+        self.update_charge();
         filled
     }
 
-    /// Creates a buffer that holds `bytes` as unread input.
-    pub fn with_input(bytes: &[u8]) -> Self {
-        Buffer { data: bytes.to_vec(), input_start: 0, input_end: bytes.len(), output_start: bytes.len() }
+    /// Adds bytes to the unread input of a buffer without pending output.
+    pub fn push_input(&mut self, bytes: &[u8]) {
+        self.data.truncate(self.input_end);
+        self.data.extend_from_slice(bytes);
+        self.input_end = self.data.len();
+        self.output_start = self.input_end;
+        self.update_charge();
     }
 
     /// Appends bytes to the pending output.
     pub fn append_output(&mut self, bytes: &[u8]) {
         self.data.extend_from_slice(bytes);
+        self.update_charge();
     }
 
     /// Appends bytes to the pending output, without a copy if the buffer is empty.
     pub fn append_owned_output(&mut self, bytes: Vec<u8>) {
         if self.data.is_empty() {
             self.data = bytes;
+            self.update_charge();
         } else {
             self.append_output(&bytes);
         }
@@ -192,14 +216,17 @@
 
     #[test]
     fn fill_stops_at_the_limit_and_an_empty_buffer_frees_its_memory() {
-        let mut buffer = Buffer::default();
+        let account = MemoryAccount::new(0);
+        let mut buffer = Buffer::charged_to(&account);
         assert_eq!(
             buffer.fill(&mut ChunkedStream(vec![7; 1 << 20], 1 << 20), 100_000),
             FillOutcome::LimitReached
         );
         let held = buffer.input().len();
+        assert!(account.used() >= held);
         assert!((100_000..100_000 + READ_CHUNK).contains(&held));
         buffer.consume(held);
         assert!(buffer.data.capacity() <= MAX_IDLE_CAPACITY);
+        assert_eq!(account.used(), buffer.data.capacity());
     }
 }
--- a/src/net/core/envelope.rs
+++ b/src/net/core/envelope.rs
@@ -1,8 +1,12 @@
 //! The protocol-independent form of a request, in which it is forwarded to a worker.
 
+use crate::net::core::memory::{MemoryAccount, MemoryCharge, MemoryUse};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
+/// Memory that a header takes beside its name and value, in bytes: two strings and what the allocator adds to each.
+pub const HEADER_OVERHEAD: usize = 112;
+
 /// Header lines in the order in which they were received.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Headers(Vec<(String, String)>);
@@ -19,6 +23,13 @@
     }
 }
 
+impl Headers {
+    /// Memory that the headers take, in bytes.
+    pub fn memory(&self) -> usize {
+        self.iter().map(|(name, value)| name.len() + value.len() + HEADER_OVERHEAD).sum()
+    }
+}
+
 impl FromIterator<(String, String)> for Headers {
     fn from_iter<I: IntoIterator<Item = (String, String)>>(lines: I) -> Self {
         Headers(lines.into_iter().collect())
@@ -39,6 +50,22 @@
     /// The body or workload, without framing.
     #[serde(with = "crate::net::core::base64_bytes")]
     pub body: Vec<u8>,
+    /// Charge for the memory of the envelope.
+    #[serde(skip)]
+    pub charge: MemoryCharge,
+}
+
+impl Envelope {
+    /// Memory that the envelope takes, in bytes.
+    pub fn memory(&self) -> usize {
+        self.body.capacity() + self.headers.memory() + self.target.len() + self.name.len()
+    }
+
+    /// Charges the memory of the envelope to an account.
+    pub fn charge_to(&mut self, account: &MemoryAccount) {
+        self.charge = account.charge(MemoryUse::Payload);
+        self.charge.set(self.memory());
+    }
 }
 
 /// An envelope that all attempts of a request share.
--- a/src/net/core/input_queue.rs
+++ b/src/net/core/input_queue.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns true if the connection waits for a turn.
+    pub fn contains(&self, token: usize) -> bool {
+        self.queued.contains(&token)
+    }
+
     /// Number of connections that wait for a turn.
     pub fn len(&self) -> usize {
         self.queued.len()
--- a/src/net/core/request_table.rs
+++ b/src/net/core/request_table.rs
@@ -5,6 +5,7 @@
 use crate::log::log_line;
 use crate::net::core::counters::Counters;
 use crate::net::core::deadlines::{Deadline, Deadlines};
+use crate::net::core::memory::MemoryAccount;
 use crate::net::core::network_delay;
 use crate::net::core::worker_registry::{WorkerRegistry, WorkerSource};
 use calicolb::api::*;
@@ -24,6 +25,8 @@
     class_slots: Vec<u32>,
     /// Maximum number of open requests.
     max_open: usize,
+    /// Account that the payloads of the requests are charged to.
+    memory: MemoryAccount,
     /// Maximum number of attempts per request.
     max_attempts: u32,
     /// True if two attempts of a request may be in progress at once.
@@ -76,6 +79,7 @@
             dispatcher: Dispatcher::new(settings, seed, now),
             workers: WorkerRegistry::default(),
             max_open,
+            memory: MemoryAccount::new(usize::MAX),
             requests: HashMap::new(),
             by_name: HashMap::new(),
             recent_names: recent_names::RecentNames::default(),
@@ -92,13 +96,19 @@
         }
     }
 
+    /// Sets the account that protocols charge the payloads of their requests to. Requests are refused while it has no room
+    /// for them.
+    pub fn set_memory(&mut self, memory: MemoryAccount) {
+        self.memory = memory;
+    }
+
     // ---- Events from protocols -------------------------------------------------------------------
 
     /// Adds a request that was received completely, and returns its number.
     ///
     /// # Errors
-    /// Fails if a request of the same name is open, here or at the other process of this scheduler, or if the maximum
-    /// number of requests is open.
+    /// Fails if a request of the same name is open, here or at the other process of this scheduler, if the maximum number of
+    /// requests is open, or if there is no memory for another payload.
     pub fn add_request(&mut self, now: Micros, client: ClientId, job: Job<P>) -> Result<u32, IntakeError> {
         if self.by_name.contains_key(&job.name) || self.open_elsewhere.contains(&job.name) {
             return Err(IntakeError::DuplicateName);
@@ -107,6 +117,10 @@
             self.counters.class_mut(job.class).refused += 1;
             return Err(IntakeError::TooManyOpen);
         }
+        if !self.memory.admits_payload(job.payload_bytes) {
+            self.counters.class_mut(job.class).refused += 1;
+            return Err(IntakeError::OutOfMemory);
+        }
         Ok(self.insert(now, client, job, None))
     }
 
--- a/src/net/core/request_table/request.rs
+++ b/src/net/core/request_table/request.rs
@@ -42,6 +42,8 @@
     pub updates: ClientUpdates,
     /// The data to forward to a worker.
     pub payload: P,
+    /// Memory that the payload takes, in bytes, as charged to the account.
+    pub payload_bytes: usize,
 }
 
 /// The updates on a request that its client receives before the final answer.
@@ -79,6 +81,8 @@
     DuplicateName,
     /// The maximum number of requests is open.
     TooManyOpen,
+    /// The payloads of the open requests take as much memory as they may.
+    OutOfMemory,
 }
 
 /// The final answer to a request.
--- a/src/net/core/request_table/tests.rs
+++ b/src/net/core/request_table/tests.rs
@@ -80,6 +80,7 @@
 
     fn job(&self, class: usize, name: &str) -> Job<&'static str> {
         Job {
+            payload_bytes: 0,
             name: name.to_owned(),
             class: ClassIx(class),
             tenant: None,
--- a/src/net/core/transfer/tests.rs
+++ b/src/net/core/transfer/tests.rs
@@ -2,13 +2,21 @@
 
 use super::*;
 use crate::net::core::envelope::Headers;
+use crate::net::core::memory::MemoryCharge;
 
 const SECOND: Micros = 1_000_000;
 
 fn envelope() -> Envelope {
     let headers: Headers = [("Request-Id".to_owned(), "a1".to_owned())].into_iter().collect();
     let body = (0..=255).collect();
-    Envelope { name: "a1".to_owned(), skill: 0, target: "/look".to_owned(), headers, body }
+    Envelope {
+        name: "a1".to_owned(),
+        skill: 0,
+        target: "/look".to_owned(),
+        headers,
+        body,
+        charge: MemoryCharge::default(),
+    }
 }
 
 #[test]
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -10,6 +10,7 @@
 use crate::net::core::envelope::Payload;
 use crate::net::core::input_queue::InputQueue;
 use crate::net::core::iteration::{INPUT_TIME, IterationStatistics};
+use crate::net::core::memory::{MemoryAccount, account_limit};
 use crate::net::core::request_table::{AttemptId, Command, RequestTable};
 use crate::net::core::worker_registry::WorkerSource;
 use crate::net::gearman::Gearman;
@@ -68,6 +69,10 @@
     deadlines: Deadlines,
     /// Connections whose input waits to be processed.
     input_queue: InputQueue,
+    /// The memory that peers make the process hold.
+    memory: MemoryAccount,
+    /// Configured limit of the memory of the process, together with the other process during an upgrade, in bytes.
+    memory_bytes: usize,
     /// Start of the present iteration.
     iteration_started: Instant,
     iterations: IterationStatistics,
@@ -171,6 +176,8 @@
             names: config.names,
             deadlines: Deadlines::default(),
             input_queue: InputQueue::default(),
+            memory: MemoryAccount::new(account_limit(config.memory_bytes, 0)),
+            memory_bytes: config.memory_bytes,
             iteration_started: Instant::now(),
             iterations: IterationStatistics::default(),
             last_token: LAST_RESERVED_TOKEN,
@@ -202,6 +209,7 @@
             graceful: false,
             uses_operator_file: config.discovery.is_none(),
         };
+        event_loop.request_table.set_memory(event_loop.memory.clone());
         let now = event_loop.clock.now();
         if let Some(gearman) = config.gearman {
             let (mut ctx, components) = event_loop.split(now);
@@ -367,6 +375,8 @@
             self.ready_to_serve |= self.request_table.worker_count() > 0 && self.discovery.is_ready(now);
             self.http.clients.accepts_clients = self.ready_to_serve && self.accepts_clients();
             self.notify_other_process();
+            self.memory.set_limit(account_limit(self.memory_bytes, self.request_table.worker_count()));
+            self.shed_memory(now);
             self.send_peer_datagrams();
             finished_iterations = if self.is_finished(now) { finished_iterations + 1 } else { 0 };
             if let Some(duration) = self.iterations.record(self.iteration_started) {
@@ -385,6 +395,17 @@
             }
             let Some(token) = self.input_queue.pop() else { return };
             self.handle_input(now, token);
+            self.shed_memory(now);
+        }
+    }
+
+    /// Gives up what was not accepted until the account of memory is within its limit, as far as that is possible.
+    fn shed_memory(&mut self, now: Micros) {
+        while self.memory.is_exceeded() {
+            let (mut ctx, mut components) = self.split(now);
+            if !components.protocols().any(|protocol| protocol.shed_memory(&mut ctx)) {
+                return;
+            }
         }
     }
 
@@ -427,6 +448,7 @@
             peer_outbox: &mut self.peer_outbox,
             protocol_requests: &mut self.protocol_requests,
             input_queue: &mut self.input_queue,
+            memory: &self.memory,
             now,
         };
         let components = Components {
--- a/src/net/event_loop/management.rs
+++ b/src/net/event_loop/management.rs
@@ -37,7 +37,8 @@
                     ("settings.taken_up", self.settings_updates),
                     ("reports.unattributed", self.request_table.unattributed_reports()),
                 ]);
-                let others = others.chain(self.iterations.metrics());
+                let others = others.chain(self.iterations.metrics()).chain(self.memory.metrics());
+                let others = others.chain([("memory.shed", self.http.clients.shed_count())]);
                 let others = others.map(|(name, value)| (name, value.to_string()));
                 let others = others.chain(self.control.iter().flat_map(|control| control.metrics(now)));
                 self.request_table.counters().render(self.names.classes(), gauges, others)
--- a/src/net/gearman/connections.rs
+++ b/src/net/gearman/connections.rs
@@ -114,7 +114,7 @@
             .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + FIRST_MESSAGE_TIMEOUT);
         let connection = Connection {
             stream,
-            buffer: Buffer::default(),
+            buffer: Buffer::charged_to(ctx.memory),
             peer_address: Some(peer_address),
             last_active: ctx.now,
             has_sent_message: false,
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -344,6 +344,25 @@
         while self.connections.len() > self.max_connections && self.release_idle(ctx) {}
     }
 
+    /// Gives up the incomplete packet that began first, of a client or of a worker without a job.
+    fn shed_memory(&mut self, ctx: &mut Context<'_>) -> bool {
+        let candidate = |(&token, connection): (&ConnectionId, &Connection)| {
+            let is_sheddable = !connection.closing
+                && !connection.buffer.has_output()
+                && self.worker_table.running_attempt(token).is_none();
+            let message_started = connection.message_started.filter(|_| is_sheddable)?;
+            Some((self.worker_table.is_worker(token), message_started, token))
+        };
+        let Some((.., token)) = self.connections.iter().filter_map(candidate).min() else { return false };
+        if let Some(connection) = self.connections.get_mut(&token) {
+            connection.consume_message(ctx.now, usize::MAX / 2);
+        }
+        let error =
+            encode(Sender::Server, PacketType::Error, &[b"BUSY", b"there is no memory for the packet"]);
+        self.close_after(ctx, token, &error);
+        true
+    }
+
     fn begin_drain(&mut self, ctx: &mut Context<'_>) {
         self.draining = true;
         let is_idle = |token: &&ConnectionId| {
--- a/src/net/gearman/packet_handlers.rs
+++ b/src/net/gearman/packet_handlers.rs
@@ -7,6 +7,7 @@
 use crate::net::Context;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::envelope::Envelope;
+use crate::net::core::memory::MemoryCharge;
 use crate::net::core::request_table::{AttemptId, ClientUpdates, IntakeError, Job, PartialResult};
 use calicolb::api::Ending;
 use calicolb_gearman::ConnectionId;
@@ -213,13 +214,15 @@
             ("Request-Function", &function.name),
         ];
         let headers = headers.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect();
-        let envelope = Envelope {
+        let mut envelope = Envelope {
             name: name.clone(),
             skill: function.skill,
             target: format!("/{class}"),
             headers,
             body: workload.to_vec(),
+            charge: MemoryCharge::default(),
         };
+        envelope.charge_to(ctx.memory);
         let job = Job {
             name,
             class: priority_class.class,
@@ -236,6 +239,7 @@
             retry: false,
             skill: function.skill,
             updates: if background { ClientUpdates::Progress } else { ClientUpdates::All },
+            payload_bytes: envelope.memory(),
             payload: Rc::new(envelope),
         };
         match ctx.request_table.add_request(ctx.now, client, job) {
@@ -243,7 +247,7 @@
                 let handle = self.attempt_handle(AttemptId { request, number: 0 });
                 self.job_table.add_job(client, handle, submission);
             }
-            Err(IntakeError::DuplicateName | IntakeError::TooManyOpen) => {
+            Err(IntakeError::DuplicateName | IntakeError::TooManyOpen | IntakeError::OutOfMemory) => {
                 self.send_error(ctx, token, "BUSY", "as many jobs are open as may be");
             }
         }
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -5,6 +5,7 @@
 use crate::config::PriorityClass;
 use crate::net::core::deadlines::Deadlines;
 use crate::net::core::input_queue::InputQueue;
+use crate::net::core::memory::MemoryAccount;
 use crate::net::core::request_table::{Command, RequestTable};
 use calicolb::api::{Class, ClassIx, Effect};
 use calicolb::wire::{self, Names};
@@ -22,6 +23,7 @@
     deadlines: Deadlines,
     request_table: RequestTable<Payload>,
     input_queue: InputQueue,
+    memory: MemoryAccount,
     last_token: usize,
     now: Micros,
 }
@@ -40,6 +42,7 @@
             deadlines: Deadlines::default(),
             request_table,
             input_queue: InputQueue::default(),
+            memory: MemoryAccount::new(usize::MAX),
             last_token: 100,
             now,
         };
@@ -79,6 +82,7 @@
             peer_outbox: &mut Vec::new(),
             protocol_requests: &mut Vec::new(),
             input_queue: &mut self.input_queue,
+            memory: &self.memory,
             now: self.now,
         })
     }
--- a/src/net/http/callback.rs
+++ b/src/net/http/callback.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+/// Path of the callbacks.
+pub const CALLBACK_PATH: &str = "/_jobs/news";
+
 /// The fields of a callback that are read.
 #[derive(Deserialize)]
 struct Callback {
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -5,8 +5,10 @@
 use crate::net::core::buffer::Buffer;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::iteration::ACCEPT_TIME;
+use crate::net::core::memory::MemoryUse;
 use crate::net::core::request_table::Answer;
 use crate::net::http::framing::{self, Reject};
+use crate::net::http::request_parser::RequestParser;
 use crate::net::protocol::ReleaseIdle;
 use calicolb::api::Micros;
 use mio::net::{TcpListener, TcpStream};
@@ -54,6 +56,8 @@
 struct Connection {
     stream: TcpStream,
     buffer: Buffer,
+    /// Parses the input.
+    parser: RequestParser,
     state: State,
     /// The current request, or the previous one, is the last on this connection.
     close_after_response: bool,
@@ -66,6 +70,10 @@
     /// The peer has closed the connection. Requests that it sent before are still in the buffer.
     closed_by_peer: bool,
     last_activity: Micros,
+    /// Time at which input was last received.
+    last_input: Micros,
+    /// The time for the present request is over, and input that arrived before has still to be processed.
+    timed_out: bool,
     /// Time at which the first byte of the incomplete request arrived, in microseconds.
     request_started: Option<Micros>,
 }
@@ -81,6 +89,8 @@
     draining: bool,
     /// `GET /up` reports that this process serves clients.
     pub accepts_clients: bool,
+    /// Number of incomplete requests, and of inputs behind a request in progress, that were given up for lack of memory.
+    shed_total: u64,
     /// New connections are accepted here. Otherwise they are left to the other process that shares the
     /// listening socket.
     listening: bool,
@@ -98,6 +108,7 @@
             max_connections: 0,
             draining: false,
             accepts_clients: false,
+            shed_total: 0,
             listening: false,
         }
     }
@@ -196,7 +207,8 @@
         );
         let connection = Connection {
             stream,
-            buffer: Buffer::default(),
+            buffer: Buffer::charged_to(ctx.memory),
+            parser: RequestParser::new(ctx.memory.charge(MemoryUse::Connection)),
             state: State::Reading,
             close_after_response: false,
             carries_callbacks: false,
@@ -204,6 +216,8 @@
             has_unread_input: false,
             closed_by_peer: false,
             last_activity: ctx.now,
+            last_input: ctx.now,
+            timed_out: false,
             request_started: None,
         };
         self.connections.insert(token, connection);
@@ -290,7 +304,7 @@
                 // Closing with unread input would reset the connection and lose the response.
                 let _ = connection.stream.shutdown(Shutdown::Write);
                 connection.state = State::Closing;
-                connection.buffer.consume(usize::MAX / 2);
+                connection.discard_input();
                 ctx.deadlines
                     .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + LINGER_TIMEOUT);
                 ctx.deadlines
@@ -314,12 +328,22 @@
 
     /// Handles a connection that has been idle or stalled for too long.
     pub fn handle_timeout(&mut self, ctx: &mut Context<'_>, token: usize) {
-        // Input that arrived since the poll counts: an unread request is accepted, and closing the connection
-        // would reset it.
-        let Some(&Connection { state, last_activity, .. }) = self.connections.get(&token) else { return };
-        if state != State::InProgress {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let last_activity = connection.last_activity;
+        if connection.state != State::InProgress {
+            // Input that arrived before this time counts: an unread request is accepted, and closing the connection
+            // would reset it. Input that waits for a turn is not read outside the shares of an iteration.
+            if ctx.input_queue.contains(token) {
+                connection.timed_out = true;
+                return;
+            }
             self.read(ctx, token);
         }
+        self.end_stalled(ctx, token, last_activity);
+    }
+
+    /// Ends a connection whose time is over, unless it has been active after `last_activity`.
+    fn end_stalled(&mut self, ctx: &mut Context<'_>, token: usize, last_activity: Micros) {
         let Some(connection) =
             self.connections.get_mut(&token).filter(|connection| connection.last_activity == last_activity)
         else {
@@ -375,7 +399,12 @@
 
     /// Input has been received that is not processed yet, or may have been.
     fn has_pending_input(&self) -> bool {
-        self.has_unread_input || !self.buffer.input().is_empty()
+        self.has_unread_input || self.has_partial_request()
+    }
+
+    /// A part of a request has been received, or, behind a request in progress, of the next one.
+    fn has_partial_request(&self) -> bool {
+        self.parser.is_in_body() || !self.buffer.input().is_empty()
     }
 
     /// The connection is between two requests, with no pending input or output.
@@ -385,6 +414,7 @@
 }
 
 mod job;
+mod memory_pressure;
 mod reading;
 mod release;
 #[cfg(test)]
--- a/src/net/http/client/job.rs
+++ b/src/net/http/client/job.rs
@@ -2,6 +2,7 @@
 
 use crate::net::Context;
 use crate::net::core::envelope::{Envelope, Payload};
+use crate::net::core::memory::MemoryCharge;
 use crate::net::core::request_table::{ClientUpdates, Job};
 use crate::net::core::transfer::Transfer;
 use crate::net::http::framing::{self, Reject, Request};
@@ -65,7 +66,9 @@
     let key = framing::query_parameter(&target, "obj").map(wire::fnv1a_hash);
     // The class determines which skill a worker must have for the job.
     let skill = class.0 as u32;
-    let envelope = Envelope { name: id.clone(), skill, target, headers, body };
+    let charge = MemoryCharge::default();
+    let mut envelope = Envelope { name: id.clone(), skill, target, headers, body, charge };
+    envelope.charge_to(ctx.memory);
     Ok(Job {
         name: id,
         class,
@@ -78,6 +81,7 @@
         retry,
         skill,
         updates: ClientUpdates::Nothing,
+        payload_bytes: envelope.memory(),
         payload: Rc::new(envelope),
     })
 }
--- a/src/net/http/client/reading.rs
+++ b/src/net/http/client/reading.rs
@@ -5,14 +5,14 @@
 use crate::net::core::buffer::FillOutcome;
 use crate::net::core::iteration::MAX_MESSAGES_PER_TURN;
 use crate::net::core::request_table::IntakeError;
-use crate::net::http::callback::handle_callback;
+use crate::net::http::callback::{CALLBACK_PATH, handle_callback};
 use crate::net::http::framing::Request;
 
 /// Bytes that a connection may read beyond its unprocessed input at a time, so that many connections with much input do
 /// not hold much memory.
 pub(super) const FILL_BYTES: usize = 16 * 1024;
-/// Maximum number of times that one turn fills the input buffer: enough for the largest message.
-const MAX_FILLS: usize = framing::MESSAGE_LIMIT / FILL_BYTES + 2;
+/// Maximum number of times that one turn fills the input buffer.
+const MAX_FILLS: usize = 4;
 
 /// Result of a turn of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,6 +38,9 @@
 impl ClientConnections {
     /// Reads and processes input of a connection, for one turn.
     pub(super) fn read(&mut self, ctx: &mut Context<'_>, token: usize) {
+        let before = self.connections.get_mut(&token);
+        let expired_since =
+            before.and_then(|connection| connection.take_timeout().then_some(connection.last_activity));
         let outcome = self.take_turn(ctx, token);
         if outcome == TurnOutcome::Closed {
             // A client that closes its connection has gone, even in the middle of a response.
@@ -49,6 +52,9 @@
         if connection.has_unread_input {
             ctx.input_queue.push_backlog(token);
         }
+        if let Some(last_activity) = expired_since {
+            self.end_stalled(ctx, token, last_activity);
+        }
     }
 
     fn take_turn(&mut self, ctx: &mut Context<'_>, token: usize) -> TurnOutcome {
@@ -58,7 +64,7 @@
             if connection.buffer.has_output() {
                 return TurnOutcome::Waiting;
             }
-            let filled = connection.fill(fill == 0);
+            let filled = connection.fill(ctx.now, fill == 0);
             connection.closed_by_peer = filled == FillOutcome::Closed;
             while requests_left > 0 && self.may_process(token) && self.process_request(ctx, token) {
                 requests_left -= 1;
@@ -72,15 +78,11 @@
                 }
                 // Input behind the last response is discarded.
                 State::Closing => {
-                    connection.buffer.consume(usize::MAX / 2);
+                    connection.discard_input();
                     return filled.into();
                 }
                 State::InProgress => return connection.discard_excess_input(filled),
                 State::Reading if filled == FillOutcome::WouldBlock => return TurnOutcome::Waiting,
-                // The timeout ends a request that does not fit into the buffer.
-                State::Reading if connection.buffer.input().len() >= framing::MESSAGE_LIMIT => {
-                    return TurnOutcome::Waiting;
-                }
                 State::Reading => {}
             }
         }
@@ -98,13 +100,14 @@
     fn process_request(&mut self, ctx: &mut Context<'_>, token: usize) -> bool {
         let first_request_timeout = self.first_request_timeout();
         let Some(connection) = self.connections.get_mut(&token) else { return false };
-        match framing::parse_request(connection.buffer.input()) {
-            Ok(None) => {
+        match connection.parser.parse(connection.buffer.input()) {
+            Ok((processed, None)) => {
+                connection.buffer.consume(processed);
                 // The limit counts from the first byte, so a client that sends single bytes cannot hold a
                 // connection forever.
                 let deadline = if connection.awaits_first_request {
                     connection.last_activity + first_request_timeout
-                } else if connection.buffer.input().is_empty() {
+                } else if !connection.has_partial_request() {
                     ctx.now + IDLE_TIMEOUT
                 } else {
                     *connection.request_started.get_or_insert(ctx.now) + STALL_TIMEOUT
@@ -112,8 +115,8 @@
                 ctx.deadlines.set(Deadline::Connection(token, ConnectionTimer::Timeout), deadline);
                 false
             }
-            Ok(Some((request, length))) => {
-                connection.buffer.consume(length);
+            Ok((processed, Some(request))) => {
+                connection.buffer.consume(processed);
                 connection.last_activity = ctx.now;
                 connection.awaits_first_request = false;
                 connection.request_started = None;
@@ -144,7 +147,7 @@
                 let status = if self.accepts_clients { 200 } else { 503 };
                 self.reply(ctx, token, status, &[], b"");
             }
-            "/_jobs/news" => {
+            CALLBACK_PATH => {
                 require_method("POST")?;
                 handle_callback(ctx, &request.body)?;
                 if let Some(connection) = self.connections.get_mut(&token) {
@@ -162,7 +165,7 @@
                         ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
                     }
                     Err(IntakeError::DuplicateName) => return Err(Reject(409)),
-                    Err(IntakeError::TooManyOpen) => return Err(Reject(503)),
+                    Err(IntakeError::TooManyOpen | IntakeError::OutOfMemory) => return Err(Reject(503)),
                 }
             }
         }
@@ -173,25 +176,34 @@
 impl Connection {
     /// Reads input. `first`: this is the first time in a turn. Requests that are in the buffer are processed before more is
     /// read.
-    fn fill(&mut self, first: bool) -> FillOutcome {
+    fn fill(&mut self, now: Micros, first: bool) -> FillOutcome {
         let left = self.buffer.input().len();
         let limit = match self.state {
             _ if self.closed_by_peer => return FillOutcome::Closed,
             State::Reading if first && left > 0 => return FillOutcome::LimitReached,
-            State::Reading => framing::MESSAGE_LIMIT.min(left + FILL_BYTES),
-            State::InProgress | State::Closing => framing::MESSAGE_LIMIT,
+            State::Reading | State::Closing => left + FILL_BYTES,
+            State::InProgress => framing::MESSAGE_LIMIT.min(left + FILL_BYTES),
         };
-        self.buffer.fill(&mut self.stream, limit)
+        let filled = self.buffer.fill(&mut self.stream, limit);
+        if self.buffer.input().len() > left {
+            self.last_input = now;
+        }
+        filled
+    }
+
+    /// Returns whether the time for the present request is over, and forgets it.
+    fn take_timeout(&mut self) -> bool {
+        std::mem::take(&mut self.timed_out)
     }
 
     /// Discards the input behind a request in progress once it reaches [`framing::MESSAGE_LIMIT`]: only behind it the end
     /// of the connection shows. The response is then the last on this connection.
+    /// A connection whose response is the last one has no use for its input at all.
     fn discard_excess_input(&mut self, filled: FillOutcome) -> TurnOutcome {
-        if self.buffer.input().len() < framing::MESSAGE_LIMIT {
-            return filled.into();
+        self.close_after_response |= self.buffer.input().len() >= framing::MESSAGE_LIMIT;
+        if self.close_after_response {
+            self.discard_input();
         }
-        self.close_after_response = true;
-        self.buffer.consume(usize::MAX / 2);
-        TurnOutcome::MoreInput
+        filled.into()
     }
 }
--- a/src/net/http/client/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -7,6 +7,7 @@
 use crate::net::core::envelope::Payload;
 use crate::net::core::input_queue::InputQueue;
 use crate::net::core::iteration::MAX_MESSAGES_PER_TURN;
+use crate::net::core::memory::MemoryAccount;
 use crate::net::core::request_table::RequestTable;
 use calicolb::wire::{self, Names};
 use mio::Poll;
@@ -23,6 +24,7 @@
     deadlines: Deadlines,
     request_table: RequestTable<Payload>,
     input_queue: InputQueue,
+    memory: MemoryAccount,
     tokens: usize,
     now: Micros,
 }
@@ -41,6 +43,7 @@
             deadlines: Deadlines::default(),
             request_table,
             input_queue: InputQueue::default(),
+            memory: MemoryAccount::new(usize::MAX),
             tokens: 100,
             now,
         };
@@ -62,6 +65,7 @@
             peer_outbox: &mut Vec::new(),
             protocol_requests: &mut Vec::new(),
             input_queue: &mut self.input_queue,
+            memory: &self.memory,
             now: self.now,
         })
     }
--- a/src/net/http/client/transfer.rs
+++ b/src/net/http/client/transfer.rs
@@ -64,7 +64,7 @@
         connection.awaits_first_request = false;
         connection.close_after_response = !transfer.keep_alive;
         connection.state = State::InProgress;
-        connection.buffer = Buffer::with_input(&transfer.unread);
+        connection.buffer.push_input(&transfer.unread);
         ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
         ctx.request_table.adopt(ctx.now, token, job, &transfer.history, ctx.deadlines);
         Ok(())
--- a/src/net/http/framing.rs
+++ b/src/net/http/framing.rs
@@ -2,6 +2,7 @@
 //! content.
 
 use crate::net::core::envelope::Headers;
+use crate::net::http::body_decoder::BodyDecoder;
 use std::fmt::Write;
 
 /// Largest accepted body, in bytes.
@@ -18,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reject(pub u16);
 
-const MALFORMED: Reject = Reject(400);
+pub(super) const MALFORMED: Reject = Reject(400);
 
 fn read_headers(parsed_headers: &[httparse::Header<'_>]) -> Result<Headers, Reject> {
     let to_pair = |header: &httparse::Header<'_>| {
@@ -28,7 +29,7 @@
     parsed_headers.iter().map(to_pair).collect()
 }
 
-fn has_token(headers: &Headers, name: &str, token: &str) -> bool {
+pub(super) fn has_token(headers: &Headers, name: &str, token: &str) -> bool {
     let mut values = headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
     values.any(|(_, value)| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)))
 }
@@ -82,14 +83,18 @@
     pub keep_alive: bool,
 }
 
-/// Parses a request at the start of `bytes`. Returns it with its length, or `None` while it is incomplete.
-/// The body is limited to [`BODY_LIMIT`].
-pub fn parse_request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Reject> {
-    parse_request_with_limit(bytes, BODY_LIMIT)
+/// Parses a request at the start of `bytes`, with a body of at most `limit` bytes. Returns it with its length, or `None`
+/// while it is incomplete.
+pub fn parse_request_with_limit(bytes: &[u8], limit: usize) -> Result<Option<(Request, usize)>, Reject> {
+    let Some((mut request, head)) = parse_request_head(bytes)? else { return Ok(None) };
+    let Some((body, length)) = parse_body(&bytes[head..], &request.headers, limit)? else { return Ok(None) };
+    request.body = body;
+    Ok(Some((request, head + length)))
 }
 
-/// Parses a request like [`parse_request`], with a body of at most `limit` bytes.
-pub fn parse_request_with_limit(bytes: &[u8], limit: usize) -> Result<Option<(Request, usize)>, Reject> {
+/// Parses the head of a request. Returns the request, without its body, and the length of the head, or `None` while it is
+/// incomplete.
+pub fn parse_request_head(bytes: &[u8]) -> Result<Option<(Request, usize)>, Reject> {
     let mut header_slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut header_slots);
     let head = match parsed.parse(bytes) {
@@ -99,15 +104,14 @@
         Err(_) => return Err(MALFORMED),
     };
     let headers = read_headers(parsed.headers)?;
-    let Some((body, length)) = parse_body(&bytes[head..], &headers, limit)? else { return Ok(None) };
     let request = Request {
         method: parsed.method.unwrap_or("").to_owned(),
         target: parsed.path.unwrap_or("").to_owned(),
         keep_alive: is_keep_alive(&headers, parsed.version.unwrap_or(0)),
         headers,
-        body,
+        body: Vec::new(),
     };
-    Ok(Some((request, head + length)))
+    Ok(Some((request, head)))
 }
 
 /// Parses the head of a response. Returns it with its length, or `None` while it is incomplete.
@@ -151,41 +155,14 @@
     Ok(Some((response, head + length)))
 }
 
-fn has_transfer_encoding(headers: &Headers) -> bool {
+pub(super) fn has_transfer_encoding(headers: &Headers) -> bool {
     headers.get("transfer-encoding").is_some()
 }
 
 fn parse_body(bytes: &[u8], headers: &Headers, limit: usize) -> Result<Option<(Vec<u8>, usize)>, Reject> {
-    let lengths: Vec<&str> =
-        headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length")).map(|h| h.1).collect();
-    if has_transfer_encoding(headers) {
-        // Messages with two framings are a means of request smuggling.
-        if !lengths.is_empty() || !has_token(headers, "transfer-encoding", "chunked") {
-            return Err(MALFORMED);
-        }
-        let mut body = Vec::new();
-        let mut at = 0;
-        loop {
-            let Some((part, length)) = parse_chunk(&bytes[at..], limit)? else { return Ok(None) };
-            at += length;
-            if part.is_empty() {
-                return Ok(Some((body, at)));
-            }
-            body.extend_from_slice(part);
-            if body.len() > limit {
-                return Err(Reject(413));
-            }
-        }
-    }
-    let Some(&text) = lengths.first() else { return Ok(Some((Vec::new(), 0))) };
-    if lengths.iter().any(|&other| other != text) || !text.bytes().all(|byte| byte.is_ascii_digit()) {
-        return Err(MALFORMED);
-    }
-    let length: usize = text.parse().map_err(|_| if text.is_empty() { MALFORMED } else { Reject(413) })?;
-    if length > limit {
-        return Err(Reject(413));
-    }
-    Ok(bytes.get(..length).map(|body| (body.to_vec(), length)))
+    let mut decoder = BodyDecoder::new(headers, limit)?;
+    let length = decoder.decode(bytes)?;
+    Ok(decoder.is_complete().then(|| (decoder.into_body(), length)))
 }
 
 /// Parses one chunk of at most `limit` bytes. Returns its data and its length including the framing. The last
@@ -278,6 +255,10 @@
 mod tests {
     use super::*;
 
+    fn parse_request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Reject> {
+        parse_request_with_limit(bytes, BODY_LIMIT)
+    }
+
     #[test]
     fn request_is_complete_only_with_its_last_byte() {
         let text = b"POST /render?obj=7f HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbodyGET";
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1: connections of clients and of workers that send callbacks, and connections to workers.
 
+mod body_decoder;
 pub mod callback;
 pub mod client;
 pub mod framing;
+mod request_parser;
 pub mod upstream;
 
 use crate::net::Context;
@@ -121,6 +123,10 @@
         self.upstream.set_max_connections(ctx, limits.workers);
     }
 
+    fn shed_memory(&mut self, ctx: &mut Context<'_>) -> bool {
+        self.clients.shed_memory(ctx)
+    }
+
     fn begin_drain(&mut self, ctx: &mut Context<'_>) {
         self.clients.begin_drain(ctx);
     }
--- a/src/net/http/upstream.rs
+++ b/src/net/http/upstream.rs
@@ -342,7 +342,7 @@
             .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + self.connect_timeout);
         let connection = Connection {
             stream,
-            buffer: Buffer::default(),
+            buffer: Buffer::charged_to(ctx.memory),
             worker,
             opened_at: ctx.now,
             is_connected: false,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use self::core::deadlines::Deadlines;
 use self::core::envelope::Payload;
 use self::core::input_queue::InputQueue;
+use self::core::memory::MemoryAccount;
 use self::core::request_table::RequestTable;
 use calicolb::api::Micros;
 use calicolb::wire::Names;
@@ -41,6 +42,8 @@
     peer_outbox: &'a mut Vec<(PeerTarget, Vec<u8>)>,
     /// Connections whose input waits to be processed.
     input_queue: &'a mut InputQueue,
+    /// The memory that peers make the process hold.
+    memory: &'a MemoryAccount,
     now: Micros,
 }
 
--- a/src/net/operators/management.rs
+++ b/src/net/operators/management.rs
@@ -111,8 +111,10 @@
             return None;
         }
         ctx.deadlines.set(Deadline::ManagementCall(token), ctx.now + COMMAND_TIMEOUT);
-        self.connections
-            .insert(token, Connection { stream, buffer: Buffer::default(), response_sent: false });
+        self.connections.insert(
+            token,
+            Connection { stream, buffer: Buffer::charged_to(ctx.memory), response_sent: false },
+        );
         Some(token)
     }
 
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -115,6 +115,10 @@
     /// Sets the numbers of file descriptors that may be used from now on.
     fn set_descriptor_limits(&mut self, ctx: &mut Context<'_>, limits: DescriptorLimits);
 
+    /// Gives up the memory of one connection that is needed least: input that is not part of an accepted request. Returns
+    /// whether there was any.
+    fn shed_memory(&mut self, ctx: &mut Context<'_>) -> bool;
+
     /// Begins to close the clients' connections: idle ones now, the others after their answers.
     fn begin_drain(&mut self, ctx: &mut Context<'_>);
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -33,6 +33,10 @@
 //!   since the last `mark`; `until MS` sleeps until `MS` milliseconds have passed since it.
 //! * `fill_backlog h1` fills the accept queue of worker `h1`, so that no connection to it completes until `free_backlog h1`.
 //!   A connection attempt made meanwhile completes when the kernel repeats it, about 1 s after `free_backlog`.
+//! * `stall COUNT MESSAGE` connects `COUNT` clients, each of which sends the message once and stays until the end of the
+//!   script (see `stall`). `$CLIENT` in the message stands for the number of the client.
+//! * `memory_peak KIB` checks that the largest resident memory of the program, together with that of its predecessors, has
+//!   been at most `KIB` KiB.
 //! * `flood COUNT MESSAGE` lets `COUNT` clients send the message to the HTTP port again and again at full speed, until the
 //!   end of the script (see `flood`). The messages may be up to 900 at once on each connection.
 //! * `restart program` kills the process with SIGKILL and starts it again. Only the configuration file remains.
@@ -63,6 +67,7 @@
 #[path = "../discovery/mod.rs"]
 mod discovery;
 mod flood;
+mod stall;
 
 use calicolb_gearman::packet::{PacketType, Parsed as ParseResult, Sender, encode, parse};
 use rustix::net::{AddressFamily, SocketType};
@@ -129,10 +134,21 @@
     pending_deliveries: Vec<(String, bool, u32)>,
     /// Clients that send at full speed.
     floods: Vec<flood::Flood>,
+    /// Clients that stopped after a message.
+    stalled: Vec<stall::StalledClients>,
     /// Sockets that keep the addresses of closed listeners bound, so that connections there are refused.
     reserved_addresses: Vec<OwnedFd>,
 }
 
+/// The memory of a process in KiB, from the line of /proc/PID/status that begins with `line`.
+fn memory_kib(process: &Child, line: &str) -> Result<u64, String> {
+    let path = format!("/proc/{}/status", process.id());
+    let status = fs::read_to_string(path).map_err(|error| error.to_string())?;
+    let value = status.lines().find_map(|found| found.strip_prefix(line));
+    let kib = value.and_then(|value| value.split_whitespace().next()?.parse().ok());
+    kib.ok_or_else(|| format!("/proc/PID/status has no readable line '{line}'"))
+}
+
 /// Polls a condition every millisecond, and fails with `failure` after [`WAIT_LIMIT`].
 fn wait_until(failure: &str, mut condition: impl FnMut() -> bool) -> Result<(), String> {
     let since = Instant::now();
@@ -377,6 +393,7 @@
             recorded_memory_kib: 0,
             stopped: false,
             pending_deliveries: Vec::new(),
+            stalled: Vec::new(),
             floods: Vec::new(),
             reserved_addresses: Vec::new(),
         };
@@ -411,11 +428,7 @@
 
     /// The program's resident memory in KiB.
     fn resident_memory_kib(&self) -> Result<u64, String> {
-        let path = format!("/proc/{}/status", self.program.id());
-        let status = fs::read_to_string(path).map_err(|error| error.to_string())?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-        kib.ok_or_else(|| "/proc/PID/status has no readable VmRSS line".to_owned())
+        memory_kib(&self.program, "VmRSS:")
     }
 
     /// Waits for a log line that contains `text`, and returns the rest of the line after it.
@@ -593,6 +606,24 @@
                     ))
                 }
             }
+            ("memory_peak", limit) => {
+                let limit: u64 = limit.parse().map_err(|_| format!("'{limit}' is not a number of KiB"))?;
+                let processes = self.predecessors.iter().chain([&self.program]);
+                let peaks = processes.map(|process| memory_kib(process, "VmHWM:"));
+                let peaks = peaks.collect::<Result<Vec<u64>, String>>()?;
+                if peaks.iter().sum::<u64>() <= limit {
+                    Ok(())
+                } else {
+                    Err(format!("the largest memory was {peaks:?} KiB, {limit} KiB are allowed"))
+                }
+            }
+            ("stall", count) => {
+                let count = count.parse().map_err(|_| format!("'{count}' is not a number of clients"))?;
+                let message = |client: usize| encode_message(&rest.replace("$CLIENT", &client.to_string()));
+                let stalled = stall::StalledClients::start(self.client_address, count, message);
+                self.stalled.push(stalled.map_err(|error| error.to_string())?);
+                Ok(())
+            }
             ("flood", count) => {
                 let count = count.parse().map_err(|_| format!("'{count}' is not a number of clients"))?;
                 let flood = flood::Flood::start(self.client_address, count, &encode_message(rest));
