Close connections of unsound peers first when all places are taken

Cause: a connection with unread input was never closed for another, whatever it was used for, so one that is never without input kept its place for ever, and the connections that could be closed were those of sound clients. Room was made before it was known whether anybody waits, so one more was closed than there were newcomers.

Change: a connection that has had eight answers and no accepted job or matching callback, or that sends requests without waiting for answers, is unsound. When all places are taken such connections go first; a busy one ends with its next answer, and no sound one is closed meanwhile. A newcomer is accepted first and waits for room. Callbacks that match nothing are kept for the other process of an upgrade only while there is one, 1 MiB an iteration. Accepting has a file of its own.

Why it works: a place is held by what it is used for; complete requests are answered before the connection ends.

--- a/src/net/core/request_table/upgrade.rs
+++ b/src/net/core/request_table/upgrade.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Returns true if there is another process of this scheduler.
+    pub fn has_other_process(&self) -> bool {
+        self.name_changes.is_some()
+    }
+
+    /// Returns true if a request of this name is open at the other process.
+    pub fn is_open_elsewhere(&self, name: &str) -> bool {
+        self.open_elsewhere.contains(name)
+    }
+
     /// Returns true if requests are open at the other process.
     pub fn any_open_elsewhere(&self) -> bool {
         !self.open_elsewhere.is_empty()
--- a/src/net/http/callback.rs
+++ b/src/net/http/callback.rs
@@ -13,6 +13,9 @@
 /// Path of the callbacks.
 pub const CALLBACK_PATH: &str = "/_jobs/news";
 
+/// Maximum size of the callbacks that one iteration keeps for the other process, in bytes.
+const MAX_UNMATCHED_BYTES: usize = 1 << 20;
+
 /// The fields of a callback that are read.
 #[derive(Deserialize)]
 struct Callback {
@@ -24,15 +27,26 @@
     load: Option<Value>,
 }
 
+/// Whether a callback was of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallbackOutcome {
+    /// It names a request that is open here or at the other process of this scheduler.
+    Matched,
+    /// It names no open request.
+    Unmatched,
+}
+
 /// Processes a callback. A callback that matches no request is accepted too, because the worker would
 /// otherwise send it again and again.
-pub fn handle_callback(ctx: &mut Context<'_>, body: &[u8]) -> Result<(), Reject> {
+///
+/// # Errors
+/// Rejects a body that is no callback.
+pub fn handle_callback(ctx: &mut Context<'_>, body: &[u8]) -> Result<CallbackOutcome, Reject> {
     let callback: Callback = serde_json::from_slice(body).map_err(|_| Reject(400))?;
     // Workers call whichever process accepts the connection, so the callback may be for the other process
     // that shares the listening socket.
     if !ctx.request_table.has_request(&callback.id) {
-        ctx.unmatched_callbacks.push(String::from_utf8_lossy(body).into_owned());
-        return Ok(());
+        return pass_on(ctx, &callback.id, body);
     }
     let update = match (callback.state.as_str(), callback.result) {
         ("started", _) => AttemptUpdate::Note(AttemptNote::Started),
@@ -45,12 +59,29 @@
         ("lost", _) => AttemptUpdate::Ended(Ending::Broken),
         (other, _) => {
             log_line!("ignored a callback with unknown state '{}'", other.escape_debug());
-            return Ok(());
+            return Ok(CallbackOutcome::Matched);
         }
     };
     let report = callback.load.and_then(|value| parse_load_report(ctx.names, &value));
     ctx.request_table.attempt_update(ctx.now, &callback.id, worker_id(&callback.from), update, report);
-    Ok(())
+    Ok(CallbackOutcome::Matched)
+}
+
+/// Keeps a callback that matches no request of this process for the other process of this scheduler, if there is one.
+///
+/// # Errors
+/// Rejects a callback for which there is no room in this iteration; the worker sends it again.
+fn pass_on(ctx: &mut Context<'_>, id: &str, body: &[u8]) -> Result<CallbackOutcome, Reject> {
+    if !ctx.request_table.has_other_process() {
+        return Ok(CallbackOutcome::Unmatched);
+    }
+    let kept: usize = ctx.unmatched_callbacks.iter().map(String::len).sum();
+    if kept + body.len() > MAX_UNMATCHED_BYTES {
+        return Err(Reject(503));
+    }
+    ctx.unmatched_callbacks.push(String::from_utf8_lossy(body).into_owned());
+    let is_open = ctx.request_table.is_open_elsewhere(id);
+    Ok(if is_open { CallbackOutcome::Matched } else { CallbackOutcome::Unmatched })
 }
 
 /// Parses a load report of a worker.
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -4,7 +4,6 @@
 use crate::net::Context;
 use crate::net::core::buffer::Buffer;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
-use crate::net::core::iteration::ACCEPT_TIME;
 use crate::net::core::memory::MemoryUse;
 use crate::net::core::request_table::Answer;
 use crate::net::http::framing::{self, Reject};
@@ -13,10 +12,9 @@
 use calicolb::api::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
+use standing::Standing;
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
 use std::net::Shutdown;
-use std::time::Instant;
 
 const SECOND: Micros = 1_000_000;
 /// Time within which a new connection must send a complete first request, in microseconds. A slow or silent
@@ -37,11 +35,6 @@
 /// in microseconds. Exiting while the client is still sending resets the connection and loses the part of the
 /// response that is in flight.
 const DELIVERY_TIME: Micros = SECOND / 2;
-/// Interval after which accepting is tried again when no descriptor was available, in microseconds.
-const ACCEPT_RETRY_INTERVAL: Micros = SECOND / 50;
-/// Maximum number of connections accepted in one iteration of the event loop; the rest is accepted in the
-/// next one.
-const MAX_ACCEPTS: usize = 256;
 #[derive(Clone, Copy, Debug, PartialEq)]
 /// State of a client connection.
 enum State {
@@ -59,6 +52,7 @@
     /// Parses the input.
     parser: RequestParser,
     state: State,
+    standing: Standing,
     /// The current request, or the previous one, is the last on this connection.
     close_after_response: bool,
     /// A worker sends callbacks on this connection.
@@ -94,6 +88,8 @@
     /// New connections are accepted here. Otherwise they are left to the other process that shares the
     /// listening socket.
     listening: bool,
+    /// An accepted connection for which there is no room yet.
+    waiting: Option<TcpStream>,
 }
 
 impl ClientConnections {
@@ -110,6 +106,7 @@
             accepts_clients: false,
             shed_total: 0,
             listening: false,
+            waiting: None,
         }
     }
 
@@ -128,23 +125,6 @@
         self.connections.get(&token).is_some_and(|connection| connection.state == State::InProgress)
     }
 
-    /// Starts accepting connections.
-    pub fn listen(&mut self, ctx: &mut Context<'_>) -> io::Result<()> {
-        if !self.listening {
-            ctx.registry.register(&mut self.listener, Token(self.listener_token), Interest::READABLE)?;
-        }
-        self.listening = true;
-        Ok(())
-    }
-
-    /// Leaves new connections to the other process that shares the listening socket: a connection that is
-    /// accepted but not served is lost.
-    pub fn stop_listening(&mut self, ctx: &mut Context<'_>) {
-        self.listening = false;
-        let _ = ctx.registry.deregister(&mut self.listener);
-        ctx.deadlines.clear(Deadline::Connection(self.listener_token, ConnectionTimer::Accept));
-    }
-
     /// Sets the limit on open connections and closes connections above it, except those with a request in
     /// progress.
     pub fn set_max_connections(&mut self, ctx: &mut Context<'_>, max_connections: usize) {
@@ -152,77 +132,6 @@
         while self.connections.len() > max_connections && self.release_idle(ctx) {}
     }
 
-    /// Accepts pending connections, for at most `ACCEPT_TIME` and at most `MAX_ACCEPTS` per call.
-    fn accept(&mut self, ctx: &mut Context<'_>) {
-        if !self.listening {
-            return;
-        }
-        let started = Instant::now();
-        for _ in 0..MAX_ACCEPTS {
-            if started.elapsed() > ACCEPT_TIME {
-                break;
-            }
-            if self.connections.len() >= self.max_connections && !self.release_idle(ctx) {
-                // New connections wait in the listener's backlog until a connection ends.
-                return ctx.deadlines.set(
-                    Deadline::Connection(self.listener_token, ConnectionTimer::Accept),
-                    ctx.now + ACCEPT_RETRY_INTERVAL,
-                );
-            }
-            match self.listener.accept() {
-                Ok((stream, _)) => self.add_connection(ctx, stream),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error)
-                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(error) => {
-                    // No descriptor or memory is available: an idle connection is closed, and accepting is
-                    // tried again later.
-                    log_line!("failed to accept a connection: {error}");
-                    self.release_idle(ctx);
-                    return ctx.deadlines.set(
-                        Deadline::Connection(self.listener_token, ConnectionTimer::Accept),
-                        ctx.now + ACCEPT_RETRY_INTERVAL,
-                    );
-                }
-            }
-        }
-        ctx.deadlines.set(Deadline::Connection(self.listener_token, ConnectionTimer::Accept), ctx.now + 1);
-    }
-
-    fn add_connection(&mut self, ctx: &mut Context<'_>, stream: TcpStream) {
-        let token = ctx.next_token();
-        self.register_connection(ctx, stream, token);
-    }
-
-    fn register_connection(&mut self, ctx: &mut Context<'_>, mut stream: TcpStream, token: usize) {
-        let _ = stream.set_nodelay(true);
-        if let Err(error) =
-            ctx.registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)
-        {
-            return log_line!("failed to register a client connection: {error}");
-        }
-        ctx.deadlines.set(
-            Deadline::Connection(token, ConnectionTimer::Timeout),
-            ctx.now + self.first_request_timeout(),
-        );
-        let connection = Connection {
-            stream,
-            buffer: Buffer::charged_to(ctx.memory),
-            parser: RequestParser::new(ctx.memory.charge(MemoryUse::Connection)),
-            state: State::Reading,
-            close_after_response: false,
-            carries_callbacks: false,
-            awaits_first_request: true,
-            has_unread_input: false,
-            closed_by_peer: false,
-            last_activity: ctx.now,
-            last_input: ctx.now,
-            timed_out: false,
-            request_started: None,
-        };
-        self.connections.insert(token, connection);
-    }
-
     /// Time that a new client has for its first request, in microseconds.
     fn first_request_timeout(&self) -> Micros {
         if self.draining { FIRST_REQUEST_TIMEOUT_DRAINING } else { FIRST_REQUEST_TIMEOUT }
@@ -387,7 +296,11 @@
     /// Returns whether no connection has a request in progress and clients have had `DELIVERY_TIME` to read
     /// their last responses.
     pub fn is_idle(&self, now: Micros) -> bool {
-        self.connections.values().all(|connection| connection.is_delivered(now) || connection.is_idle())
+        self.waiting.is_none()
+            && self
+                .connections
+                .values()
+                .all(|connection| connection.is_delivered(now) || connection.is_idle())
     }
 }
 
@@ -413,10 +326,12 @@
     }
 }
 
+mod accept;
 mod job;
 mod memory_pressure;
 mod reading;
 mod release;
+mod standing;
 #[cfg(test)]
 mod tests;
 mod transfer;
--- a/src/net/http/client/reading.rs
+++ b/src/net/http/client/reading.rs
@@ -5,7 +5,7 @@
 use crate::net::core::buffer::FillOutcome;
 use crate::net::core::iteration::MAX_MESSAGES_PER_TURN;
 use crate::net::core::request_table::IntakeError;
-use crate::net::http::callback::{CALLBACK_PATH, handle_callback};
+use crate::net::http::callback::{CALLBACK_PATH, CallbackOutcome, handle_callback};
 use crate::net::http::framing::Request;
 
 /// Bytes that a connection may read beyond its unprocessed input at a time, so that many connections with much input do
@@ -14,6 +14,15 @@
 /// Maximum number of times that one turn fills the input buffer.
 const MAX_FILLS: usize = 4;
 
+/// Whether a request led to anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Usefulness {
+    /// A job was accepted, or a callback matched an open request.
+    Productive,
+    /// It was a mistake of the client, a readiness check, or a callback that matches nothing.
+    Fruitless,
+}
+
 /// Result of a turn of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum TurnOutcome {
@@ -123,9 +132,17 @@
                 connection.close_after_response |= !request.keep_alive;
                 ctx.deadlines
                     .set(Deadline::Connection(token, ConnectionTimer::Timeout), ctx.now + IDLE_TIMEOUT);
+                if !connection.buffer.input().is_empty() && !connection.carries_callbacks {
+                    connection.standing.record_pipelining();
+                }
                 match self.route(ctx, token, request) {
-                    Ok(()) => {}
-                    Err(Reject(status)) => self.reply(ctx, token, status, &[], b""),
+                    Ok(usefulness) => self.record_usefulness(token, usefulness),
+                    Err(Reject(status)) => {
+                        if !matches!(status, 409 | 503) {
+                            self.record_usefulness(token, Usefulness::Fruitless);
+                        }
+                        self.reply(ctx, token, status, &[], b"");
+                    }
                 }
                 true
             }
@@ -138,7 +155,15 @@
         }
     }
 
-    fn route(&mut self, ctx: &mut Context<'_>, token: usize, request: Request) -> Result<(), Reject> {
+    fn record_usefulness(&mut self, token: usize, usefulness: Usefulness) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        match usefulness {
+            Usefulness::Productive => connection.standing.record_productive(),
+            Usefulness::Fruitless => connection.standing.record_fruitless(),
+        }
+    }
+
+    fn route(&mut self, ctx: &mut Context<'_>, token: usize, request: Request) -> Result<Usefulness, Reject> {
         let require_method = |method: &str| if request.method == method { Ok(()) } else { Err(Reject(405)) };
         let path = request.path().to_owned();
         match path.as_str() {
@@ -146,14 +171,19 @@
                 require_method("GET")?;
                 let status = if self.accepts_clients { 200 } else { 503 };
                 self.reply(ctx, token, status, &[], b"");
+                Ok(Usefulness::Fruitless)
             }
             CALLBACK_PATH => {
                 require_method("POST")?;
-                handle_callback(ctx, &request.body)?;
+                let outcome = handle_callback(ctx, &request.body)?;
                 if let Some(connection) = self.connections.get_mut(&token) {
                     connection.carries_callbacks = true;
                 }
                 self.reply(ctx, token, 200, &[], b"");
+                Ok(match outcome {
+                    CallbackOutcome::Matched => Usefulness::Productive,
+                    CallbackOutcome::Unmatched => Usefulness::Fruitless,
+                })
             }
             _ => {
                 let job = job_from_request(ctx, request)?;
@@ -163,13 +193,13 @@
                             connection.state = State::InProgress;
                         }
                         ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
+                        Ok(Usefulness::Productive)
                     }
-                    Err(IntakeError::DuplicateName) => return Err(Reject(409)),
-                    Err(IntakeError::TooManyOpen | IntakeError::OutOfMemory) => return Err(Reject(503)),
+                    Err(IntakeError::DuplicateName) => Err(Reject(409)),
+                    Err(IntakeError::TooManyOpen | IntakeError::OutOfMemory) => Err(Reject(503)),
                 }
             }
         }
-        Ok(())
     }
 }
 
--- a/src/net/http/client/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -26,6 +26,7 @@
     input_queue: InputQueue,
     memory: MemoryAccount,
     tokens: usize,
+    unmatched_callbacks: Vec<String>,
     now: Micros,
 }
 
@@ -45,6 +46,7 @@
             input_queue: InputQueue::default(),
             memory: MemoryAccount::new(usize::MAX),
             tokens: 100,
+            unmatched_callbacks: Vec::new(),
             now,
         };
         let at = "127.0.0.1:0".parse().expect("parsing the listen address");
@@ -61,7 +63,7 @@
             deadlines: &mut self.deadlines,
             request_table: &mut self.request_table,
             last_token: &mut self.tokens,
-            unmatched_callbacks: &mut Vec::new(),
+            unmatched_callbacks: &mut self.unmatched_callbacks,
             peer_outbox: &mut Vec::new(),
             protocol_requests: &mut Vec::new(),
             input_queue: &mut self.input_queue,
@@ -305,3 +307,71 @@
     assert_eq!(fixture.request_table.unanswered_requests(), 0);
     client.join().expect("the client thread sent all input");
 }
+
+/// Sends a message on a new connection, and gives turns until it has answers to `count` messages.
+fn send_and_read(
+    fixture: &mut Fixture,
+    clients: &mut ClientConnections,
+    message: &[u8],
+    count: usize,
+) -> (ClientStream, usize, String) {
+    let (mut client, connection) = fixture.connect(clients);
+    client.write_all(message).expect("sending a message");
+    client.set_nonblocking(true).expect("making the client non-blocking");
+    let mut text = Vec::new();
+    until(|| {
+        fixture.with(|ctx| clients.handle_ready(ctx, connection));
+        take_turns(fixture, clients);
+        let _ = (&client).read_to_end(&mut text);
+        String::from_utf8_lossy(&text).matches("HTTP/1.1 ").count() >= count
+    });
+    (client, connection, String::from_utf8_lossy(&text).into_owned())
+}
+
+// Guards against memory that callbacks with ever new ids take up, where there is no process that could use them, and without
+// limit where there is one.
+#[test]
+fn callbacks_that_match_nothing_are_kept_for_another_process_only_and_up_to_a_limit() {
+    let padding = "x".repeat(60_000);
+    let body = format!(r#"{{"id":"none","from":"h1","state":"done","result":"{padding}"}}"#);
+    let message = format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (mut fixture, mut clients) = Fixture::new();
+    fixture.with(|ctx| clients.set_max_connections(ctx, 100));
+    let (.., answers) = send_and_read(&mut fixture, &mut clients, message.as_bytes(), 1);
+    assert!(answers.starts_with("HTTP/1.1 200") && fixture.unmatched_callbacks.is_empty());
+    fixture.request_table.track_open_names();
+    let mut refused = 0;
+    for _ in 0..20 {
+        let (.., answers) = send_and_read(&mut fixture, &mut clients, message.as_bytes(), 1);
+        refused += answers.matches("HTTP/1.1 503").count();
+    }
+    let kept: usize = fixture.unmatched_callbacks.iter().map(String::len).sum();
+    assert!(kept <= 1 << 20 && refused > 0 && refused + fixture.unmatched_callbacks.len() == 20);
+}
+
+// Guards against review case 7: connections that always have input are never closed for others, and hold all places.
+#[test]
+fn unsound_connection_that_always_has_input_is_closed_for_a_newcomer_and_others_are_not() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (_sound, resting, _) = send_and_read(&mut fixture, &mut clients, UP, 1);
+    let (mut flooding, unsound) = fixture.connect(&mut clients);
+    fixture.with(|ctx| clients.set_max_connections(ctx, 2));
+    let block = b"POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n".repeat(20 * MAX_MESSAGES_PER_TURN);
+    flooding.write_all(&block).expect("sending many requests");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.with(|ctx| clients.handle_ready(ctx, unsound));
+    assert!(clients.connections[&unsound].has_unread_input);
+    let _newcomer =
+        ClientStream::connect(clients.listener.local_addr().expect("local address of the listener"))
+            .expect("connecting to the listener");
+    until(|| {
+        fixture.with(|ctx| clients.handle_ready(ctx, 1));
+        take_turns(&mut fixture, &mut clients);
+        !clients.owns_connection(unsound)
+    });
+    assert!(clients.owns_connection(resting), "a sound connection was closed");
+    until(|| {
+        fixture.with(|ctx| clients.handle_ready(ctx, 1));
+        clients.connections.len() == 2
+    });
+}
--- a/tests/input_floods.rs
+++ b/tests/input_floods.rs
@@ -80,3 +80,38 @@
         "#,
     );
 }
+
+// Guards against review case 7: clients whose input never ends hold all connections, and neither other clients nor reports of
+// workers get one.
+#[test]
+fn clients_that_hold_all_connections_by_unsound_requests_do_not_shut_out_others() {
+    for message in ["POST /x Note:#330", "GET /up Note:#340"] {
+        Setup { workers: 1, settings: &[("/limits/sockets", "256")], ..Setup::default() }.run(&format!(
+            r#"
+            send c1 POST /look Request-Id:a1 Request-Timeout:9
+            expect h1 POST /look Request-Id:a1
+            send h1 202
+            send n1 POST /_jobs/news | {{"id":"a1","from":"h1","state":"done","result":"r1"}}
+            expect n1 200
+            expect c1 200 | r1
+            flood 200 {message}
+            mark
+            until 500
+            mark
+            send c1 POST /look Request-Id:a2 Request-Timeout:5
+            expect h1 POST /look Request-Id:a2
+            send h1 202
+            send n2 POST /_jobs/news | {{"id":"a2","from":"h1","state":"done","result":"r2"}}
+            expect n2 200
+            expect c1 200 | r2
+            send c2 POST /look Request-Id:a3 Request-Timeout:5
+            expect h1 POST /look Request-Id:a3
+            send h1 202
+            send n1 POST /_jobs/news | {{"id":"a3","from":"h1","state":"done","result":"r3"}}
+            expect n1 200
+            expect c2 200 | r3
+            within 5000
+            "#
+        ));
+    }
+}
