Release the deadline of an attempt soon after its end

Cause: the time limit of an attempt stayed in two tables until the client's time was over. It was kept for the one case that a callback ends an attempt and the answer on its own connection never comes.

Change: the end of an attempt moves its limit to two acceptance timeouts later, which serves that case.

--- a/src/net/core/deadlines.rs
+++ b/src/net/core/deadlines.rs
@@ -84,6 +84,19 @@
         self.sorted.insert((at, deadline));
     }
 
+    /// Moves a pending deadline to an earlier time.
+    pub fn advance(&mut self, deadline: Deadline, at: Micros) {
+        if self.times.get(&deadline).is_some_and(|&pending| pending > at) {
+            self.set(deadline, at);
+        }
+    }
+
+    /// Number of pending deadlines.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.times.len()
+    }
+
     /// Removes a deadline, if it is pending.
     pub fn clear(&mut self, deadline: Deadline) {
         if let Some(before) = self.times.remove(&deadline) {
--- a/src/net/core/request_table.rs
+++ b/src/net/core/request_table.rs
@@ -14,6 +14,8 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::mem;
 
+/// Time after the end of an attempt until what is kept for it is released, as a multiple of the acceptance timeout.
+const RELEASE_DELAY_FACTOR: Micros = 2;
 /// Maximum number of names remembered as open at the other process of this scheduler.
 const MAX_OPEN_ELSEWHERE: usize = 4096;
 
@@ -52,6 +54,8 @@
     events: VecDeque<Event>,
     /// Commands that the event loop has not carried out yet.
     commands: Vec<Command<P>>,
+    /// Attempts that have ended in the current batch.
+    ended_attempts: Vec<AttemptId>,
     /// Requests that may be removed once the decision module has processed the events of the current batch.
     removable: Vec<u32>,
     counters: Counters,
@@ -90,6 +94,7 @@
             open_requests_limited: false,
             events: VecDeque::new(),
             commands: Vec::new(),
+            ended_attempts: Vec::new(),
             removable: Vec::new(),
             open_elsewhere: HashSet::new(),
             name_changes: None,
@@ -285,6 +290,8 @@
         for action in actions {
             self.execute_action(now, action, deadlines);
         }
+
+        self.release_ended_attempts(now, deadlines);
         // Requests are removed only now. In response to an event that preceded the client's leaving, the module may
         // have sent an attempt. The module waits for the outcome of that attempt; without the outcome it would count
         // the attempt's lane as occupied forever.
@@ -294,6 +301,15 @@
         mem::take(&mut self.commands)
     }
 
+    /// Moves the time limits of ended attempts forward: only the answer on an attempt's own connection may be outstanding,
+    /// and a client may have stated a very long time.
+    fn release_ended_attempts(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        let release_at = now + RELEASE_DELAY_FACTOR * self.acceptance_timeout;
+        for AttemptId { request, number } in mem::take(&mut self.ended_attempts) {
+            deadlines.advance(Deadline::AttemptTimeout(request, number), release_at);
+        }
+    }
+
     /// Returns true if events or commands are pending.
     pub fn has_pending(&self) -> bool {
         !self.events.is_empty() || !self.commands.is_empty()
--- a/src/net/core/request_table/actions.rs
+++ b/src/net/core/request_table/actions.rs
@@ -157,6 +157,7 @@
             concluded,
             report,
         }));
+        self.ended_attempts.push(id);
         self.removable.push(id.request);
     }
 
--- a/src/net/core/request_table/tests.rs
+++ b/src/net/core/request_table/tests.rs
@@ -342,3 +342,21 @@
     };
     assert_eq!((outcome(true), outcome(false)), (true, false));
 }
+
+// Guards against memory that grows with each request for the whole time that its client stated, however soon it is answered.
+#[test]
+fn ended_attempts_leave_no_deadline_for_the_whole_time_of_their_clients() {
+    let mut fixture = Fixture::new();
+    for _ in 0..100 {
+        let job = Job { client_timeout: 3_600 * SECOND, ..fixture.job(0, "a1") };
+        fixture.table.add_request(fixture.now, 99, job).expect("add request a1");
+        let attempt = sent_attempt(&fixture.process());
+        fixture.table.attempt_written(fixture.now, attempt);
+        fixture.table.attempt_accepted(attempt);
+        fixture.callback(AttemptUpdate::Served(b"r".to_vec()));
+        fixture.process();
+    }
+    fixture.now += 10 * SECOND;
+    while fixture.deadlines.next_due(fixture.now).is_some() {}
+    assert_eq!(fixture.deadlines.len(), 0);
+}
