Refuse an id that comes again where its job may have run

Cause: a request whose attempts had ended was forgotten, and only open names were known at the other process.

A request under such a name is answered 409 if its class must not run twice or is keyed, and a harmless one while the first may still run and copies are not allowed. The names go to a successor with the handover; what one process closes counts at the other as one that may have run. "Request-Id: fresh for every request, a client's retry included" (PROTOCOL): such an id is a mistake of its client. Beside it, a client that has closed its side of the connection has left, however much of its input is unread.

Why it works: whether a name may run is decided by what is known of its earlier attempts, by the effect of its class, in one place.

--- a/src/net/core/request_table.rs
+++ b/src/net/core/request_table.rs
@@ -11,6 +11,7 @@
 use calicolb::api::*;
 use calicolb::rules::Dispatcher;
 use calicolb::settings_update::{SettingsError, settings_key};
+use ended_names::{EndedNames, EndedRequest, EndedState};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::mem;
 
@@ -41,6 +42,8 @@
     by_name: HashMap<String, u32>,
     /// Requests that have ended while their workers may still report on them.
     recent_names: recent_names::RecentNames,
+    /// Names of ended requests that may have run.
+    ended_names: EndedNames,
     /// Numbers of the requests that have no final answer, by client.
     by_client: HashMap<ClientId, u32>,
     next_request: u32,
@@ -87,6 +90,7 @@
             requests: HashMap::new(),
             by_name: HashMap::new(),
             recent_names: recent_names::RecentNames::default(),
+            ended_names: EndedNames::default(),
             by_client: HashMap::new(),
             next_request: 0,
             last_timer: 0,
@@ -112,12 +116,15 @@
     /// Adds a request that was received completely, and returns its number.
     ///
     /// # Errors
-    /// Fails if a request of the same name is open, here or at the other process of this scheduler, if the maximum number of
-    /// requests is open, or if there is no memory for another payload.
+    /// Fails if a request of the same name is open, here or at the other process of this scheduler, or may have run and must
+    /// not run again, if the maximum number of requests is open, or if there is no memory for another payload.
     pub fn add_request(&mut self, now: Micros, client: ClientId, job: Job<P>) -> Result<u32, IntakeError> {
         if self.by_name.contains_key(&job.name) || self.open_elsewhere.contains(&job.name) {
             return Err(IntakeError::DuplicateName);
         }
+        if self.may_run_twice(now, &job) {
+            return Err(IntakeError::MayRunTwice);
+        }
         if self.requests.len() >= self.max_open {
             self.counters.class_mut(job.class).refused += 1;
             return Err(IntakeError::TooManyOpen);
@@ -129,6 +136,18 @@
         Ok(self.insert(now, client, job, None))
     }
 
+    /// Returns true if an ended request of the same name may have run, or may still run, so that this one must not: by the
+    /// effect of its class, and by whether two attempts may be in progress at once.
+    fn may_run_twice(&self, now: Micros, job: &Job<P>) -> bool {
+        let class = self.settings().classes.get(job.class.0);
+        let is_safe = class.is_some_and(|class| class.effect == Effect::Safe);
+        match self.ended_names.state(now, &job.name) {
+            None => false,
+            Some(EndedState::Over) => !is_safe,
+            Some(EndedState::MayRun) => !is_safe || !self.allow_duplicates,
+        }
+    }
+
     /// Inserts a request and reports its arrival to the decision module. `history`: its previous attempts, if another
     /// process has worked on it.
     fn insert(
@@ -290,13 +309,12 @@
         for action in actions {
             self.execute_action(now, action, deadlines);
         }
-
         self.release_ended_attempts(now, deadlines);
         // Requests are removed only now. In response to an event that preceded the client's leaving, the module may
         // have sent an attempt. The module waits for the outcome of that attempt; without the outcome it would count
         // the attempt's lane as occupied forever.
         for number in mem::take(&mut self.removable) {
-            self.remove_if_finished(number);
+            self.remove_if_finished(now, number);
         }
         mem::take(&mut self.commands)
     }
@@ -349,12 +367,14 @@
 }
 
 pub use end_of_process::{AttemptRecord, RequestHistory};
+pub use ended_names::EndedName;
 pub use request::*;
 
 mod actions;
 mod attempts;
 mod attribution;
 mod end_of_process;
+mod ended_names;
 mod recent_names;
 mod request;
 #[cfg(test)]
--- a/src/net/core/request_table/actions.rs
+++ b/src/net/core/request_table/actions.rs
@@ -180,8 +180,18 @@
         self.removable.push(number);
     }
 
+    /// Remembers the name of a request that may have run.
+    fn remember_ended(&mut self, now: Micros, number: u32, entry: &Entry<P>) {
+        if entry.attempts.iter().all(Attempt::never_ran) {
+            return;
+        }
+        let running_attempts = entry.attempts.iter().filter(|attempt| attempt.may_run).count();
+        let ended = EndedRequest { name: &entry.name, number: Some(number), running_attempts };
+        self.ended_names.remember(now, &ended);
+    }
+
     /// Removes a request that is concluded and whose attempts have all ended.
-    pub(super) fn remove_if_finished(&mut self, number: u32) {
+    pub(super) fn remove_if_finished(&mut self, now: Micros, number: u32) {
         let finished = |entry: &Entry<P>| {
             entry.concluded && entry.attempts.iter().all(|attempt| attempt.ending.is_some())
         };
@@ -192,6 +202,7 @@
             if let Some(name_changes) = &mut self.name_changes {
                 name_changes.push((entry.name.clone(), false));
             }
+            self.remember_ended(now, number, &entry);
             let attempts = entry.earlier_attempts.into_iter().chain(entry.attempts).collect();
             self.recent_names.remember(entry.name, attempts);
         }
--- a/src/net/core/request_table/attempts.rs
+++ b/src/net/core/request_table/attempts.rs
@@ -164,6 +164,7 @@
     /// report of the worker or with its time limit.
     pub fn cancel_confirmed(&mut self, now: Micros, id: AttemptId) {
         self.confirm_not_running(id);
+        self.ended_names.attempt_over(id.request);
         let disconnected = self.open_attempt(id).is_some_and(|attempt| attempt.disconnected);
         let ending = if disconnected { Ending::Broken } else { Ending::Cancelled };
         self.end_attempt(now, id, ending, false, None);
--- a/src/net/core/request_table/attribution.rs
+++ b/src/net/core/request_table/attribution.rs
@@ -60,7 +60,7 @@
     }
 
     /// Returns whether the attempt has ended and certainly never ran.
-    fn never_ran(&self) -> bool {
+    pub(super) fn never_ran(&self) -> bool {
         self.ending.is_some_and(Ending::never_ran)
     }
 }
--- a/src/net/core/request_table/request.rs
+++ b/src/net/core/request_table/request.rs
@@ -79,6 +79,8 @@
 pub enum IntakeError {
     /// A request of the same name is still open.
     DuplicateName,
+    /// A request of the same name has ended and may have run, and this one must not run beside it or after it.
+    MayRunTwice,
     /// The maximum number of requests is open.
     TooManyOpen,
     /// The payloads of the open requests take as much memory as they may.
--- a/src/net/core/request_table/tests/cancellations.rs
+++ b/src/net/core/request_table/tests/cancellations.rs
@@ -69,6 +69,81 @@
     fixture.process();
     assert!(fixture.table.requests.is_empty());
     assert_eq!(demand(&fixture), CancelDemand::Optional);
+    // Here no request of this name is accepted before the end of the attempt is confirmed; the other process may have one.
+    let again = fixture.table.add_request(fixture.now, 99, fixture.job(0, "a1"));
+    assert_eq!(again, Err(IntakeError::MayRunTwice));
+    fixture.table.set_open_elsewhere(fixture.now, "a1".to_owned(), true);
+    assert_eq!(demand(&fixture), CancelDemand::Obsolete);
+    fixture.table.set_open_elsewhere(fixture.now, "a1".to_owned(), false);
+    fixture.table.cancel_confirmed(fixture.now, attempt);
     fixture.add_request(0);
     assert_eq!(demand(&fixture), CancelDemand::Obsolete);
 }
+
+// Guards picture (c): a request that comes again under its id after its client has left runs a second time, though its class
+// forbids that, or beside its first attempt.
+#[test]
+fn a_name_that_comes_again_after_its_client_left_does_not_run_twice() {
+    for (class, allow_duplicates, over_allowed) in
+        [(0, true, true), (0, false, true), (1, true, false), (1, false, false)]
+    {
+        let mut fixture = Fixture::with(allow_duplicates);
+        let attempt = fixture.add_request(class);
+        fixture.table.attempt_written(fixture.now, attempt);
+        fixture.table.attempt_accepted(attempt);
+        fixture.table.client_left(99);
+        fixture.process();
+        fixture.process();
+        let again =
+            |fixture: &mut Fixture| fixture.table.add_request(fixture.now, 98, fixture.job(class, "a1"));
+        let case = format!("class {class}, copies {allow_duplicates}");
+        if class == 1 || !allow_duplicates {
+            assert_eq!(
+                again(&mut fixture),
+                Err(IntakeError::MayRunTwice),
+                "{case}, while the attempt may run"
+            );
+        }
+        fixture.table.cancel_confirmed(fixture.now, attempt);
+        fixture.process();
+        assert_eq!(again(&mut fixture).is_ok(), over_allowed, "{case}, after the end of the attempt");
+    }
+}
+
+// Guards against refusing a client that tries again under the same id where nothing has run.
+#[test]
+fn a_name_whose_request_never_ran_is_accepted_again() {
+    let mut fixture = Fixture::new();
+    let attempt = fixture.add_request(1);
+    fixture.table.client_left(99);
+    fixture.process();
+    fixture.table.attempt_not_started(fixture.now, attempt, Ending::NotSent);
+    fixture.process();
+    assert!(fixture.table.requests.is_empty());
+    fixture.add_request(1);
+}
+
+// Guards picture (c) at the other process of an upgrade: the name ended here, there, or with the other process.
+#[test]
+fn a_name_that_ended_at_the_other_process_does_not_run_again() {
+    let mut predecessor = Fixture::new();
+    let attempt = predecessor.add_request(1);
+    predecessor.table.attempt_written(predecessor.now, attempt);
+    assert!(predecessor.callback(AttemptUpdate::Served(b"r".to_vec())));
+    predecessor.process();
+    let mut successor = Fixture::new();
+    let now = successor.now;
+    successor.table.import_ended_names(now, predecessor.table.ended_names());
+    for name in ["closed", "lost"] {
+        successor.table.set_open_elsewhere(now, name.to_owned(), true);
+        let open = successor.table.add_request(now, 98, successor.job(1, name));
+        assert_eq!(open, Err(IntakeError::DuplicateName));
+    }
+    successor.table.set_open_elsewhere(now, "closed".to_owned(), false);
+    successor.table.other_process_gone(now);
+    for name in ["a1", "closed", "lost"] {
+        let again = successor.table.add_request(now, 98, successor.job(1, name));
+        assert_eq!(again, Err(IntakeError::MayRunTwice), "{name}");
+    }
+    assert!(successor.table.add_request(now, 98, successor.job(1, "new")).is_ok());
+}
--- a/src/net/core/request_table/upgrade.rs
+++ b/src/net/core/request_table/upgrade.rs
@@ -40,10 +40,24 @@
         self.name_changes.as_mut().map(mem::take).unwrap_or_default()
     }
 
-    /// Records that a request of this name was opened or closed at the other process.
-    pub fn set_open_elsewhere(&mut self, name: String, open: bool) {
+    /// The names of ended requests that may have run, for the other process.
+    pub fn ended_names(&self) -> Vec<EndedName> {
+        self.ended_names.export()
+    }
+
+    /// Remembers names of ended requests of the other process that may have run.
+    pub fn import_ended_names(&mut self, now: Micros, names: Vec<EndedName>) {
+        self.ended_names.import(now, names);
+    }
+
+    /// Records that a request of this name was opened or closed at the other process. It is not known whether a request
+    /// that was closed has run, so it counts as one that may have.
+    pub fn set_open_elsewhere(&mut self, now: Micros, name: String, open: bool) {
         if !open {
-            self.open_elsewhere.remove(&name);
+            if self.open_elsewhere.remove(&name) {
+                let ended = EndedRequest { name: &name, number: None, running_attempts: 0 };
+                self.ended_names.remember(now, &ended);
+            }
         } else if self.open_elsewhere.len() < MAX_OPEN_ELSEWHERE {
             self.open_elsewhere.insert(name);
         }
@@ -65,8 +79,11 @@
     }
 
     /// Reports that no other process of this scheduler is left.
-    pub fn other_process_gone(&mut self) {
-        self.open_elsewhere.clear();
+    pub fn other_process_gone(&mut self, now: Micros) {
+        for name in mem::take(&mut self.open_elsewhere) {
+            let ended = EndedRequest { name: &name, number: None, running_attempts: 1 };
+            self.ended_names.remember(now, &ended);
+        }
         self.name_changes = None;
     }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -235,7 +235,8 @@
             handover
                 .open_requests
                 .iter()
-                .for_each(|name| self.request_table.set_open_elsewhere(name.clone(), true));
+                .for_each(|name| self.request_table.set_open_elsewhere(now, name.clone(), true));
+            self.request_table.import_ended_names(now, handover.ended_requests.clone());
         }
         let Some(initial_list) = self.initial_list.take() else { return Ok(()) };
         self.open_peer_socket(now)?;
@@ -472,6 +473,9 @@
             return self.handle_signals(now);
         }
         let (_, mut components) = self.split(now);
+        if closed {
+            components.protocols().for_each(|protocol| protocol.on_read_closed(token.0));
+        }
         let waits_for_turn = |protocol: &mut dyn Protocol| {
             protocol.reads_in_turns(token.0) && !(closed && protocol.awaits_answer(token.0))
         };
--- a/src/net/event_loop/upgrade.rs
+++ b/src/net/event_loop/upgrade.rs
@@ -35,6 +35,7 @@
             dispatcher_state,
             names: Some(IndexedNames::new(ctx.names)),
             open_requests: ctx.request_table.track_open_names(),
+            ended_requests: ctx.request_table.ended_names(),
             draining: components.drain.is_operator_drain(),
         };
         components.upgrade_link.send_handover(handover);
@@ -50,7 +51,7 @@
     pub(super) fn other_process_gone(&mut self, now: Micros, role: Role) {
         log_line!("the link to the {role:?} process is closed");
         if !self.upgrade_link.is_connected() {
-            self.request_table.other_process_gone();
+            self.request_table.other_process_gone(now);
         }
         self.distribute_descriptors(now);
         match role {
@@ -166,8 +167,8 @@
         match (message, role) {
             (Message::HandoverRequest, Role::Successor) => self.hand_over_to_successor(now),
             (Message::Handover(handover), Role::Predecessor) => self.try_start_serving(now, Some(*handover)),
-            (Message::RequestOpened(name), _) => self.request_table.set_open_elsewhere(name, true),
-            (Message::RequestClosed(name), _) => self.request_table.set_open_elsewhere(name, false),
+            (Message::RequestOpened(name), _) => self.request_table.set_open_elsewhere(now, name, true),
+            (Message::RequestClosed(name), _) => self.request_table.set_open_elsewhere(now, name, false),
             (Message::Callback(body), _) => {
                 let before = self.unmatched_callbacks.len();
                 let (mut ctx, _) = self.split(now);
--- a/src/net/gearman/packet_handlers.rs
+++ b/src/net/gearman/packet_handlers.rs
@@ -247,7 +247,12 @@
                 let handle = self.attempt_handle(AttemptId { request, number: 0 });
                 self.job_table.add_job(client, handle, submission);
             }
-            Err(IntakeError::DuplicateName | IntakeError::TooManyOpen | IntakeError::OutOfMemory) => {
+            Err(
+                IntakeError::DuplicateName
+                | IntakeError::MayRunTwice
+                | IntakeError::TooManyOpen
+                | IntakeError::OutOfMemory,
+            ) => {
                 self.send_error(ctx, token, "BUSY", "as many jobs are open as may be");
             }
         }
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -61,7 +61,9 @@
     awaits_first_request: bool,
     /// The last turn ended before all input was read and processed.
     has_unread_input: bool,
-    /// The peer has closed the connection. Requests that it sent before are still in the buffer.
+    /// The peer has closed the connection, and input that it sent before may still be in the socket.
+    read_closed: bool,
+    /// All input is read, and the peer has closed the connection. Requests that it sent before are still in the buffer.
     closed_by_peer: bool,
     last_activity: Micros,
     /// Time at which input was last received.
@@ -125,6 +127,13 @@
         self.connections.get(&token).is_some_and(|connection| connection.state == State::InProgress)
     }
 
+    /// Records that the client has closed its side of this connection.
+    pub fn on_read_closed(&mut self, token: usize) {
+        if let Some(connection) = self.connections.get_mut(&token) {
+            connection.read_closed = true;
+        }
+    }
+
     /// Sets the limit on open connections and closes connections above it, except those with a request in
     /// progress.
     pub fn set_max_connections(&mut self, ctx: &mut Context<'_>, max_connections: usize) {
--- a/src/net/http/client/accept.rs
+++ b/src/net/http/client/accept.rs
@@ -106,6 +106,7 @@
             carries_callbacks: false,
             awaits_first_request: true,
             has_unread_input: false,
+            read_closed: false,
             closed_by_peer: false,
             last_activity: ctx.now,
             last_input: ctx.now,
--- a/src/net/http/client/reading.rs
+++ b/src/net/http/client/reading.rs
@@ -85,6 +85,8 @@
                 State::Reading | State::InProgress if filled == FillOutcome::Closed => {
                     return TurnOutcome::Closed;
                 }
+                // The client has gone, however much of its input is unread.
+                State::InProgress if connection.read_closed => return TurnOutcome::Closed,
                 // Input behind the last response is discarded.
                 State::Closing => {
                     connection.discard_input();
@@ -195,7 +197,7 @@
                         ctx.deadlines.clear(Deadline::Connection(token, ConnectionTimer::Timeout));
                         Ok(Usefulness::Productive)
                     }
-                    Err(IntakeError::DuplicateName) => Err(Reject(409)),
+                    Err(IntakeError::DuplicateName | IntakeError::MayRunTwice) => Err(Reject(409)),
                     Err(IntakeError::TooManyOpen | IntakeError::OutOfMemory) => Err(Reject(503)),
                 }
             }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -44,6 +44,10 @@
         self.clients.awaits_answer(token)
     }
 
+    fn on_read_closed(&mut self, token: usize) {
+        self.clients.on_read_closed(token);
+    }
+
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize) {
         if self.clients.owns_token(token) {
             self.clients.handle_ready(ctx, token)
--- a/src/net/platform/handover.rs
+++ b/src/net/platform/handover.rs
@@ -3,6 +3,7 @@
 use super::upgrade::Message;
 use crate::config::worker_list::ListUpdate;
 use crate::log::log_line;
+use crate::net::core::request_table::EndedName;
 use calicolb::api::Micros;
 use calicolb::wire::Names;
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,9 @@
     /// The names of the open requests.
     #[serde(rename = "open")]
     pub open_requests: Vec<String>,
+    /// The names of ended requests that may have run. Older versions do not send them.
+    #[serde(default, rename = "ended")]
+    pub ended_requests: Vec<EndedName>,
     /// Clients are being drained on an operator's request.
     #[serde(rename = "drained")]
     pub draining: bool,
--- a/src/net/platform/handover/tests.rs
+++ b/src/net/platform/handover/tests.rs
@@ -13,6 +13,7 @@
         dispatcher_state: RawValue::from_string(learned).expect("the text is JSON"),
         names: None,
         open_requests: vec!["open-1".to_owned()],
+        ended_requests: Vec::new(),
         draining: false,
     }
 }
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -47,6 +47,9 @@
     /// Returns true if a client on this connection waits for an answer.
     fn awaits_answer(&self, token: usize) -> bool;
 
+    /// Records that the peer has closed its side of a connection. What it sent before may still be unread.
+    fn on_read_closed(&mut self, _token: usize) {}
+
     /// Handles readiness of a connection or listener: it can be read, written or accepted.
     fn on_ready(&mut self, ctx: &mut Context<'_>, token: usize);
 
