Give keyed jobs from Gearman clients a key at HTTP workers

Cause: its HTTP request had no Idempotency-Key, while the decision module counted the repeat as harmless by the effect of the class; no worker could drop it. A keyed HTTP job had its Request-Id, not its key, as unique id at a Gearman worker.

Change: a job of a keyed class from Gearman carries its own name as key, the same at each attempt. A client's unique id may be used again for a later job, so it is no key. A job from HTTP has its key as unique id at Gearman workers.

--- a/src/net/gearman/assignments.rs
+++ b/src/net/gearman/assignments.rs
@@ -1,6 +1,7 @@
 //! Assignments: wakes workers, and gives asking workers the attempts that the decision module sent them.
 
 use super::Gearman;
+use super::packet_handlers::IDEMPOTENCY_KEY;
 use crate::net::Context;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::request_table::AttemptId;
@@ -28,7 +29,8 @@
         let job = self
             .job_table
             .find_by_handle(&self.attempt_handle(AttemptId { number: 0, ..assignment.attempt }));
-        let unique_id = job.and_then(|job| self.job_table.unique_id(job)).unwrap_or(payload.name.as_bytes());
+        let key = payload.headers.get(IDEMPOTENCY_KEY).unwrap_or(&payload.name);
+        let unique_id = job.and_then(|job| self.job_table.unique_id(job)).unwrap_or(key.as_bytes());
         let (handle, function) = (assignment.handle.as_bytes(), assignment.function.as_bytes());
         let packet = match grab_type {
             PacketType::GrabJobUniq => encode(
--- a/src/net/gearman/packet_handlers.rs
+++ b/src/net/gearman/packet_handlers.rs
@@ -9,7 +9,7 @@
 use crate::net::core::envelope::Envelope;
 use crate::net::core::memory::MemoryCharge;
 use crate::net::core::request_table::{AttemptId, ClientUpdates, IntakeError, Job, PartialResult};
-use calicolb::api::Ending;
+use calicolb::api::{ClassIx, Effect, Ending};
 use calicolb_gearman::ConnectionId;
 use calicolb_gearman::job_table::Submission;
 use calicolb_gearman::packet::{Packet, PacketType, Sender, encode};
@@ -17,6 +17,9 @@
 use std::hash::BuildHasher;
 use std::rc::Rc;
 
+/// The HTTP header by which workers drop repeats of a job of a keyed class.
+pub(super) const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+
 /// The largest length of a function name, a unique id and a client id, in bytes.
 pub(super) const MAX_NAME_LENGTH: usize = 256;
 
@@ -207,12 +210,16 @@
         let class = &self.config.classes[priority_class.class.0];
         let client = ctx.next_token();
         let name = format!("{}-{client:x}", self.process_tag);
-        let headers = [
+        let mut headers = vec![
             ("Host", "origin.svc"),
             ("Request-Id", &name),
             ("Request-Class", class),
             ("Request-Function", &function.name),
         ];
+        if is_keyed(ctx, priority_class.class) {
+            // Workers drop repeats by the key. It is new for each job: a unique id may be used again for a later one.
+            headers.push((IDEMPOTENCY_KEY, &name));
+        }
         let headers = headers.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect();
         let mut envelope = Envelope {
             name: name.clone(),
@@ -337,6 +344,12 @@
     )
 }
 
+/// Returns whether workers drop repeats of the jobs of this class by their keys.
+fn is_keyed(ctx: &Context<'_>, class: ClassIx) -> bool {
+    let class = ctx.request_table.settings().classes.get(class.0);
+    class.is_some_and(|class| matches!(class.effect, Effect::Keyed { .. }))
+}
+
 /// Returns the priority of a submission (0: low, 1: normal, 2: high), and whether it is a background job.
 fn submission_priority(packet_type: PacketType) -> (usize, bool) {
     match packet_type {
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -527,3 +527,43 @@
         "#,
     );
 }
+
+// Guards against review case 8: a keyed job that came over Gearman reaches HTTP workers without the key by which they drop a
+// repeat, and runs twice after a reset.
+#[test]
+fn keyed_job_of_a_gearman_client_carries_its_key_to_http_workers() {
+    let operator = r#"
+        class "move" aim="900ms" stretch=2.0 give-up="20s" effect="keyed" remembered="40s"
+        function "move" class="move" takes-http=#true on-http=#true
+        function "look" class="look" takes-http=#true on-http=#true
+        "#;
+    run_with_operator_file(
+        1,
+        operator,
+        r#"
+        send g1 SUBMIT_JOB move ~ | x
+        expect g1 JOB_CREATED *
+        expect h1 POST /move Idempotency-Key:*
+        "#,
+    );
+}
+
+// Guards the same the other way round: the key of a keyed HTTP job is its unique id at a Gearman worker.
+#[test]
+fn keyed_job_of_an_http_client_has_its_key_as_unique_id_at_gearman_workers() {
+    let operator = r#"
+        class "move" aim="900ms" stretch=2.0 give-up="20s" effect="keyed" remembered="40s"
+        function "move" class="move" takes-http=#true on-http=#true
+        "#;
+    run_with_operator_file(
+        0,
+        operator,
+        r#"
+        ready w1 move
+        send c1 POST /move Request-Id:a1 Idempotency-Key:k1 Request-Timeout:9 | x
+        expect w1 NOOP
+        send w1 GRAB_JOB_UNIQ
+        expect w1 JOB_ASSIGN_UNIQ * move k1 | x
+        "#,
+    );
+}
