--- a/src/net/core/buffer.rs
+++ b/src/net/core/buffer.rs
@@ -5,8 +5,6 @@
 
 /// Bytes that one read may add.
 pub const READ_CHUNK: usize = 8 * 1024;
-/// An empty buffer with a larger capacity (bytes) is freed, so that idle connections hold little memory.
-const MAX_IDLE_CAPACITY: usize = 1024;
 
 /// Input and output of one connection. HTTP/1.1 is half-duplex, so one buffer serves both directions: nothing is read
 /// while output is pending, which also bounds the memory that a peer can take up by not reading its answers.
@@ -53,12 +51,10 @@
         }
     }
 
+    /// Empties the buffer and frees its memory, so that idle connections hold none.
     fn clear(&mut self) {
-        self.data.clear();
+        self.data = Vec::new();
         (self.input_start, self.input_end, self.output_start) = (0, 0, 0);
-        if self.data.capacity() > MAX_IDLE_CAPACITY {
-            self.data = Vec::new();
-        }
         self.update_charge();
     }
 
@@ -226,7 +222,6 @@
         assert!(account.used() >= held);
         assert!((100_000..100_000 + READ_CHUNK).contains(&held));
         buffer.consume(held);
-        assert!(buffer.data.capacity() <= MAX_IDLE_CAPACITY);
-        assert_eq!(account.used(), buffer.data.capacity());
+        assert_eq!((buffer.data.capacity(), account.used()), (0, 0));
     }
 }
--- a/src/net/gearman/tests.rs
+++ b/src/net/gearman/tests.rs
@@ -223,3 +223,35 @@
         .expect_err("classes with different effects were accepted");
     assert_eq!(error.key, "request_classes.look.effect");
 }
+
+// Guards picture (a) over Gearman: peers that stop in the middle of a packet hold memory, and a worker with a job pays for it.
+#[test]
+fn incomplete_packets_are_given_up_for_memory_but_not_that_of_a_worker_with_a_job() {
+    let (mut test_loop, mut gearman) = TestLoop::new();
+    let (mut worker, worker_token) = test_loop.connect(&mut gearman);
+    let registration: [(PacketType, &[&[u8]]); 2] =
+        [(PacketType::CanDo, &[b"book"]), (PacketType::PreSleep, &[])];
+    test_loop.send_and_process(&mut gearman, (&mut worker, worker_token), &registration);
+    test_loop.run_iteration(&mut gearman);
+    let (mut client, client_token) = test_loop.connect(&mut gearman);
+    let submission: [(PacketType, &[&[u8]]); 1] = [(PacketType::SubmitJob, &[b"book", b"", b"x"])];
+    test_loop.send_and_process(&mut gearman, (&mut client, client_token), &submission);
+    test_loop.run_iteration(&mut gearman);
+    test_loop.send_and_process(&mut gearman, (&mut worker, worker_token), &[(PacketType::GrabJob, &[])]);
+    test_loop.run_iteration(&mut gearman);
+    let (mut stopped, stopped_token) = test_loop.connect(&mut gearman);
+    let packet = encode(Sender::Peer, PacketType::WorkComplete, &[b"H:t:1", &[b'x'; 40_000]]);
+    for (peer, token) in [(&mut worker, worker_token), (&mut stopped, stopped_token)] {
+        peer.write_all(&packet[..30_000]).expect("failed to send a part of a packet");
+        let test_deadline = Instant::now() + Duration::from_secs(10);
+        while gearman.connections[&token].buffer.input().len() < 30_000 {
+            assert!(Instant::now() < test_deadline, "the part of the packet did not arrive within 10 s");
+            test_loop.with_context(|ctx| gearman.on_ready(ctx, token));
+        }
+    }
+    assert!(test_loop.memory.used() >= 60_000, "{}", test_loop.memory.used());
+    assert!(test_loop.with_context(|ctx| gearman.shed_memory(ctx)));
+    assert!(gearman.connections[&stopped_token].closing && !gearman.connections[&worker_token].closing);
+    assert!(test_loop.memory.used() < 60_000, "{}", test_loop.memory.used());
+    assert!(!test_loop.with_context(|ctx| gearman.shed_memory(ctx)), "the packet of a worker was given up");
+}
--- a/tests/repeated_ids.rs
+++ b/tests/repeated_ids.rs
@@ -85,3 +85,32 @@
         ),
     );
 }
+
+// Guards picture (c): a client closed its connection with much still unread, and its requests were sent on afterwards.
+#[test]
+fn requests_behind_the_first_one_are_not_sent_after_their_client_has_closed() {
+    let behind: String = (0..120)
+        .map(|number| {
+            format!(r"POST /look HTTP/1.1\r\nRequest-Id: b{number}\r\nRequest-Timeout: 9\r\nContent-Length: 2000\r\n\r\n{}", "x".repeat(2_000))
+        })
+        .collect();
+    run_scenario(
+        1,
+        &format!(
+            r#"
+            send c1 POST /look Request-Id:a1 Request-Timeout:9
+            expect h1 POST /look Request-Id:a1
+            send h1 202
+            send c1 raw {behind}
+            close c1
+            expect h1 DELETE /jobs/a1
+            send h1 200
+            mark
+            until 1000
+            send c2 POST /look Request-Id:a2 Request-Timeout:9
+            expect h1 POST /look Request-Id:a2
+            none h1
+            "#
+        ),
+    );
+}
