--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -68,6 +68,8 @@
     last_activity: Micros,
     /// Time at which input was last received.
     last_input: Micros,
+    /// Time at which output was last appended or written.
+    last_output: Micros,
     /// The time for the present request is over, and input that arrived before has still to be processed.
     timed_out: bool,
     /// Time at which the first byte of the incomplete request arrived, in microseconds.
@@ -198,6 +200,7 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         connection.close_after_response |= self.draining && !connection.carries_callbacks;
         connection.last_activity = ctx.now;
+        connection.last_output = ctx.now;
         connection.buffer.append_output(&framing::write_response(
             status,
             extra,
@@ -212,7 +215,11 @@
     fn flush(&mut self, ctx: &mut Context<'_>, token: usize) -> bool {
         let draining = self.draining;
         let Some(connection) = self.connections.get_mut(&token) else { return false };
+        let pending = connection.buffer.pending_output();
         let flushed = connection.buffer.flush(&mut connection.stream);
+        if connection.buffer.pending_output() < pending {
+            connection.last_output = ctx.now;
+        }
         // A response that was already being written when the drain began must close its connection as well.
         let close = connection.close_after_response
             || (draining && !connection.carries_callbacks && !connection.has_pending_input());
--- a/src/net/http/client/accept.rs
+++ b/src/net/http/client/accept.rs
@@ -110,6 +110,7 @@
             closed_by_peer: false,
             last_activity: ctx.now,
             last_input: ctx.now,
+            last_output: ctx.now,
             timed_out: false,
             request_started: None,
         };
--- a/src/net/http/client/tests.rs
+++ b/src/net/http/client/tests.rs
@@ -375,3 +375,38 @@
         clients.connections.len() == 2
     });
 }
+
+// Guards against answers that nobody reads and that take all memory, and against giving up one that is read slowly.
+#[test]
+fn answer_is_given_up_for_memory_only_after_a_second_in_which_nothing_of_it_was_read() {
+    let (mut fixture, mut clients) = Fixture::new();
+    let (mut client, connection) = fixture.connect(&mut clients);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client, 4_096).expect("setting the receive buffer");
+    rustix::net::sockopt::set_socket_send_buffer_size(&clients.connections[&connection].stream, 4_096)
+        .expect("setting the send buffer");
+    client.write_all(REQUEST).expect("sending a request");
+    until(|| {
+        fixture.with(|ctx| clients.handle_ready(ctx, connection));
+        fixture.request_table.unanswered_requests() == 1
+    });
+    let result = vec![b'r'; 1 << 20];
+    fixture.with(|ctx| clients.answer(ctx, connection, Answer::Served(result)));
+    assert!(clients.connections[&connection].buffer.has_output() && fixture.memory.used() > 1 << 19);
+    let sheds = |fixture: &mut Fixture, clients: &mut ClientConnections, after: Micros| {
+        fixture.now += after;
+        fixture.with(|ctx| clients.shed_memory(ctx))
+    };
+    assert!(!sheds(&mut fixture, &mut clients, SECOND - 1), "the answer was given up within a second");
+    let before = clients.connections[&connection].buffer.pending_output();
+    until(|| {
+        client.read_exact(&mut [0; 1_000]).expect("reading a part of the answer");
+        fixture.with(|ctx| clients.handle_ready(ctx, connection));
+        clients.connections[&connection].buffer.pending_output() < before
+    });
+    assert!(!sheds(&mut fixture, &mut clients, SECOND - 1), "an answer that is read was given up");
+    assert!(sheds(&mut fixture, &mut clients, 1));
+    assert!(
+        clients.connections.is_empty() && fixture.memory.used() < 1_000,
+        "only the request itself is held"
+    );
+}
