Log a failure to accept connections once a second at most

Change: that line is written once a second at most, over HTTP and Gearman.

Why it works: the lines of a second were used up by this one alone, 50 times a second at most; the trace has no other that repeats.

--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod envelope;
 pub mod input_queue;
 pub mod iteration;
+pub mod log_interval;
 pub mod memory;
 pub mod network_delay;
 pub mod request_table;
--- a/src/net/gearman/connections.rs
+++ b/src/net/gearman/connections.rs
@@ -88,7 +88,9 @@
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
-                    log_line!(warn: "failed to accept a Gearman connection: {error}");
+                    if self.accept_failure_log.is_due(ctx.now) {
+                        log_line!(warn: "failed to accept a Gearman connection: {error}");
+                    }
                     self.release_idle(ctx);
                     return ctx.deadlines.set(retry, ctx.now + ACCEPT_RETRY_DELAY);
                 }
--- a/src/net/gearman/mod.rs
+++ b/src/net/gearman/mod.rs
@@ -15,6 +15,7 @@
 use crate::net::Context;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
 use crate::net::core::envelope::Payload;
+use crate::net::core::log_interval::LogInterval;
 use crate::net::core::request_table::{Answer, AttemptId, ClientId, PartialResult, Receipt};
 use crate::net::core::worker_registry::WorkerSource;
 use crate::net::protocol::{DescriptorLimits, Protocol, ReleaseIdle};
@@ -46,6 +47,7 @@
     listener: TcpListener,
     listener_token: usize,
     listening: bool,
+    accept_failure_log: LogInterval,
     connections: HashMap<ConnectionId, Connection>,
     max_connections: usize,
     worker_table: WorkerTable<AttemptId>,
@@ -84,6 +86,7 @@
             listener,
             listener_token: ctx.next_token(),
             listening: false,
+            accept_failure_log: LogInterval::default(),
             connections: HashMap::new(),
             max_connections: 0,
             worker_table: WorkerTable::default(),
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -4,6 +4,7 @@
 use crate::net::Context;
 use crate::net::core::buffer::Buffer;
 use crate::net::core::deadlines::{ConnectionTimer, Deadline};
+use crate::net::core::log_interval::LogInterval;
 use crate::net::core::memory::MemoryUse;
 use crate::net::core::request_table::Answer;
 use crate::net::http::framing::{self, Reject};
@@ -92,6 +93,7 @@
     /// New connections are accepted here. Otherwise they are left to the other process that shares the
     /// listening socket.
     listening: bool,
+    accept_failure_log: LogInterval,
     /// An accepted connection for which there is no room yet.
     waiting: Option<TcpStream>,
 }
@@ -110,6 +112,7 @@
             accepts_clients: false,
             shed_total: 0,
             listening: false,
+            accept_failure_log: LogInterval::default(),
             waiting: None,
         }
     }
--- a/src/net/http/client/accept.rs
+++ b/src/net/http/client/accept.rs
@@ -60,7 +60,9 @@
                 Err(error) => {
                     // No descriptor or memory is available: an idle connection is closed, and accepting is
                     // tried again later.
-                    log_line!("failed to accept a connection: {error}");
+                    if self.accept_failure_log.is_due(ctx.now) {
+                        log_line!("failed to accept a connection: {error}");
+                    }
                     self.release_idle(ctx);
                     return self.retry_accept(ctx);
                 }
